Add the workspace, the design page and the shared data types

Cause: an empty repository. Change: Maven modules by layer, formatter and linter, records for hosts, chains, outcomes and configuration, ports to the platform's store and to the peers, messages of the engine API, Thrift structures for the peers.

--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Placeholder.
+ */
+package org.medlardrum.cli;
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/PeerResult.java
@@ -0,0 +1,37 @@
+package org.medlardrum.coordination;
+
+/**
+ * Result of a call to another entry host.
+ *
+ * @param <T> type of the response
+ */
+public sealed interface PeerResult<T> {
+
+	/**
+	 * The peer answered.
+	 *
+	 * @param value the response
+	 * @param <T> type of the response
+	 */
+	record Ok<T>(T value) implements PeerResult<T> {
+	}
+
+	/**
+	 * The peer could not be reached. It did not process the call.
+	 *
+	 * @param reason short technical reason
+	 * @param <T> type of the response
+	 */
+	record Unreachable<T>(String reason) implements PeerResult<T> {
+	}
+
+	/**
+	 * The response was lost. The peer may have processed the call.
+	 *
+	 * @param reason short technical reason
+	 * @param <T> type of the response
+	 */
+	record Unknown<T>(String reason) implements PeerResult<T> {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/PlatformStore.java
@@ -0,0 +1,72 @@
+package org.medlardrum.coordination;
+
+import java.util.List;
+
+import org.medlardrum.state.HostDirectory;
+
+/**
+ * Port to the platform's key-value service and host list. Every method blocks for at most
+ * the configured timeout and never throws for a failure of the service.
+ */
+public interface PlatformStore {
+
+	/** Expected revision of a key that must not exist. */
+	long ABSENT = 0;
+
+	/**
+	 * Reads a key.
+	 * @param key the key
+	 * @return the entry
+	 */
+	StoreResult<StoreEntry> get(String key);
+
+	/**
+	 * Writes a key if its revision is as expected.
+	 * @param key the key
+	 * @param expectedRevision revision that the key must have, {@link #ABSENT} if it must
+	 * not exist
+	 * @param value value to write, at most 1 MB
+	 * @param leaseId lease with which the key is removed, {@code null} for none
+	 * @return the written entry
+	 */
+	StoreResult<StoreEntry> compareAndSet(String key, long expectedRevision, String value, String leaseId);
+
+	/**
+	 * Waits until a key has a revision above the given one.
+	 * @param key the key
+	 * @param afterRevision revision already known, {@link #ABSENT} to wait for creation
+	 * @param waitMs longest wait
+	 * @return the entry, or {@code NotFound} when the wait ended without a change
+	 */
+	StoreResult<StoreEntry> watch(String key, long afterRevision, long waitMs);
+
+	/**
+	 * Lists the entries whose key starts with a prefix, in key order.
+	 * @param prefix the prefix
+	 * @return the entries
+	 */
+	StoreResult<List<StoreEntry>> list(String prefix);
+
+	/**
+	 * Creates a lease.
+	 * @param ttlMs time to live
+	 * @return the lease
+	 */
+	StoreResult<StoreLease> createLease(long ttlMs);
+
+	/**
+	 * Renews a lease.
+	 * @param leaseId the lease
+	 * @return the lease, or {@code NotFound} when it has expired
+	 */
+	StoreResult<StoreLease> renewLease(String leaseId);
+
+	/**
+	 * Reads the host list, waiting until its revision is above the given one.
+	 * @param afterRevision revision already known, 0 for none
+	 * @param waitMs longest wait
+	 * @return the list, or {@code NotFound} when the wait ended without a change
+	 */
+	StoreResult<HostDirectory> hosts(long afterRevision, long waitMs);
+
+}
--- /dev/null
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -0,0 +1,110 @@
+namespace java org.medlardrum.peer.gen
+
+/** Demand and served cost of one rank of one pool on one entry host. */
+struct RankDemand {
+  1: string pool
+  2: i16 rank
+  3: i64 demandCostPerS
+  4: i64 servedCostPerS
+}
+
+/** Demand and served cost of one organisation in one pool on one entry host. */
+struct OrganisationDemand {
+  1: string pool
+  2: string organisation
+  3: i64 demandCostPerS
+  4: i64 servedCostPerS
+}
+
+enum RumourKind {
+  QUARANTINED = 1
+  LEAVING = 2
+  SUSPECT = 3
+  CLEARED = 4
+}
+
+/** A fact that spreads from host to host. */
+struct Rumour {
+  1: RumourKind kind
+  2: string subject
+  3: i64 untilMs
+  4: i32 count
+}
+
+/** What one entry host tells another once a second. */
+struct Digest {
+  1: string hostId
+  2: string availabilityZone
+  3: i64 configVersion
+  4: bool draining
+  5: i64 sentAtMs
+  6: list<RankDemand> ranks
+  7: list<OrganisationDemand> organisations
+  8: list<Rumour> rumours
+  9: bool reply
+}
+
+/** One accepted configuration change, as the JSON text that the store holds. */
+struct ConfigEntry {
+  1: i64 version
+  2: string changeJson
+}
+
+/** Changes after a version, or a snapshot when the peer no longer has them all. */
+struct ConfigPull {
+  1: i64 version
+  2: optional string snapshotJson
+  3: list<ConfigEntry> changes
+}
+
+struct ClaimRequest {
+  1: string organisation
+  2: string route
+  3: string idempotencyKey
+  4: string requestDigest
+  5: string hostId
+  6: string attemptId
+  7: i64 timeoutMs
+}
+
+struct ClaimOutcome {
+  1: string organisation
+  2: string route
+  3: string idempotencyKey
+  4: string attemptId
+  5: bool released
+  6: i32 status
+  7: string contentType
+  8: binary body
+  9: bool bodyComplete
+}
+
+enum ClaimVerdict {
+  GRANTED = 1
+  COMPLETED = 2
+  IN_PROGRESS = 3
+  OUTCOME_UNKNOWN = 4
+  DIFFERENT_REQUEST = 5
+  STORE_UNAVAILABLE = 6
+}
+
+struct ClaimAnswer {
+  1: ClaimVerdict verdict
+  2: i64 retryAfterMs
+  3: optional ClaimOutcome outcome
+  4: string detail
+}
+
+/** A request over the peers' TCP port. Each request is answered by the response of the same name. */
+union PeerRequest {
+  1: i64 pullConfigAfterVersion
+  2: ClaimRequest claim
+  3: ClaimOutcome recordOutcome
+}
+
+union PeerResponse {
+  1: ConfigPull configPull
+  2: ClaimAnswer claim
+  3: bool outcomeRecorded
+  4: string error
+}
--- /dev/null
+++ b/medlardrum-protocol/src/main/java/org/medlardrum/protocol/engine/EngineOrder.java
@@ -0,0 +1,18 @@
+package org.medlardrum.protocol.engine;
+
+import java.util.List;
+
+/**
+ * Body of {@code POST /v1/orders}: the wanted state of an engine.
+ *
+ * @param fencingToken token of the orderer; an engine that checks it refuses a token
+ * below the largest one seen
+ * @param orderId identifier of the order
+ * @param model model to hold
+ * @param version version to hold
+ * @param adapters adapters to hold
+ * @param role role to take
+ */
+public record EngineOrder(long fencingToken, String orderId, String model, String version, List<String> adapters,
+		String role) {
+}
--- /dev/null
+++ b/medlardrum-protocol/src/main/java/org/medlardrum/protocol/engine/StageRequest.java
@@ -0,0 +1,21 @@
+package org.medlardrum.protocol.engine;
+
+import java.util.List;
+
+import org.medlardrum.state.Rank;
+import org.medlardrum.state.Stage;
+
+/**
+ * Body of {@code POST /v1/stage}, sent by one engine to its successor for one token.
+ *
+ * @param request identifier of the request
+ * @param attempt number of the attempt
+ * @param position position of the token
+ * @param activation output of the previous stage
+ * @param priority rank of the request
+ * @param deadlineMs time left, in milliseconds
+ * @param chain the stages still to run, the receiver first
+ */
+public record StageRequest(String request, int attempt, int position, long activation, Rank priority, long deadlineMs,
+		List<Stage> chain) {
+}
--- /dev/null
+++ b/medlardrum-protocol/src/main/java/org/medlardrum/protocol/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages of the model engines' HTTP interface.
+ */
+package org.medlardrum.protocol.engine;
--- /dev/null
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/ConfigEdit.java
@@ -0,0 +1,14 @@
+package org.medlardrum.state.config;
+
+import com.google.gson.JsonElement;
+
+/**
+ * One edit of a configuration document.
+ *
+ * @param document {@code base} or {@code overlay:<site>}
+ * @param path JSON pointer (RFC 6901) to a member, for example {@code /routes/report}
+ * @param oldValue value before, {@code null} when absent
+ * @param newValue value after, {@code null} to remove
+ */
+public record ConfigEdit(String document, String path, JsonElement oldValue, JsonElement newValue) {
+}
--- /dev/null
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/ModelConfig.java
@@ -0,0 +1,11 @@
+package org.medlardrum.state.config;
+
+/**
+ * A model that routes can refer to.
+ *
+ * @param layers number of layers
+ * @param pool pool of engines that hold the model
+ * @param version version that engines must hold, empty for any
+ */
+public record ModelConfig(int layers, String pool, String version) {
+}
--- /dev/null
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/RouteConfig.java
@@ -0,0 +1,26 @@
+package org.medlardrum.state.config;
+
+import java.util.List;
+
+import org.medlardrum.state.Rank;
+
+/**
+ * A route: which requests go where, at which rank, for which organisations.
+ *
+ * @param kind model or plain service
+ * @param model for model routes, name of the model
+ * @param adapter for model routes, name of the adapter, empty for none
+ * @param pool for service routes, name of the pool
+ * @param method for service routes, HTTP method, {@code *} for any
+ * @param pathPrefix for service routes, prefix of the request path
+ * @param rank rank of the requests
+ * @param organisations names of the organisations that may use the route, {@code *} for
+ * all
+ * @param idempotent for service routes, whether a request may run more than once; model
+ * routes are always idempotent
+ * @param timeoutMs time within which a request must complete
+ * @param maxTokens for model routes, largest number of tokens to generate
+ */
+public record RouteConfig(RouteKind kind, String model, String adapter, String pool, String method, String pathPrefix,
+		Rank rank, List<String> organisations, boolean idempotent, long timeoutMs, int maxTokens) {
+}
--- /dev/null
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Shared data: hosts, backend servers, ranks, outcomes and the snapshots that decisions
+ * are made from. Contains no I/O.
+ */
+package org.medlardrum.state;
