--- a/medlardrum-state/src/test/java/org/medlardrum/state/ChainTest.java
+++ b/medlardrum-state/src/test/java/org/medlardrum/state/ChainTests.java
@@ -11,7 +11,7 @@
 /**
  * Guards against chains that skip or repeat layers.
  */
-class ChainTest {
+class ChainTests {
 
 	@ParameterizedTest
 	@CsvSource({ "0-8 8-16, true", "0-16, true", "0-8 9-16, false", "0-8 7-16, false", "8-16 0-8, false",
