Add the HTTP clients of the platform store, engines and services

Cause: nothing implements the PlatformStore port or talks to backend servers. Change: add HttpPlatformStore, EngineClient and ServiceClient over ServiceTalk with automatic retries and health checks off, and classify each failure as not run or possibly run. Before: no HTTP transport. After: refused connections and declared refusals are NotRun or Unavailable; broken and late responses are MayHaveRun or Unknown; one request per call.

--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineStream.java
@@ -0,0 +1,103 @@
+package org.medlardrum.transport;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.BlockingIterator;
+import io.servicetalk.http.api.BlockingStreamingHttpResponse;
+import org.medlardrum.protocol.engine.EngineFrames;
+import org.medlardrum.transport.internal.Failures;
+import org.medlardrum.transport.internal.LineBuffer;
+
+/**
+ * Frames of one generation. Used by one thread. Closing a stream before its end closes
+ * the connection, so that late frames cannot reach another request.
+ */
+public final class EngineStream implements AutoCloseable {
+
+	/**
+	 * A token frame is a few hundred bytes; an end frame holds a report of each stage.
+	 */
+	private static final int MAX_LINE_BYTES = 256 * 1024;
+
+	private final BlockingIterator<Buffer> buffers;
+
+	private final LineBuffer lines = new LineBuffer(MAX_LINE_BYTES);
+
+	private StreamEvent.Frame pushedBack;
+
+	private boolean finished;
+
+	EngineStream(BlockingStreamingHttpResponse response) {
+		this.buffers = response.payloadBody().iterator();
+	}
+
+	void pushBack(StreamEvent.Frame frame) {
+		this.pushedBack = frame;
+	}
+
+	/**
+	 * Waits for the next frame.
+	 * @param timeoutMs longest wait
+	 * @return the event
+	 */
+	public StreamEvent next(long timeoutMs) {
+		if (this.pushedBack != null) {
+			StreamEvent.Frame frame = this.pushedBack;
+			this.pushedBack = null;
+			return frame;
+		}
+		long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+		try {
+			while (!this.lines.hasLine()) {
+				if (!this.buffers.hasNext(Math.max(1, deadlineNs - System.nanoTime()), TimeUnit.NANOSECONDS)) {
+					this.finished = true;
+					return new StreamEvent.Broken("stream ended");
+				}
+				this.lines.append(this.buffers.next());
+			}
+			return new StreamEvent.Frame(EngineFrames.decode(this.lines.takeLine(StandardCharsets.UTF_8)));
+		}
+		catch (TimeoutException ex) {
+			return new StreamEvent.TimedOut();
+		}
+		catch (Exception ex) {
+			if (ex instanceof InterruptedException) {
+				Thread.currentThread().interrupt();
+			}
+			return new StreamEvent.Broken(Failures.describe(ex));
+		}
+	}
+
+	/**
+	 * Reads the end of the response after its last frame, so that the connection can be
+	 * used again.
+	 * @param timeoutMs longest wait
+	 */
+	public void finish(long timeoutMs) {
+		try {
+			this.finished = !this.buffers.hasNext(timeoutMs, TimeUnit.MILLISECONDS);
+		}
+		catch (Exception ex) {
+			this.finished = false;
+		}
+	}
+
+	@Override
+	public void close() {
+		if (this.finished) {
+			return;
+		}
+		this.finished = true;
+		try {
+			this.buffers.close();
+		}
+		catch (Exception ex) {
+			// The connection is already closed.
+			return;
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
@@ -0,0 +1,196 @@
+package org.medlardrum.transport;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import io.servicetalk.http.api.BlockingStreamingHttpResponse;
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.coordination.StoreEntry;
+import org.medlardrum.coordination.StoreLease;
+import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.state.HostDirectory;
+import org.medlardrum.transport.internal.Failures;
+import org.medlardrum.transport.internal.HttpClientPool;
+import org.medlardrum.transport.internal.HttpExchange;
+
+/**
+ * Client of the platform's key-value service over HTTP/1.1. Safe for use by several
+ * threads. No call is retried.
+ *
+ * <pre>
+ * try (HttpPlatformStore store = new HttpPlatformStore("127.0.0.1:7000", 500)) {
+ *     StoreResult&lt;StoreEntry&gt; entry = store.get("config/snapshot");
+ * }
+ * </pre>
+ */
+public final class HttpPlatformStore implements PlatformStore, AutoCloseable {
+
+	/** Answers hold one value of at most 1 MB, or a list of such values. */
+	private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
+	private static final int OK = 200;
+
+	private static final int NOT_MODIFIED = 304;
+
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int CONFLICT = 409;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final Gson GSON = new Gson();
+
+	private final HttpClientPool clients;
+
+	private final String address;
+
+	private final long timeoutMs;
+
+	/**
+	 * Creates a client. No connection is made before the first call.
+	 * @param address {@code ip:port} of the service
+	 * @param timeoutMs longest duration of a call, the wait of a watch excluded
+	 */
+	public HttpPlatformStore(String address, long timeoutMs) {
+		if (timeoutMs <= 0) {
+			throw new IllegalArgumentException("Timeout of " + timeoutMs + " ms is not positive");
+		}
+		this.clients = new HttpClientPool((int) Math.min(timeoutMs, Integer.MAX_VALUE));
+		this.address = address;
+		this.timeoutMs = timeoutMs;
+	}
+
+	@Override
+	public StoreResult<StoreEntry> get(String key) {
+		return call(false, "GET", "/v1/kv/" + path(key), "", 0, HttpPlatformStore::entry);
+	}
+
+	@Override
+	public StoreResult<StoreEntry> compareAndSet(String key, long expectedRevision, String value, String leaseId) {
+		String lease = (leaseId != null) ? "&lease=" + query(leaseId) : "";
+		return call(true, "PUT", "/v1/kv/" + path(key) + "?expect=" + expectedRevision + lease, value, 0,
+				HttpPlatformStore::entry);
+	}
+
+	@Override
+	public StoreResult<StoreEntry> watch(String key, long afterRevision, long waitMs) {
+		return call(false, "GET", "/v1/watch/" + path(key) + "?after=" + afterRevision + "&waitMs=" + waitMs, "",
+				waitMs, HttpPlatformStore::entry);
+	}
+
+	@Override
+	public StoreResult<List<StoreEntry>> list(String prefix) {
+		return call(false, "GET", "/v1/list?prefix=" + query(prefix), "", 0, HttpPlatformStore::entries);
+	}
+
+	@Override
+	public StoreResult<StoreLease> createLease(long ttlMs) {
+		return call(true, "POST", "/v1/leases", "{\"ttlMs\":" + ttlMs + "}", 0, HttpPlatformStore::lease);
+	}
+
+	@Override
+	public StoreResult<StoreLease> renewLease(String leaseId) {
+		return call(true, "POST", "/v1/leases/" + path(leaseId) + "/renew", "", 0, HttpPlatformStore::lease);
+	}
+
+	@Override
+	public StoreResult<HostDirectory> hosts(long afterRevision, long waitMs) {
+		return call(false, "GET", "/v1/hosts?after=" + afterRevision + "&waitMs=" + waitMs, "", waitMs,
+				(json) -> GSON.fromJson(json, HostDirectory.class));
+	}
+
+	@Override
+	public void close() {
+		this.clients.close();
+	}
+
+	private <T> StoreResult<T> call(boolean write, String method, String target, String body, long waitMs,
+			Function<JsonElement, T> decoder) {
+		try {
+			List<String> headers = (body.isEmpty()) ? List.of() : List.of("Content-Type", "application/json");
+			BlockingStreamingHttpResponse response = HttpExchange.send(this.clients.client(this.address), method,
+					target, headers, body.getBytes(StandardCharsets.UTF_8), this.timeoutMs + waitMs);
+			byte[] bytes = HttpExchange.readBody(response, MAX_RESPONSE_BYTES, this.timeoutMs);
+			return decode(write, response.status().code(), new String(bytes, StandardCharsets.UTF_8), decoder);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return (write) ? new StoreResult.Unknown<>("interrupted") : new StoreResult.Unavailable<>("interrupted");
+		}
+		catch (Exception ex) {
+			String reason = Failures.describe(ex);
+			return (write && !Failures.isNotSent(ex)) ? new StoreResult.Unknown<>(reason)
+					: new StoreResult.Unavailable<>(reason);
+		}
+	}
+
+	private static <T> StoreResult<T> decode(boolean write, int status, String body, Function<JsonElement, T> decoder) {
+		return switch (status) {
+			case OK -> new StoreResult.Ok<>(decoder.apply(parse(body)));
+			case NO_CONTENT, NOT_MODIFIED, NOT_FOUND -> new StoreResult.NotFound<>();
+			case CONFLICT -> new StoreResult.Conflict<>(conflicting(body));
+			case TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE -> new StoreResult.Unavailable<>("HTTP status " + status);
+			default -> (write) ? new StoreResult.Unknown<>("HTTP status " + status)
+					: new StoreResult.Unavailable<>("HTTP status " + status);
+		};
+	}
+
+	private static JsonElement parse(String body) {
+		return JsonParser.parseString(body);
+	}
+
+	private static StoreEntry conflicting(String body) {
+		if (body.isBlank()) {
+			return null;
+		}
+		JsonElement json = parse(body);
+		return (json.isJsonObject() && json.getAsJsonObject().has("revision")) ? entry(json) : null;
+	}
+
+	private static StoreEntry entry(JsonElement json) {
+		StoreEntry entry = GSON.fromJson(json, StoreEntry.class);
+		if (entry == null || entry.key() == null || entry.value() == null || entry.revision() <= 0) {
+			throw new JsonParseException("Response of the store is not an entry");
+		}
+		return entry;
+	}
+
+	private static List<StoreEntry> entries(JsonElement json) {
+		JsonArray array = (json.isJsonArray()) ? json.getAsJsonArray()
+				: json.getAsJsonObject().getAsJsonArray("entries");
+		List<StoreEntry> entries = new ArrayList<>();
+		array.forEach((element) -> entries.add(entry(element)));
+		return entries;
+	}
+
+	private static StoreLease lease(JsonElement json) {
+		JsonObject object = json.getAsJsonObject();
+		if (!object.has("id") || !object.has("ttlMs")) {
+			throw new JsonParseException("Response of the store is not a lease");
+		}
+		return GSON.fromJson(json, StoreLease.class);
+	}
+
+	private static String query(String value) {
+		return URLEncoder.encode(value, StandardCharsets.UTF_8);
+	}
+
+	// Keys keep their slashes; other special characters are percent-encoded.
+	private static String path(String key) {
+		return query(key).replace("+", "%20").replace("%2F", "/");
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/ServiceClient.java
@@ -0,0 +1,83 @@
+package org.medlardrum.transport;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.servicetalk.http.api.BlockingStreamingHttpResponse;
+import org.medlardrum.state.Outcome;
+import org.medlardrum.transport.internal.HttpClientPool;
+import org.medlardrum.transport.internal.HttpExchange;
+
+/**
+ * Client of the plain services. Safe for use by several threads; calls block. No call is
+ * retried.
+ */
+public final class ServiceClient implements AutoCloseable {
+
+	private final HttpClientPool clients;
+
+	private final int maxResponseBytes;
+
+	/**
+	 * Creates a client.
+	 * @param connectTimeoutMs longest time to set up a connection
+	 * @param maxResponseBytes largest response body
+	 */
+	public ServiceClient(int connectTimeoutMs, int maxResponseBytes) {
+		this.clients = new HttpClientPool(connectTimeoutMs);
+		this.maxResponseBytes = maxResponseBytes;
+	}
+
+	/**
+	 * Calls a service and waits for the whole response.
+	 * @param address {@code ip:port} of the server
+	 * @param request the call
+	 * @param timeoutMs longest duration of the call
+	 * @return the response of any status, {@code NotRun} when the server could not be
+	 * reached or answered 503 with {@code Medlardrum-Not-Run: true}
+	 */
+	public Outcome<ServiceResponse> call(String address, ServiceRequest request, long timeoutMs) {
+		long startNs = System.nanoTime();
+		BlockingStreamingHttpResponse response = null;
+		try {
+			response = HttpExchange.send(this.clients.client(address), request.method(), request.target(),
+					request.headers(), request.body(), timeoutMs);
+			long elapsedMs = (System.nanoTime() - startNs) / 1_000_000;
+			byte[] body = HttpExchange.readBody(response, this.maxResponseBytes, Math.max(1, timeoutMs - elapsedMs));
+			int status = response.status().code();
+			if (NotRunHeader.isSet(response)) {
+				return NotRunHeader.outcome(response, "HTTP status " + status);
+			}
+			return new Outcome.Completed<>(new ServiceResponse(status, headers(response), body));
+		}
+		catch (Exception ex) {
+			return (response != null && NotRunHeader.isSet(response)) ? NotRunHeader.outcome(response, "not run")
+					: EngineClient.failed(ex);
+		}
+	}
+
+	/**
+	 * Closes connections to all other servers.
+	 * @param addresses addresses that are still in use
+	 */
+	public void retain(Set<String> addresses) {
+		this.clients.retain(addresses);
+	}
+
+	@Override
+	public void close() {
+		this.clients.close();
+	}
+
+	private static List<String> headers(BlockingStreamingHttpResponse response) {
+		List<String> headers = new ArrayList<>();
+		for (Map.Entry<CharSequence, CharSequence> header : response.headers()) {
+			headers.add(header.getKey().toString());
+			headers.add(header.getValue().toString());
+		}
+		return headers;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -0,0 +1,123 @@
+package org.medlardrum.transport.internal;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.servicetalk.client.api.LoadBalancerFactory;
+import io.servicetalk.context.api.ContextMap;
+import io.servicetalk.http.api.BlockingStreamingHttpClient;
+import io.servicetalk.http.api.FilterableStreamingHttpLoadBalancedConnection;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpRequestMetaData;
+import io.servicetalk.http.netty.DefaultHttpLoadBalancerFactory;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.http.utils.TimeoutHttpRequesterFilter;
+import io.servicetalk.loadbalancer.RoundRobinLoadBalancers;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+
+/**
+ * HTTP/1.1 clients by numeric address. Retries, name resolution and health checks of the
+ * library are off: the callers decide on retries from the outcome of each call.
+ */
+public final class HttpClientPool implements AutoCloseable {
+
+	/** Longest time until the response header of a request, set in its context. */
+	public static final ContextMap.Key<Duration> HEADER_TIMEOUT = ContextMap.Key.newKey("medlardrum-header-timeout",
+			Duration.class);
+
+	private static final Duration DEFAULT_HEADER_TIMEOUT = Duration.ofSeconds(30);
+
+	/** Two event loops carry the load of a small host; callers block outside of them. */
+	private static final int IO_THREADS = 2;
+
+	private final Map<String, BlockingStreamingHttpClient> clients = new ConcurrentHashMap<>();
+
+	private final int connectTimeoutMs;
+
+	/**
+	 * Creates an empty pool.
+	 * @param connectTimeoutMs longest time to set up a connection
+	 */
+	public HttpClientPool(int connectTimeoutMs) {
+		this.connectTimeoutMs = connectTimeoutMs;
+	}
+
+	/**
+	 * Returns the event loops that all clients and servers of the process share.
+	 * @return the executor
+	 */
+	public static IoExecutor ioExecutor() {
+		return IoExecutorHolder.INSTANCE;
+	}
+
+	/**
+	 * Returns the client of an address.
+	 * @param address {@code ip:port}
+	 * @return the client
+	 */
+	public BlockingStreamingHttpClient client(String address) {
+		return this.clients.computeIfAbsent(address, this::create);
+	}
+
+	/**
+	 * Closes the clients of all other addresses.
+	 * @param addresses addresses that are still in use
+	 */
+	public void retain(Set<String> addresses) {
+		for (String address : this.clients.keySet()) {
+			if (!addresses.contains(address)) {
+				BlockingStreamingHttpClient client = this.clients.remove(address);
+				if (client != null) {
+					client.asStreamingClient().closeAsyncGracefully().subscribe();
+				}
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.clients.values().forEach((client) -> client.asStreamingClient().closeAsync().subscribe());
+		this.clients.clear();
+	}
+
+	private BlockingStreamingHttpClient create(String address) {
+		return HttpClients.forResolvedAddress(Addresses.parse(address))
+			.ioExecutor(ioExecutor())
+			.executionStrategy(HttpExecutionStrategies.offloadNone())
+			.protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
+			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, this.connectTimeoutMs)
+			.loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder.from(withoutHealthChecks()).build())
+			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(
+					new TimeoutHttpRequesterFilter((request, clock) -> HttpClientPool.headerTimeout(request), false))
+			.buildBlockingStreaming();
+	}
+
+	// The library stops connecting to an address for several seconds after five refused
+	// connections, which delays the return of a restarted server.
+	private static LoadBalancerFactory<InetSocketAddress, FilterableStreamingHttpLoadBalancedConnection> withoutHealthChecks() {
+		return RoundRobinLoadBalancers
+			.<InetSocketAddress, FilterableStreamingHttpLoadBalancedConnection>builder("medlardrum")
+			.healthCheckFailedConnectionsThreshold(-1)
+			.build();
+	}
+
+	private static Duration headerTimeout(HttpRequestMetaData request) {
+		Duration timeout = request.context().get(HEADER_TIMEOUT);
+		return (timeout != null) ? timeout : DEFAULT_HEADER_TIMEOUT;
+	}
+
+	private static final class IoExecutorHolder {
+
+		private static final IoExecutor INSTANCE = NettyIoExecutors.createIoExecutor(IO_THREADS, "http-io");
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Shared HTTP plumbing of the transport clients.
+ */
+package org.medlardrum.transport.internal;
--- /dev/null
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
@@ -0,0 +1,123 @@
+package org.medlardrum.transport;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.medlardrum.protocol.engine.GenerateRequest;
+import org.medlardrum.state.Outcome;
+import org.medlardrum.state.Rank;
+import org.medlardrum.state.Stage;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a call that may have run being reported as not run, against retries by
+ * the library, and against the reuse of a connection with an unread response.
+ */
+class BackendClientTests {
+
+	private static final ServiceRequest BOOKING = new ServiceRequest("POST", "/bookings", List.of(),
+			"{}".getBytes(StandardCharsets.UTF_8));
+
+	private static final GenerateRequest GENERATE = new GenerateRequest("r", 1, "m", "", "", "p", List.of(), 4,
+			Rank.URGENT, 1000, 4, List.of(new Stage("e", "127.0.0.1:1", 0, 4)));
+
+	private static final String TOKEN = "{\"type\":\"token\",\"request\":\"r\",\"attempt\":1,\"position\":0,\"text\":\"a\"}\n";
+
+	private static final String ERROR = "{\"type\":\"error\",\"request\":\"r\",\"attempt\":1,\"ran\":\"%s\",\"code\":\"leaving\"}\n";
+
+	@ParameterizedTest
+	@CsvSource({ "200, '', Completed", "404, '', Completed", "500, '', Completed", "503, '', Completed",
+			"503, 'Medlardrum-Not-Run: true', NotRun", "500, 'Medlardrum-Not-Run: true', Completed",
+			"503, 'Medlardrum-Not-Run: false', Completed" })
+	void classifiesResponsesOfServices(int status, String header, String expected) throws IOException {
+		String headers = (header.isEmpty()) ? "" : header + "\r\n";
+		try (ScriptedServer server = new ScriptedServer((n) -> ScriptedServer.response(status, headers, "{}"));
+				ServiceClient client = new ServiceClient(1000, 1000)) {
+			Outcome<ServiceResponse> outcome = client.call(server.address(), BOOKING, 5000);
+			assertThat(outcome.getClass().getSimpleName()).isEqualTo(expected);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "''", "HTTP/1.1 200 X", "'HTTP/1.1 200 X\r\nContent-Length: 10\r\nX-Close: 1\r\n\r\nabc'",
+			"'HTTP/1.1 200 X\r\nContent-Length: 2000\r\nX-Hold: 1\r\n\r\n'" })
+	void brokenAnswerMayHaveRunAndIsNotRetried(String answer) throws IOException {
+		try (ScriptedServer server = new ScriptedServer((n) -> answer);
+				ServiceClient client = new ServiceClient(1000, 1000)) {
+			Outcome<ServiceResponse> outcome = client.call(server.address(), BOOKING, 500);
+			assertThat(outcome).isInstanceOf(Outcome.MayHaveRun.class);
+			assertThat(server.requests()).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void refusedConnectionsAreNotRunHoweverManyFollow() throws IOException {
+		int freePort;
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			freePort = socket.getLocalPort();
+		}
+		try (ServiceClient client = new ServiceClient(1000, 1000)) {
+			for (int i = 0; i < 10; i++) {
+				assertThat(client.call("127.0.0.1:" + freePort, BOOKING, 5000)).isInstanceOf(Outcome.NotRun.class);
+			}
+		}
+	}
+
+	@Test
+	void connectionWithAnUnreadResponseIsNotReused() throws IOException {
+		String oversized = "HTTP/1.1 200 X\r\nContent-Length: 9000\r\nX-Hold: 1\r\n\r\n" + "x".repeat(5000);
+		try (ScriptedServer server = new ScriptedServer(
+				(n) -> (n == 0) ? oversized : ScriptedServer.response(200, "", "second"));
+				ServiceClient client = new ServiceClient(1000, 1000)) {
+			assertThat(client.call(server.address(), BOOKING, 5000)).isInstanceOf(Outcome.MayHaveRun.class);
+			Outcome<ServiceResponse> second = client.call(server.address(), BOOKING, 5000);
+			assertThat(second).isInstanceOf(Outcome.Completed.class);
+			assertThat(new String(((Outcome.Completed<ServiceResponse>) second).value().body(), StandardCharsets.UTF_8))
+				.isEqualTo("second");
+			assertThat(server.connections()).isEqualTo(2);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "token, Completed", "refused, NotRun", "failed, Completed", "garbage, MayHaveRun",
+			"empty, MayHaveRun" })
+	void classifiesTheFirstFrameOfAnEngine(String first, String expected) throws IOException {
+		String line = switch (first) {
+			case "token" -> TOKEN;
+			case "refused" -> String.format(ERROR, "no");
+			case "failed" -> String.format(ERROR, "unknown");
+			case "garbage" -> "{\"type\":\"tok\n";
+			default -> "";
+		};
+		try (ScriptedServer server = new ScriptedServer((n) -> ScriptedServer.response(200, "", line));
+				EngineClient client = new EngineClient(1000)) {
+			Outcome<EngineStream> outcome = client.generate(server.address(), GENERATE, 5000);
+			assertThat(outcome.getClass().getSimpleName()).isEqualTo(expected);
+		}
+	}
+
+	@Test
+	void framesFollowAndAnEarlyCloseEndsTheConnection() throws IOException {
+		String head = "HTTP/1.1 200 X\r\nContent-Length: 2000\r\nX-Hold: 1\r\n\r\n";
+		try (ScriptedServer server = new ScriptedServer((n) -> head + TOKEN);
+				EngineClient client = new EngineClient(1000)) {
+			for (int i = 0; i < 3; i++) {
+				EngineStream stream = ((Outcome.Completed<EngineStream>) client.generate(server.address(), GENERATE,
+						5000))
+					.value();
+				assertThat(stream.next(5000)).isInstanceOf(StreamEvent.Frame.class);
+				assertThat(stream.next(50)).isInstanceOf(StreamEvent.TimedOut.class);
+				stream.close();
+			}
+			assertThat(server.connections()).isEqualTo(3);
+		}
+	}
+
+}
