--- /dev/null
+++ b/medlardrum-protocol/src/main/java/org/medlardrum/protocol/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages of the callers' chat completion interface.
+ */
+package org.medlardrum.protocol.caller;
