Share the admission queue by floors, weights and expected wait

Cause: the simple queue served ranks strictly by urgency, first in, first out, so a flood of one rank or one organisation took everything. Change: floors by owed cost, start-time fair queueing by organisation within a rank, wait estimates that depend on the organisation's own queue, expiry and cancellation in logarithmic time. Before: no floors, no fairness between organisations. Conclusion: the wait estimate relies on the caller's costPerS.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
@@ -1,26 +1,49 @@
 package org.medlardrum.decisions;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 
 import org.medlardrum.state.Rank;
 
 /**
  * Admission queue of one pool: decides which work starts next and refuses work that would
- * wait too long.
+ * wait too long. A rank below its floor goes first, then the most urgent rank; within a
+ * rank, organisations share by weight. Accepted work leaves the queue only by
+ * {@link #poll}, {@link #cancel} or {@link #expire}. <pre>{@code
+ * AdmissionQueue queue = new AdmissionQueue(limits);
+ * if (queue.offer(work, nowMs) instanceof AdmissionDecision.Refused refused) {
+ *     return tooManyRequests(refused.retryAfterMs());
+ * }
+ * queue.poll(nowMs).ifPresent(this::start);
+ * }</pre>
  */
 public final class AdmissionQueue {
 
-	private final Map<Rank, Deque<Work>> queues = new EnumMap<>(Rank.class);
+	private static final Rank[] RANKS = Rank.values();
+
+	private final Map<Rank, RankQueue> queues = new EnumMap<>(Rank.class);
+
+	private final Map<Long, Work> queued = new HashMap<>();
+
+	private final TreeSet<Work> byExpiry = new TreeSet<>(
+			Comparator.comparingLong(Work::expiresAtMs).thenComparingLong(Work::id));
+
+	private final List<Work> expired = new ArrayList<>();
 
 	private final Map<Long, Work> running = new HashMap<>();
 
+	private final RankFloors floors = new RankFloors();
+
+	private final WaitEstimate waits = new WaitEstimate(this.queues, this.floors);
+
+	private double runningCost;
+
 	private AdmissionLimits limits;
 
 	/**
@@ -28,68 +51,92 @@
 	 * @param limits limits of the pool on this host
 	 */
 	public AdmissionQueue(AdmissionLimits limits) {
-		this.limits = limits;
-		for (Rank rank : Rank.values()) {
-			this.queues.put(rank, new ArrayDeque<>());
+		for (Rank rank : RANKS) {
+			this.queues.put(rank, new RankQueue((organisation) -> this.limits.weight(organisation)));
 		}
+		update(limits);
 	}
 
 	/**
-	 * Offers work.
+	 * Offers work. It is refused when its expected wait exceeds the limit of its rank or
+	 * its own expiry. The wait depends on the organisation's own queue, so an
+	 * organisation that fills the queue is refused before others are.
 	 * @param work the work
 	 * @param nowMs clock reading, in milliseconds
 	 * @return whether the work is queued
+	 * @throws IllegalArgumentException if work of the same id is queued or running
 	 */
 	public AdmissionDecision offer(Work work, long nowMs) {
-		double cost = 0;
-		for (Rank rank : Rank.values()) {
-			if (rank.compareTo(work.rank()) <= 0) {
-				for (Work queued : this.queues.get(rank)) {
-					cost += queued.cost();
-				}
-			}
+		if (this.queued.containsKey(work.id()) || this.running.containsKey(work.id())) {
+			throw new IllegalArgumentException("Work " + work.id() + " is already queued or running");
+		}
+		if (work.expiresAtMs() <= nowMs) {
+			return new AdmissionDecision.Refused("the request expired before it was queued", 0);
 		}
-		long waitMs = (this.running.size() < this.limits.windowSlots()) ? 0
-				: (long) (1000 * cost / this.limits.costPerS());
+		long waitMs = expectedWaitMs(work, nowMs);
 		long maxQueueMs = this.limits.rank(work.rank()).maxQueueMs();
 		if (waitMs > maxQueueMs) {
-			return new AdmissionDecision.Refused("expected wait exceeds the target", waitMs - maxQueueMs);
+			return new AdmissionDecision.Refused("expected wait of " + waitMs + " ms exceeds " + maxQueueMs + " ms",
+					WaitEstimate.retryAfterMs(waitMs, maxQueueMs));
 		}
+		if (waitMs > work.expiresAtMs() - nowMs) {
+			return new AdmissionDecision.Refused("expected wait of " + waitMs + " ms exceeds the request's time limit",
+					WaitEstimate.retryAfterMs(waitMs, work.expiresAtMs() - nowMs));
+		}
+		this.queued.put(work.id(), work);
+		this.byExpiry.add(work);
 		this.queues.get(work.rank()).add(work);
+		this.waits.accepted(work, nowMs);
 		return new AdmissionDecision.Accepted(waitMs);
 	}
 
+	private long expectedWaitMs(Work work, long nowMs) {
+		int freeSlots = this.limits.windowSlots() - this.running.size();
+		if (this.queued.size() < freeSlots) {
+			return 0;
+		}
+		double meanRunningCost = (this.running.isEmpty()) ? 0 : this.runningCost / this.running.size();
+		return this.waits.expectedWaitMs(work, meanRunningCost, this.limits.costPerS(), nowMs);
+	}
+
 	/**
-	 * Takes the next work to start.
+	 * Takes the next work to start. The caller ends it with {@link #finish}.
 	 * @param nowMs clock reading, in milliseconds
 	 * @return the work, empty when the window is full or nothing is queued
 	 */
 	public Optional<Work> poll(long nowMs) {
-		if (this.running.size() >= this.limits.windowSlots()) {
+		removeExpired(nowMs);
+		if (this.running.size() >= this.limits.windowSlots() || this.queued.isEmpty()) {
 			return Optional.empty();
 		}
-		for (Rank rank : Rank.values()) {
-			Work work = this.queues.get(rank).poll();
-			if (work != null) {
-				this.running.put(work.id(), work);
-				return Optional.of(work);
-			}
-		}
-		return Optional.empty();
+		Rank rank = this.floors.next(this.queues);
+		Work work = this.queues.get(rank).takeFirst();
+		this.queued.remove(work.id());
+		this.byExpiry.remove(work);
+		this.running.put(work.id(), work);
+		this.runningCost += work.cost();
+		this.floors.started(rank, work.cost(), this.queues);
+		return Optional.of(work);
 	}
 
 	/**
 	 * Removes queued work whose caller no longer waits.
 	 * @param nowMs clock reading, in milliseconds
-	 * @return the removed work, to be answered by the caller of this method
+	 * @return work removed since the last call; its callers still need a response
 	 */
 	public List<Work> expire(long nowMs) {
-		List<Work> expired = new ArrayList<>();
-		for (Deque<Work> queue : this.queues.values()) {
-			queue.stream().filter((work) -> work.expiresAtMs() <= nowMs).forEach(expired::add);
-			queue.removeIf((work) -> work.expiresAtMs() <= nowMs);
+		removeExpired(nowMs);
+		List<Work> removed = List.copyOf(this.expired);
+		this.expired.clear();
+		return removed;
+	}
+
+	private void removeExpired(long nowMs) {
+		while (!this.byExpiry.isEmpty() && this.byExpiry.first().expiresAtMs() <= nowMs) {
+			Work work = this.byExpiry.first();
+			remove(work);
+			this.expired.add(work);
 		}
-		return expired;
 	}
 
 	/**
@@ -98,22 +145,42 @@
 	 * @return {@code true} if the work was queued; running work must be finished instead
 	 */
 	public boolean cancel(long id) {
-		for (Deque<Work> queue : this.queues.values()) {
-			if (queue.removeIf((work) -> work.id() == id)) {
-				return true;
-			}
+		Work work = this.queued.get(id);
+		if (work == null) {
+			return false;
+		}
+		remove(work);
+		return true;
+	}
+
+	private void remove(Work work) {
+		this.queued.remove(work.id());
+		this.byExpiry.remove(work);
+		RankQueue queue = this.queues.get(work.rank());
+		queue.remove(work);
+		if (queue.isEmpty()) {
+			this.floors.forgive(work.rank());
 		}
-		return false;
 	}
 
 	/**
-	 * Ends running work and frees its slot.
+	 * Ends running work and frees its slot. Unknown ids are ignored.
 	 * @param id id of the work
-	 * @param actualCost cost that was really used
+	 * @param actualCost cost that was really used; the difference to the expected cost is
+	 * charged to the organisation and the rank
 	 * @param nowMs clock reading, in milliseconds
 	 */
 	public void finish(long id, double actualCost, long nowMs) {
-		this.running.remove(id);
+		Work work = this.running.remove(id);
+		if (work == null) {
+			return;
+		}
+		this.runningCost = (this.running.isEmpty()) ? 0 : this.runningCost - work.cost();
+		double difference = actualCost - work.cost();
+		if (difference != 0) {
+			this.queues.get(work.rank()).correct(work.organisation(), difference);
+			this.floors.charge(work.rank(), difference, this.queues);
+		}
 	}
 
 	/**
@@ -121,7 +188,13 @@
 	 * @param limits the new limits
 	 */
 	public void update(AdmissionLimits limits) {
+		boolean reweigh = this.limits != null
+				&& !this.limits.organisationWeights().equals(limits.organisationWeights());
 		this.limits = limits;
+		this.floors.update(limits);
+		if (reweigh) {
+			this.queues.values().forEach(RankQueue::reweigh);
+		}
 	}
 
 	/**
@@ -129,7 +202,16 @@
 	 * @return the number
 	 */
 	public int queued() {
-		return this.queues.values().stream().mapToInt(Deque::size).sum();
+		return this.queued.size();
+	}
+
+	/**
+	 * Returns the pieces of work of a rank that are queued.
+	 * @param rank the rank
+	 * @return the number
+	 */
+	public int queued(Rank rank) {
+		return this.queues.get(rank).size();
 	}
 
 	/**
--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/OrganisationQueue.java
@@ -0,0 +1,95 @@
+package org.medlardrum.decisions;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Queued work of one organisation within a rank, first in, first out, with the tags of
+ * start-time fair queueing.
+ */
+final class OrganisationQueue {
+
+	private final String organisation;
+
+	private final Map<Long, Work> queued = new LinkedHashMap<>();
+
+	private double queuedCost;
+
+	private double startTag;
+
+	private double finishTag;
+
+	private double weight;
+
+	OrganisationQueue(String organisation, double weight) {
+		this.organisation = organisation;
+		this.weight = weight;
+	}
+
+	String organisation() {
+		return this.organisation;
+	}
+
+	boolean isEmpty() {
+		return this.queued.isEmpty();
+	}
+
+	double queuedCost() {
+		return this.queuedCost;
+	}
+
+	double startTag() {
+		return this.startTag;
+	}
+
+	double finishTag() {
+		return this.finishTag;
+	}
+
+	double weight() {
+		return this.weight;
+	}
+
+	void reweigh(double newWeight, double virtualTime) {
+		double factor = this.weight / newWeight;
+		this.startTag = virtualTime + (this.startTag - virtualTime) * factor;
+		this.finishTag = virtualTime + (this.finishTag - virtualTime) * factor;
+		this.weight = newWeight;
+	}
+
+	void activate(double virtualTime) {
+		this.startTag = Math.max(virtualTime, this.finishTag);
+	}
+
+	void add(Work work) {
+		this.queued.put(work.id(), work);
+		this.queuedCost += work.cost();
+	}
+
+	void remove(Work work) {
+		this.queued.remove(work.id());
+		// Subtraction leaves a rounding error, which must not outlive the queued work.
+		this.queuedCost = (this.queued.isEmpty()) ? 0 : this.queuedCost - work.cost();
+	}
+
+	double firstCost() {
+		return first().cost();
+	}
+
+	private Work first() {
+		return this.queued.values().iterator().next();
+	}
+
+	Work takeFirst() {
+		Work first = first();
+		remove(first);
+		this.finishTag = this.startTag + first.cost() / this.weight;
+		this.startTag = this.finishTag;
+		return first;
+	}
+
+	void correct(double cost) {
+		this.finishTag += cost / this.weight;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RankQueue.java
@@ -0,0 +1,141 @@
+package org.medlardrum.decisions;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Queued work of one rank. Organisations share the rank by start-time fair queueing over
+ * cost (Goyal, Vin and Cheng, 1996): the organisation with the smallest start tag is
+ * next, and a tag advances by cost over weight.
+ */
+final class RankQueue {
+
+	private final Map<String, OrganisationQueue> organisations = new HashMap<>();
+
+	private final TreeSet<OrganisationQueue> backlogged = new TreeSet<>(
+			Comparator.comparingDouble(OrganisationQueue::startTag).thenComparing(OrganisationQueue::organisation));
+
+	private final ToDoubleFunction<String> weights;
+
+	private double virtualTime;
+
+	private double queuedCost;
+
+	private int size;
+
+	RankQueue(ToDoubleFunction<String> weights) {
+		this.weights = weights;
+	}
+
+	boolean isEmpty() {
+		return this.size == 0;
+	}
+
+	int size() {
+		return this.size;
+	}
+
+	double queuedCost() {
+		return this.queuedCost;
+	}
+
+	void add(Work work) {
+		OrganisationQueue queue = this.organisations.computeIfAbsent(work.organisation(),
+				(organisation) -> new OrganisationQueue(organisation, this.weights.applyAsDouble(organisation)));
+		if (queue.isEmpty()) {
+			queue.activate(this.virtualTime);
+			this.backlogged.add(queue);
+		}
+		queue.add(work);
+		this.size++;
+		this.queuedCost += work.cost();
+	}
+
+	Work takeFirst() {
+		OrganisationQueue queue = this.backlogged.pollFirst();
+		this.virtualTime = Math.max(this.virtualTime, queue.startTag());
+		Work work = queue.takeFirst();
+		if (!queue.isEmpty()) {
+			this.backlogged.add(queue);
+		}
+		removed(work);
+		return work;
+	}
+
+	void remove(Work work) {
+		OrganisationQueue queue = this.organisations.get(work.organisation());
+		queue.remove(work);
+		if (queue.isEmpty()) {
+			this.backlogged.remove(queue);
+		}
+		removed(work);
+	}
+
+	private void removed(Work work) {
+		this.size--;
+		this.queuedCost = (this.size == 0) ? 0 : this.queuedCost - work.cost();
+		if (this.size == 0) {
+			// The end of a busy period: capacity that nobody else wanted is not held
+			// against the organisation that used it.
+			this.organisations.clear();
+			this.virtualTime = 0;
+		}
+	}
+
+	// Charges the difference between actual and expected cost. An organisation with
+	// queued work pays with its next start tag, so that the order of the set stays valid.
+	void correct(String organisation, double cost) {
+		OrganisationQueue queue = this.organisations.get(organisation);
+		if (queue == null) {
+			return;
+		}
+		boolean queued = this.backlogged.remove(queue);
+		queue.correct(cost);
+		if (queued) {
+			queue.activate(this.virtualTime);
+			this.backlogged.add(queue);
+		}
+	}
+
+	// Returns the cost that starts before new work of an organisation. Until the
+	// organisation's own queue has been served, each other organisation is served at most
+	// its queue and at most its weighted share.
+	double costAhead(Work work) {
+		OrganisationQueue own = this.organisations.get(work.organisation());
+		double ownQueued = (own != null) ? own.queuedCost() : 0;
+		double weight = (own != null) ? own.weight() : this.weights.applyAsDouble(work.organisation());
+		double ownTag = this.virtualTime;
+		if (own != null) {
+			ownTag = (own.isEmpty()) ? Math.max(own.finishTag(), this.virtualTime) : own.startTag();
+		}
+		double lastStart = ownTag + ownQueued / weight;
+		double ahead = ownQueued;
+		for (OrganisationQueue other : this.backlogged) {
+			if (other.startTag() > lastStart) {
+				break;
+			}
+			if (other != own) {
+				double share = (lastStart - other.startTag()) * other.weight();
+				ahead += Math.min(other.queuedCost(), Math.max(share, other.firstCost()));
+			}
+		}
+		return ahead;
+	}
+
+	// Applies changed weights. Each organisation keeps what it is ahead of the virtual
+	// time in units of cost; otherwise a change of the weights' scale would hold back or
+	// favour the organisations that were served last.
+	void reweigh() {
+		this.backlogged.clear();
+		for (OrganisationQueue queue : this.organisations.values()) {
+			queue.reweigh(this.weights.applyAsDouble(queue.organisation()), this.virtualTime);
+			if (!queue.isEmpty()) {
+				this.backlogged.add(queue);
+			}
+		}
+	}
+
+}
