--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
@@ -0,0 +1,248 @@
+package org.medlardrum.coordination.claims;
+
+import java.util.List;
+import java.util.TreeMap;
+
+import com.google.gson.JsonParseException;
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.coordination.StoreEntry;
+import org.medlardrum.coordination.StoreLease;
+import org.medlardrum.coordination.StoreResult;
+
+/**
+ * Segments of one bucket and the index built from them. Only the last segment takes
+ * entries; it is sealed before the next one is created, so that a writer with an old view
+ * of the bucket fails its compare-and-swap instead of extending a segment that is no
+ * longer the last.
+ */
+final class BucketLog {
+
+	/** Time to live of removed segments. The platform has no delete call. */
+	private static final long REMOVAL_TTL_MS = 1_000;
+
+	/** Old segments removed in one pass, to leave most of the store's rate to claims. */
+	private static final int MAX_REMOVALS = 50;
+
+	private final int bucket;
+
+	private final PlatformStore store;
+
+	private final SegmentWriter writer;
+
+	private final long retentionMs;
+
+	/** Sealed segments by number, with the time of their newest entry. */
+	private final TreeMap<Long, SealedSegment> sealed = new TreeMap<>();
+
+	private ClaimIndex index;
+
+	private Segment last;
+
+	private long verifiedAtMs;
+
+	BucketLog(int bucket, PlatformStore store, ClaimCounters counters, long retentionMs) {
+		this.bucket = bucket;
+		this.store = store;
+		this.writer = new SegmentWriter(store, counters);
+		this.retentionMs = retentionMs;
+	}
+
+	ClaimIndex index() {
+		return this.index;
+	}
+
+	/**
+	 * Tells whether the index can be used for a write. A view that is older than a
+	 * quarter of the retention is not: its next segment may have been created, sealed and
+	 * removed since, and creating it again would succeed.
+	 * @param nowMs clock reading
+	 * @return whether it was read or written recently
+	 */
+	boolean isUsable(long nowMs) {
+		return this.last != null && nowMs - this.verifiedAtMs < this.retentionMs / 4;
+	}
+
+	boolean isLoaded() {
+		return this.last != null;
+	}
+
+	/**
+	 * Brings the index up to date.
+	 * @param nowMs clock reading before the call
+	 * @return {@code Done} or {@code NotWritten}
+	 */
+	WriteResult catchUp(long nowMs) {
+		try {
+			WriteResult result = (isUsable(nowMs)) ? readOn() : readAll();
+			if (result instanceof WriteResult.Superseded) {
+				result = readAll();
+			}
+			if (result instanceof WriteResult.Done) {
+				this.verifiedAtMs = nowMs;
+			}
+			return result;
+		}
+		catch (JsonParseException | NumberFormatException ex) {
+			this.last = null;
+			return new WriteResult.NotWritten("bucket " + this.bucket + " does not parse: " + ex.getMessage());
+		}
+	}
+
+	private WriteResult readAll() {
+		return switch (this.store.list(Segment.prefix(this.bucket))) {
+			case StoreResult.Ok<List<StoreEntry>> ok -> rebuild(ok.value());
+			case StoreResult.NotFound<List<StoreEntry>> none -> rebuild(List.of());
+			case StoreResult.Conflict<List<StoreEntry>> conflict -> new WriteResult.NotWritten("unexpected conflict");
+			case StoreResult.Unavailable<List<StoreEntry>> down -> new WriteResult.NotWritten(down.reason());
+			case StoreResult.Unknown<List<StoreEntry>> lost -> new WriteResult.NotWritten(lost.reason());
+		};
+	}
+
+	private WriteResult rebuild(List<StoreEntry> entries) {
+		this.last = null;
+		this.sealed.clear();
+		this.index = new ClaimIndex(this.retentionMs);
+		Segment segment = Segment.absent(this.bucket, 1);
+		for (StoreEntry entry : entries) {
+			segment = new Segment(this.bucket, Segment.number(entry.key()), entry.revision(), entry.value());
+			segment.entries(0).forEach(this.index::apply);
+			keepSealed(segment);
+		}
+		boolean complete = segment.isSealed() || segment.text().isEmpty() && segment.revision() != 0;
+		this.last = (complete) ? Segment.absent(this.bucket, segment.number() + 1) : segment;
+		return new WriteResult.Done();
+	}
+
+	/**
+	 * Reads what was added after the last known segment.
+	 * @return {@code Superseded} when the known part is not a prefix of the stored one
+	 */
+	private WriteResult readOn() {
+		while (true) {
+			StoreResult<StoreEntry> result = this.store.get(this.last.key());
+			if (result instanceof StoreResult.NotFound<StoreEntry>) {
+				return (this.last.revision() != 0) ? new WriteResult.Superseded() : new WriteResult.Done();
+			}
+			if (!(result instanceof StoreResult.Ok<StoreEntry> ok)) {
+				return new WriteResult.NotWritten("cannot read " + this.last.key() + ": " + result);
+			}
+			if (ok.value().revision() < this.last.revision()) {
+				return new WriteResult.NotWritten("store returned older data of " + this.last.key());
+			}
+			if (!ok.value().value().startsWith(this.last.text()) || ok.value().value().isEmpty()) {
+				return new WriteResult.Superseded();
+			}
+			int known = this.last.text().length();
+			this.last = new Segment(this.bucket, this.last.number(), ok.value().revision(), ok.value().value());
+			this.last.entries(known).forEach(this.index::apply);
+			if (!this.last.isSealed()) {
+				return new WriteResult.Done();
+			}
+			openNext();
+		}
+	}
+
+	private void openNext() {
+		keepSealed(this.last);
+		this.last = Segment.absent(this.bucket, this.last.number() + 1);
+	}
+
+	private void keepSealed(Segment segment) {
+		if (segment.isSealed()) {
+			this.sealed.put(segment.number(), new SealedSegment(segment.revision(), segment.newestAtMs()));
+		}
+	}
+
+	/**
+	 * Adds entries to the last segment, or to the next one when they do not fit.
+	 * @param entries the entries, together at most {@link Segment#MAX_ENTRY_BYTES}
+	 * @param nowMs clock reading before the call
+	 * @return the result; after {@code Superseded} the index must be brought up to date
+	 */
+	WriteResult append(List<ClaimEntry> entries, long nowMs) {
+		StringBuilder lines = new StringBuilder();
+		entries.forEach((entry) -> lines.append(entry.line()));
+		if (!this.last.hasRoomFor(lines.toString())) {
+			WriteResult result = write(ClaimEntry.SEAL.line());
+			if (!(result instanceof WriteResult.Done)) {
+				// Without the seal the entries were not sent at all.
+				return (result instanceof WriteResult.MayBeWritten lost) ? new WriteResult.NotWritten(lost.reason())
+						: result;
+			}
+			openNext();
+		}
+		WriteResult result = write(lines.toString());
+		if (result instanceof WriteResult.Done) {
+			entries.forEach(this.index::apply);
+			this.verifiedAtMs = nowMs;
+		}
+		return result;
+	}
+
+	private WriteResult write(String lines) {
+		String text = this.last.text() + lines;
+		WriteResult result = this.writer.write(this.last.key(), this.last.revision(), text);
+		if (result instanceof WriteResult.Done) {
+			this.last = new Segment(this.bucket, this.last.number(), this.writer.written().revision(), text);
+		}
+		return result;
+	}
+
+	/**
+	 * Removes sealed segments whose newest entry is older than the retention. A removed
+	 * segment is emptied and bound to a lease that is not renewed.
+	 * @param nowMs clock reading
+	 */
+	void removeOld(long nowMs) {
+		if (this.index == null) {
+			return;
+		}
+		this.index.removeExpired(nowMs);
+		String leaseId = null;
+		int removed = 0;
+		while (!this.sealed.isEmpty() && removed < MAX_REMOVALS) {
+			long number = this.sealed.firstKey();
+			SealedSegment oldest = this.sealed.get(number);
+			if (nowMs - oldest.newestAtMs() <= this.retentionMs || isNewest(number)) {
+				return;
+			}
+			if (leaseId == null) {
+				StoreResult<StoreLease> lease = this.store.createLease(REMOVAL_TTL_MS);
+				if (!(lease instanceof StoreResult.Ok<StoreLease> ok)) {
+					return;
+				}
+				leaseId = ok.value().id();
+			}
+			StoreResult<StoreEntry> result = this.store.compareAndSet(Segment.key(this.bucket, number),
+					oldest.revision(), "", leaseId);
+			if (result instanceof StoreResult.Unavailable<StoreEntry>) {
+				return;
+			}
+			// After a conflict another host has removed the segment; after a lost answer
+			// the next host that reads the bucket sees it again.
+			this.sealed.remove(number);
+			removed++;
+		}
+	}
+
+	/**
+	 * Tells whether a sealed segment is the newest that exists. It must stay: without it a
+	 * host that reads the bucket would start again at segment 1, while others go on at the
+	 * next number.
+	 * @param number number of the segment
+	 * @return whether its successor does not exist yet
+	 */
+	private boolean isNewest(long number) {
+		return this.last == null || (this.last.revision() == 0 && number >= this.last.number() - 1);
+	}
+
+	/**
+	 * A segment that takes no more entries.
+	 *
+	 * @param revision revision of its last write
+	 * @param newestAtMs time of its newest entry
+	 */
+	private record SealedSegment(long revision, long newestAtMs) {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimIndex.java
@@ -0,0 +1,60 @@
+package org.medlardrum.coordination.claims;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Keys of one bucket. Changes can be tried out on a child index before they are written.
+ */
+final class ClaimIndex {
+
+	private final ClaimIndex parent;
+
+	private final Map<String, KeyState> states = new HashMap<>();
+
+	private final long retentionMs;
+
+	ClaimIndex(long retentionMs) {
+		this(null, retentionMs);
+	}
+
+	private ClaimIndex(ClaimIndex parent, long retentionMs) {
+		this.parent = parent;
+		this.retentionMs = retentionMs;
+	}
+
+	ClaimIndex child() {
+		return new ClaimIndex(this, this.retentionMs);
+	}
+
+	void apply(ClaimEntry entry) {
+		if (entry.kind() != EntryKind.SEALED) {
+			this.states.put(entry.key(), KeyState.apply(find(entry.key()), entry));
+		}
+	}
+
+	private KeyState find(String key) {
+		KeyState state = this.states.get(key);
+		return (state != null || this.parent == null) ? state : this.parent.find(key);
+	}
+
+	/**
+	 * Returns what is known about a key.
+	 * @param key the key
+	 * @param nowMs clock reading
+	 * @return the state, {@code null} when the key is unknown or its retention has ended
+	 */
+	KeyState get(String key, long nowMs) {
+		KeyState state = find(key);
+		return (state != null && nowMs - state.atMs() <= this.retentionMs) ? state : null;
+	}
+
+	void removeExpired(long nowMs) {
+		this.states.values().removeIf((state) -> nowMs - state.atMs() > this.retentionMs);
+	}
+
+	int size() {
+		return this.states.size();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
@@ -0,0 +1,343 @@
+package org.medlardrum.coordination.claims;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.jctools.queues.MpscArrayQueue;
+import org.medlardrum.coordination.PeerNetwork;
+import org.medlardrum.coordination.PeerResult;
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.coordination.internal.DutyThread;
+import org.medlardrum.coordination.internal.Rendezvous;
+import org.medlardrum.coordination.membership.Membership;
+import org.medlardrum.peer.gen.ClaimAnswer;
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+import org.medlardrum.peer.gen.ClaimVerdict;
+import org.medlardrum.state.Host;
+import org.tinylog.Logger;
+
+/**
+ * Records claims on idempotency keys before a non-idempotent request is sent, so that it
+ * runs at most once.
+ *
+ * <p>
+ * Verdict {@code GRANTED} is given only after the claim is in the store.
+ * {@code attemptId} must be unique for each call of {@link #claim}. When the verdict is
+ * {@code STORE_UNAVAILABLE} although the claim may have reached the store, the attempt is
+ * released in the background; until that succeeds, a repeat of the key gets
+ * {@code IN_PROGRESS} for at most the claim's timeout and then {@code OUTCOME_UNKNOWN},
+ * and afterwards it may be granted. If the host dies first, the repeat keeps getting
+ * {@code OUTCOME_UNKNOWN}.
+ *
+ * <pre>{@code
+ * ClaimAnswer answer = ledger.claim(request);
+ * if (answer.getVerdict() == ClaimVerdict.GRANTED) {
+ *     ledger.recordOutcome(run(request));
+ * }
+ * }</pre>
+ */
+public final class ClaimLedger implements AutoCloseable {
+
+	private static final int MAILBOX_CAPACITY = 16_384;
+
+	private final PeerNetwork peers;
+
+	private final Membership membership;
+
+	private final String ownHostId;
+
+	private final InstantSource clock;
+
+	private final ClaimOptions options;
+
+	private final Executor storeCalls;
+
+	private final Runnable whileWaiting;
+
+	private final MpscArrayQueue<ClaimOperation> mailbox = new MpscArrayQueue<>(MAILBOX_CAPACITY);
+
+	private final List<Bucket> buckets = new ArrayList<>(ClaimKey.BUCKETS);
+
+	private final ClaimCounters counters = new ClaimCounters();
+
+	private final OutcomeRetries retries;
+
+	private final DutyThread thread;
+
+	private long cleanAtMs;
+
+	private volatile boolean closed;
+
+	public ClaimLedger(PlatformStore store, PeerNetwork peers, Membership membership, String ownHostId,
+			InstantSource clock, ClaimOptions options) {
+		this(store, peers, membership, ownHostId, clock, options, (task) -> Thread.ofVirtual().start(task), null);
+	}
+
+	/**
+	 * Creates a ledger that can run without its thread.
+	 * @param store the store
+	 * @param peers the other hosts
+	 * @param membership the live hosts
+	 * @param ownHostId name of the own host
+	 * @param clock the clock
+	 * @param options settings
+	 * @param storeCalls runs the commits of buckets, at most one for each bucket at a
+	 * time
+	 * @param whileWaiting called repeatedly while a call waits for its verdict, to drive
+	 * {@link #step()}; {@code null} when the thread does that
+	 */
+	ClaimLedger(PlatformStore store, PeerNetwork peers, Membership membership, String ownHostId, InstantSource clock,
+			ClaimOptions options, Executor storeCalls, Runnable whileWaiting) {
+		Objects.requireNonNull(store, "store");
+		this.peers = Objects.requireNonNull(peers, "peers");
+		this.membership = Objects.requireNonNull(membership, "membership");
+		this.ownHostId = Objects.requireNonNull(ownHostId, "ownHostId");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.options = Objects.requireNonNull(options, "options");
+		this.storeCalls = storeCalls;
+		this.whileWaiting = whileWaiting;
+		this.retries = new OutcomeRetries(options, this.counters);
+		ClaimRules rules = new ClaimRules(membership::isLive, options.retryAfterMs());
+		for (int i = 0; i < ClaimKey.BUCKETS; i++) {
+			BucketLog log = new BucketLog(i, store, this.counters, options.retentionMs());
+			this.buckets.add(new Bucket(log, rules, clock, options, this.counters));
+		}
+		this.cleanAtMs = clock.millis() + options.cleanIntervalMs();
+		this.thread = new DutyThread("claims", this::step);
+	}
+
+	/**
+	 * Starts the thread that groups claims.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.close();
+	}
+
+	/**
+	 * Claims a key for one attempt. Blocks until the verdict is known, at most the answer
+	 * timeout for the preferred writer and once more for the own host.
+	 * @param request the claim
+	 * @return the verdict
+	 */
+	public ClaimAnswer claim(ClaimRequest request) {
+		boolean mayBeStored = false;
+		ClaimOperation operation = ClaimOperation.claim(request);
+		Optional<Host> writer = preferredWriter(operation.key().bucket());
+		if (writer.isPresent()) {
+			this.counters.forwarded.increment();
+			switch (this.peers.claim(writer.get(), request)) {
+				case PeerResult.Ok<ClaimAnswer> ok -> {
+					if (ok.value().getVerdict() != ClaimVerdict.STORE_UNAVAILABLE) {
+						return ok.value();
+					}
+					mayBeStored = true;
+				}
+				case PeerResult.Unreachable<ClaimAnswer> unreachable -> this.membership.unreachable(writer.get().id());
+				case PeerResult.Unknown<ClaimAnswer> unknown -> mayBeStored = true;
+			}
+		}
+		Decision decision = await(operation);
+		if (decision.isUnavailable() && (mayBeStored || decision.mayBeStored())) {
+			this.retries.add(release(request), this.clock.millis(), this.clock.millis());
+			this.thread.wake();
+		}
+		return decision.answer();
+	}
+
+	/**
+	 * Decides a claim as the writer of its bucket, for the own host or for a peer.
+	 * @param request the claim
+	 * @return the verdict
+	 */
+	public ClaimAnswer claimHere(ClaimRequest request) {
+		return await(ClaimOperation.claim(request)).answer();
+	}
+
+	/**
+	 * Records that a claimed attempt completed or was released. When the store cannot be
+	 * reached, the outcome is kept and tried again in the background.
+	 * @param outcome the outcome
+	 * @return whether the outcome is in the store now
+	 */
+	public boolean recordOutcome(ClaimOutcome outcome) {
+		ClaimOperation operation = ClaimOperation.outcome(outcome);
+		Optional<Host> writer = preferredWriter(operation.key().bucket());
+		if (writer.isPresent()) {
+			PeerResult<Boolean> result = this.peers.recordOutcome(writer.get(), outcome);
+			if (result instanceof PeerResult.Ok<Boolean> ok && ok.value()) {
+				return true;
+			}
+			if (result instanceof PeerResult.Unreachable<Boolean>) {
+				this.membership.unreachable(writer.get().id());
+			}
+		}
+		Decision decision = await(operation);
+		if (decision.isUnavailable()) {
+			this.retries.add(outcome, this.clock.millis(), this.clock.millis());
+			this.thread.wake();
+		}
+		return isRecorded(decision);
+	}
+
+	/**
+	 * Records an outcome as the writer of its bucket, for a peer. The peer keeps it for
+	 * another try if this fails.
+	 * @param outcome the outcome
+	 * @return whether the outcome is in the store now
+	 */
+	public boolean recordOutcomeHere(ClaimOutcome outcome) {
+		return isRecorded(await(ClaimOperation.outcome(outcome)));
+	}
+
+	private static boolean isRecorded(Decision decision) {
+		if (decision.answer().getVerdict() == ClaimVerdict.DIFFERENT_REQUEST) {
+			Logger.warn("claims: outcome not recorded: {}", decision.answer().getDetail());
+		}
+		return decision.answer().getVerdict() == ClaimVerdict.COMPLETED;
+	}
+
+	/**
+	 * Returns the counters.
+	 * @return the counters
+	 */
+	public ClaimStats stats() {
+		return new ClaimStats(this.counters.claims.sum(), this.counters.granted.sum(), this.counters.forwarded.sum(),
+				this.counters.writes.sum(), this.counters.conflicts.sum(), this.counters.lostAnswers.sum(),
+				this.retries.size(), this.counters.droppedOutcomes.sum());
+	}
+
+	private Optional<Host> preferredWriter(int bucket) {
+		List<Host> candidates = this.membership.livePeers()
+			.stream()
+			.filter((host) -> !this.membership.isLeaving(host.id()))
+			.toList();
+		List<String> ids = new ArrayList<>(candidates.stream().map(Host::id).toList());
+		if (!this.membership.isLeaving(this.ownHostId)) {
+			ids.add(this.ownHostId);
+		}
+		Optional<String> owner = Rendezvous.owner("claims/" + bucket, ids);
+		return candidates.stream().filter((host) -> owner.filter(host.id()::equals).isPresent()).findFirst();
+	}
+
+	/**
+	 * Puts an operation into the mailbox.
+	 * @param operation the operation
+	 */
+	void submit(ClaimOperation operation) {
+		if (this.closed || !this.mailbox.offer(operation)) {
+			operation.decision()
+				.complete(Decision.unavailable(this.options.retryAfterMs(), "too many claims are waiting", false));
+			return;
+		}
+		this.thread.wake();
+	}
+
+	private Decision await(ClaimOperation operation) {
+		submit(operation);
+		if (this.whileWaiting != null) {
+			while (!operation.decision().isDone()) {
+				this.whileWaiting.run();
+			}
+		}
+		try {
+			return operation.decision().get(this.options.answerTimeoutMs(), TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			boolean untouched = operation.take();
+			return Decision.unavailable(this.options.retryAfterMs(), "no verdict in time", !untouched);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Decision.unavailable(this.options.retryAfterMs(), "interrupted", !operation.take());
+		}
+		catch (ExecutionException ex) {
+			return Decision.unavailable(this.options.retryAfterMs(), "claim failed: " + ex.getCause(), true);
+		}
+	}
+
+	private static ClaimOutcome release(ClaimRequest request) {
+		ClaimOutcome outcome = new ClaimOutcome();
+		outcome.setOrganisation(request.getOrganisation());
+		outcome.setRoute(request.getRoute());
+		outcome.setIdempotencyKey(request.getIdempotencyKey());
+		outcome.setAttemptId(request.getAttemptId());
+		outcome.setReleased(true);
+		return outcome;
+	}
+
+	/**
+	 * Hands waiting operations to their buckets and starts the commits that are due.
+	 * Called by the thread of this responsibility, or by a test instead of it.
+	 * @return time until the next commit is due, in milliseconds
+	 */
+	long step() {
+		long nowMs = this.clock.millis();
+		this.mailbox.drain((operation) -> bucketOf(operation).add(operation, nowMs));
+		retryOutcomes(nowMs);
+		boolean clean = nowMs >= this.cleanAtMs;
+		if (clean) {
+			this.cleanAtMs = nowMs + this.options.cleanIntervalMs();
+		}
+		long waitMs = Long.MAX_VALUE;
+		for (Bucket bucket : this.buckets) {
+			if (!bucket.isBusy() && (clean || (!bucket.isIdle() && bucket.dueAtMs() <= nowMs))) {
+				startCommit(bucket, clean, nowMs);
+			}
+			else if (!bucket.isBusy() && !bucket.isIdle()) {
+				waitMs = Math.min(waitMs, bucket.dueAtMs() - nowMs);
+			}
+		}
+		return waitMs;
+	}
+
+	private Bucket bucketOf(ClaimOperation operation) {
+		return this.buckets.get(operation.key().bucket());
+	}
+
+	private void startCommit(Bucket bucket, boolean clean, long nowMs) {
+		List<ClaimOperation> batch = bucket.beginCommit(nowMs);
+		this.storeCalls.execute(() -> {
+			try {
+				bucket.commit(batch);
+				if (clean) {
+					bucket.removeOld();
+				}
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "claims: commit failed");
+				batch.forEach((operation) -> operation.decision().completeExceptionally(ex));
+			}
+			finally {
+				bucket.endCommit();
+				this.thread.wake();
+			}
+		});
+	}
+
+	private void retryOutcomes(long nowMs) {
+		for (OutcomeRetries.Waiting waiting : this.retries.takeDue(nowMs)) {
+			ClaimOperation operation = ClaimOperation.outcome(waiting.outcome());
+			operation.decision().whenComplete((decision, failure) -> {
+				if (failure != null || decision.isUnavailable()) {
+					this.retries.add(waiting.outcome(), waiting.firstTryAtMs(), this.clock.millis());
+				}
+			});
+			bucketOf(operation).add(operation, nowMs);
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimOperation.java
@@ -0,0 +1,68 @@
+package org.medlardrum.coordination.claims;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+
+/**
+ * Work for one bucket: a claim or the outcome of one.
+ */
+final class ClaimOperation {
+
+	private final ClaimKey key;
+
+	private final ClaimRequest request;
+
+	private final ClaimOutcome outcome;
+
+	private final CompletableFuture<Decision> decision = new CompletableFuture<>();
+
+	private final AtomicBoolean taken = new AtomicBoolean();
+
+	private ClaimOperation(ClaimKey key, ClaimRequest request, ClaimOutcome outcome) {
+		this.key = key;
+		this.request = request;
+		this.outcome = outcome;
+	}
+
+	static ClaimOperation claim(ClaimRequest request) {
+		ClaimKey key = ClaimKey.of(request.getOrganisation(), request.getRoute(), request.getIdempotencyKey());
+		return new ClaimOperation(key, request, null);
+	}
+
+	static ClaimOperation outcome(ClaimOutcome outcome) {
+		ClaimKey key = ClaimKey.of(outcome.getOrganisation(), outcome.getRoute(), outcome.getIdempotencyKey());
+		return new ClaimOperation(key, null, outcome);
+	}
+
+	ClaimKey key() {
+		return this.key;
+	}
+
+	boolean isClaim() {
+		return this.request != null;
+	}
+
+	ClaimRequest request() {
+		return this.request;
+	}
+
+	ClaimOutcome claimOutcome() {
+		return this.outcome;
+	}
+
+	CompletableFuture<Decision> decision() {
+		return this.decision;
+	}
+
+	/**
+	 * Takes the operation, either to process it or to give it up.
+	 * @return whether this call was the first
+	 */
+	boolean take() {
+		return this.taken.compareAndSet(false, true);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimRules.java
@@ -0,0 +1,122 @@
+package org.medlardrum.coordination.claims;
+
+import java.util.function.Predicate;
+
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+import org.medlardrum.peer.gen.ClaimVerdict;
+
+/**
+ * Decides claims and outcomes from the state of their key.
+ */
+final class ClaimRules {
+
+	/** Retry time limits given to a caller whose request is in progress. */
+	private static final long MIN_RETRY_MS = 100;
+
+	private static final long MAX_RETRY_MS = 5_000;
+
+	private final Predicate<String> isLive;
+
+	private final long retryAfterMs;
+
+	ClaimRules(Predicate<String> isLive, long retryAfterMs) {
+		this.isLive = isLive;
+		this.retryAfterMs = retryAfterMs;
+	}
+
+	/**
+	 * Decides one operation.
+	 * @param operation the operation
+	 * @param index index of its bucket
+	 * @param nowMs clock reading
+	 * @return the decision, and the entry that must be in the store before it is given
+	 */
+	Verdict decide(ClaimOperation operation, ClaimIndex index, long nowMs) {
+		KeyState state = index.get(operation.key().id(), nowMs);
+		return (operation.isClaim()) ? decideClaim(operation, state, nowMs) : decideOutcome(operation, state, nowMs);
+	}
+
+	private Verdict decideClaim(ClaimOperation operation, KeyState state, long nowMs) {
+		ClaimRequest request = operation.request();
+		if (state != null && state.released().contains(request.getAttemptId())) {
+			return Verdict.of(Decision.unavailable(this.retryAfterMs, "this attempt was withdrawn", false));
+		}
+		String digest = ClaimKey.shortDigest(request.getRequestDigest());
+		if (state == null || state.current() == null) {
+			return granted(operation, digest, nowMs);
+		}
+		ClaimEntry current = state.current();
+		if (!current.digest().equals(digest)) {
+			return Verdict
+				.of(Decision.of(ClaimVerdict.DIFFERENT_REQUEST, 0, "the key was used with a different request"));
+		}
+		return switch (current.kind()) {
+			case COMPLETED -> {
+				Decision decision = Decision.of(ClaimVerdict.COMPLETED, 0, "");
+				decision.answer().setOutcome(current.outcome(request));
+				yield Verdict.of(decision);
+			}
+			case RELEASED -> granted(operation, digest, nowMs);
+			case CLAIMED, SEALED -> (state.isOpenFor(request.getAttemptId()))
+					? Verdict.of(Decision.of(ClaimVerdict.GRANTED, 0, "")) : Verdict.of(open(current, nowMs));
+		};
+	}
+
+	private static Verdict granted(ClaimOperation operation, String digest, long nowMs) {
+		ClaimEntry entry = ClaimEntry.claimed(operation.key(), digest, operation.request(), nowMs);
+		return new Verdict(Decision.of(ClaimVerdict.GRANTED, 0, ""), entry);
+	}
+
+	private Decision open(ClaimEntry claim, long nowMs) {
+		long endsAtMs = claim.atMs() + ((claim.timeoutMs() != null) ? claim.timeoutMs() : 0);
+		if (nowMs < endsAtMs && this.isLive.test(claim.hostId())) {
+			long retryMs = Math.clamp(endsAtMs - nowMs, MIN_RETRY_MS, MAX_RETRY_MS);
+			return Decision.of(ClaimVerdict.IN_PROGRESS, retryMs, "the first request with this key is in progress");
+		}
+		return Decision.of(ClaimVerdict.OUTCOME_UNKNOWN, 0,
+				"the first request with this key may have run, and its outcome is not known");
+	}
+
+	private static Verdict decideOutcome(ClaimOperation operation, KeyState state, long nowMs) {
+		ClaimOutcome outcome = operation.claimOutcome();
+		String attemptId = outcome.getAttemptId();
+		boolean open = state != null && state.isOpenFor(attemptId);
+		if (outcome.isReleased()) {
+			if (state != null && (state.released().contains(attemptId) || (!open && isCurrent(state, attemptId)))) {
+				return Verdict.of(Decision.of(ClaimVerdict.COMPLETED, 0, ""));
+			}
+			// Written even when the claim is unknown: a claim of this attempt that is
+			// still on its way to the store then fails its compare-and-swap.
+			String digest = (open) ? state.current().digest() : null;
+			return new Verdict(Decision.of(ClaimVerdict.COMPLETED, 0, ""),
+					ClaimEntry.released(operation.key(), digest, attemptId, nowMs));
+		}
+		if (open) {
+			return new Verdict(Decision.of(ClaimVerdict.COMPLETED, 0, ""),
+					ClaimEntry.completed(state.current(), outcome, nowMs));
+		}
+		boolean recorded = isCurrent(state, attemptId) && state.current().kind() == EntryKind.COMPLETED;
+		return Verdict.of((recorded) ? Decision.of(ClaimVerdict.COMPLETED, 0, "")
+				: Decision.of(ClaimVerdict.DIFFERENT_REQUEST, 0, "the attempt does not hold the key"));
+	}
+
+	private static boolean isCurrent(KeyState state, String attemptId) {
+		return state != null && state.current() != null && state.current().attemptId().equals(attemptId);
+	}
+
+	/**
+	 * A decision and what must be written before it is given.
+	 *
+	 * @param decision the decision
+	 * @param entry entry to write, {@code null} for none
+	 */
+	record Verdict(Decision decision, ClaimEntry entry) {
+
+		static Verdict of(Decision decision) {
+			return new Verdict(decision, null);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/KeyState.java
@@ -0,0 +1,52 @@
+package org.medlardrum.coordination.claims;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * What the segments of a bucket state about one key.
+ *
+ * @param current entry that decides the key, {@code null} when only withdrawn attempts
+ * are known
+ * @param released attempts that were released; a write of theirs that arrives late is not
+ * granted
+ * @param atMs time of the newest entry
+ */
+record KeyState(ClaimEntry current, Set<String> released, long atMs) {
+
+	private static final KeyState NONE = new KeyState(null, Set.of(), 0);
+
+	/**
+	 * Returns the state after one more entry.
+	 * @param state state before, {@code null} for an unknown key
+	 * @param entry the entry
+	 * @return the state after it
+	 */
+	static KeyState apply(KeyState state, ClaimEntry entry) {
+		KeyState before = (state != null) ? state : NONE;
+		long atMs = Math.max(before.atMs, entry.atMs());
+		boolean own = before.current != null && before.current.attemptId().equals(entry.attemptId());
+		return switch (entry.kind()) {
+			case CLAIMED -> new KeyState(entry, before.released, atMs);
+			case COMPLETED -> (own || before.current == null) ? new KeyState(entry, before.released, atMs) : before;
+			case RELEASED -> new KeyState((own && before.isOpen()) ? entry : before.current,
+					with(before.released, entry.attemptId()), atMs);
+			case SEALED -> before;
+		};
+	}
+
+	private static Set<String> with(Set<String> attempts, String attemptId) {
+		Set<String> result = new HashSet<>(attempts);
+		result.add(attemptId);
+		return Set.copyOf(result);
+	}
+
+	boolean isOpen() {
+		return this.current != null && this.current.kind() == EntryKind.CLAIMED;
+	}
+
+	boolean isOpenFor(String attemptId) {
+		return isOpen() && this.current.attemptId().equals(attemptId);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/SegmentWriter.java
@@ -0,0 +1,106 @@
+package org.medlardrum.coordination.claims;
+
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.coordination.StoreEntry;
+import org.medlardrum.coordination.StoreResult;
+
+/**
+ * Writes one segment by compare-and-swap. A lost answer is decided by reading back: the
+ * same text means that the write took effect, an unchanged revision that it did not, and
+ * it is tried again with the same expected revision, so that at most one of the tries
+ * takes effect.
+ */
+final class SegmentWriter {
+
+	private static final int MAX_TRIES = 3;
+
+	private final PlatformStore store;
+
+	private final ClaimCounters counters;
+
+	private StoreEntry written;
+
+	SegmentWriter(PlatformStore store, ClaimCounters counters) {
+		this.store = store;
+		this.counters = counters;
+	}
+
+	/**
+	 * Returns the entry of the last write that was {@code Done}.
+	 * @return the entry
+	 */
+	StoreEntry written() {
+		return this.written;
+	}
+
+	WriteResult write(String key, long expectedRevision, String text) {
+		boolean mayBeWritten = false;
+		String reason = "";
+		for (int i = 0; i < MAX_TRIES; i++) {
+			this.counters.writes.increment();
+			StoreResult<StoreEntry> result = this.store.compareAndSet(key, expectedRevision, text, null);
+			switch (result) {
+				case StoreResult.Ok<StoreEntry> ok -> {
+					return done(ok.value());
+				}
+				case StoreResult.Conflict<StoreEntry> conflict -> {
+					return (isOwn(conflict.current(), text)) ? done(conflict.current()) : superseded();
+				}
+				case StoreResult.NotFound<StoreEntry> none -> {
+					return superseded();
+				}
+				case StoreResult.Unavailable<StoreEntry> unavailable -> {
+					return failed(mayBeWritten, unavailable.reason());
+				}
+				case StoreResult.Unknown<StoreEntry> unknown -> {
+					this.counters.lostAnswers.increment();
+					mayBeWritten = true;
+					reason = unknown.reason();
+				}
+			}
+			WriteResult decided = readBack(key, expectedRevision, text);
+			if (decided != null) {
+				return decided;
+			}
+		}
+		return failed(mayBeWritten, reason);
+	}
+
+	/**
+	 * Decides a write whose answer was lost.
+	 * @param key the key
+	 * @param expectedRevision revision before the write
+	 * @param text text of the write
+	 * @return the result, {@code null} when the key still has the expected revision
+	 */
+	private WriteResult readBack(String key, long expectedRevision, String text) {
+		return switch (this.store.get(key)) {
+			case StoreResult.Ok<StoreEntry> ok when isOwn(ok.value(), text) -> done(ok.value());
+			case StoreResult.Ok<StoreEntry> ok -> (ok.value().revision() > expectedRevision) ? superseded() : null;
+			case StoreResult.NotFound<StoreEntry> none ->
+				(expectedRevision != PlatformStore.ABSENT) ? superseded() : null;
+			case StoreResult.Conflict<StoreEntry> conflict -> null;
+			case StoreResult.Unavailable<StoreEntry> unavailable -> new WriteResult.MayBeWritten(unavailable.reason());
+			case StoreResult.Unknown<StoreEntry> unknown -> null;
+		};
+	}
+
+	private static boolean isOwn(StoreEntry entry, String text) {
+		return entry != null && entry.value().equals(text);
+	}
+
+	private WriteResult done(StoreEntry entry) {
+		this.written = entry;
+		return new WriteResult.Done();
+	}
+
+	private WriteResult superseded() {
+		this.counters.conflicts.increment();
+		return new WriteResult.Superseded();
+	}
+
+	private static WriteResult failed(boolean mayBeWritten, String reason) {
+		return (mayBeWritten) ? new WriteResult.MayBeWritten(reason) : new WriteResult.NotWritten(reason);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/internal/DutyThread.java
@@ -0,0 +1,73 @@
+package org.medlardrum.coordination.internal;
+
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+
+import org.tinylog.Logger;
+
+/**
+ * Thread that repeats the step function of one responsibility. The step returns the time
+ * in milliseconds until it wants to run again; {@link #wake()} ends the wait early.
+ */
+public final class DutyThread implements AutoCloseable {
+
+	/** Upper limit of one wait, so that a wrong due time cannot stop a thread. */
+	private static final long MAX_WAIT_MS = 1_000;
+
+	private final LongSupplier step;
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	public DutyThread(String name, LongSupplier step) {
+		this.step = Objects.requireNonNull(step, "step");
+		this.thread = Thread.ofPlatform().name(name).daemon().unstarted(this::run);
+	}
+
+	/**
+	 * Starts the thread.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Makes the thread run its step again without waiting.
+	 */
+	public void wake() {
+		LockSupport.unpark(this.thread);
+	}
+
+	private void run() {
+		while (!this.closed) {
+			long waitMs = runStep();
+			if (waitMs > 0 && !this.closed) {
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(Math.min(waitMs, MAX_WAIT_MS)));
+			}
+		}
+	}
+
+	private long runStep() {
+		try {
+			return this.step.getAsLong();
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "{}: step failed", this.thread.getName());
+			return MAX_WAIT_MS;
+		}
+	}
+
+	/**
+	 * Ends the thread after the current step.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+		wake();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerConnection.java
@@ -0,0 +1,93 @@
+package org.medlardrum.transport.peer;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.apache.thrift.TException;
+import org.medlardrum.peer.gen.PeerRequest;
+import org.medlardrum.peer.gen.PeerResponse;
+import org.tinylog.Logger;
+
+/**
+ * Server side of one connection. Requests are answered one after another. An
+ * {@code error} response states that the request was not processed; a failure in the
+ * handler closes the connection instead, because the request may have had an effect.
+ */
+final class PeerConnection {
+
+	private final Socket socket;
+
+	private final PeerHandler handler;
+
+	private final LongAdder requests;
+
+	private final LongAdder malformed;
+
+	PeerConnection(Socket socket, PeerHandler handler, LongAdder requests, LongAdder malformed) {
+		this.socket = socket;
+		this.handler = handler;
+		this.requests = requests;
+		this.malformed = malformed;
+	}
+
+	void run() {
+		try (Socket connected = this.socket) {
+			DataInputStream in = new DataInputStream(new BufferedInputStream(connected.getInputStream()));
+			DataOutputStream out = new DataOutputStream(new BufferedOutputStream(connected.getOutputStream()));
+			byte[] frame = PeerCodec.readFrame(in);
+			while (frame != null) {
+				PeerCodec.writeFrame(out, PeerCodec.encode(answer(decode(frame))));
+				this.requests.increment();
+				frame = PeerCodec.readFrame(in);
+			}
+		}
+		catch (MalformedFrameException ex) {
+			this.malformed.increment();
+		}
+		catch (IOException ex) {
+			Logger.debug("peer: connection ended: {}", ex.getMessage());
+		}
+		catch (TException | RuntimeException ex) {
+			Logger.error(ex, "peer: request failed");
+		}
+	}
+
+	void refuse(String reason) {
+		try (Socket connected = this.socket) {
+			DataOutputStream out = new DataOutputStream(connected.getOutputStream());
+			PeerCodec.writeFrame(out, PeerCodec.encode(PeerResponse.error(reason)));
+		}
+		catch (IOException | TException ex) {
+			Logger.debug("peer: refusal not sent: {}", ex.getMessage());
+		}
+	}
+
+	private static PeerRequest decode(byte[] frame) throws MalformedFrameException {
+		PeerRequest request = new PeerRequest();
+		try {
+			PeerCodec.decode(request, frame, 0, frame.length);
+		}
+		catch (TException | RuntimeException ex) {
+			throw new MalformedFrameException("request does not parse");
+		}
+		if (request.getSetField() == null) {
+			throw new MalformedFrameException("request is of no known kind");
+		}
+		return request;
+	}
+
+	private PeerResponse answer(PeerRequest request) {
+		return switch (request.getSetField()) {
+			case PULL_CONFIG_AFTER_VERSION ->
+				PeerResponse.configPull(this.handler.pullConfig(request.getPullConfigAfterVersion()));
+			case CLAIM -> PeerResponse.claim(this.handler.claim(request.getClaim()));
+			case RECORD_OUTCOME -> PeerResponse.outcomeRecorded(this.handler.recordOutcome(request.getRecordOutcome()));
+		};
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerOptions.java
@@ -0,0 +1,43 @@
+package org.medlardrum.transport.peer;
+
+import java.net.InetAddress;
+import java.util.List;
+
+/**
+ * Settings of the peers' network.
+ *
+ * @param allowedRanges ranges that peers may connect from; loopback is always allowed
+ * @param maxConnections connections served at the same time
+ * @param connectTimeoutMs longest wait for a connection
+ * @param responseTimeoutMs longest wait for a response. It exceeds the longest time for
+ * which the receiver holds a claim, so that an answer is seldom lost
+ * @param idleTimeoutMs time after which the server closes an idle connection. Clients
+ * drop theirs after half of it, so that they do not send into a closed connection
+ */
+public record PeerOptions(List<CidrRange> allowedRanges, int maxConnections, int connectTimeoutMs,
+		int responseTimeoutMs, int idleTimeoutMs) {
+
+	/** Largest frame in bytes. */
+	public static final int MAX_FRAME_BYTES = 1 << 20;
+
+	/** Largest datagram accepted, in bytes. Digests have at most 900 B. */
+	public static final int MAX_DATAGRAM_BYTES = 1400;
+
+	public PeerOptions {
+		allowedRanges = List.copyOf(allowedRanges);
+	}
+
+	/**
+	 * Returns the default settings.
+	 * @param allowedRanges ranges that peers may connect from
+	 * @return the settings
+	 */
+	public static PeerOptions of(List<CidrRange> allowedRanges) {
+		return new PeerOptions(allowedRanges, 1_000, 500, 4_000, 60_000);
+	}
+
+	boolean allows(InetAddress address) {
+		return address.isLoopbackAddress() || this.allowedRanges.stream().anyMatch((range) -> range.contains(address));
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerServer.java
@@ -0,0 +1,199 @@
+package org.medlardrum.transport.peer;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.apache.thrift.TException;
+import org.medlardrum.peer.gen.Digest;
+import org.tinylog.Logger;
+
+/**
+ * Receives digests over UDP and requests over TCP from other entry hosts, both on the
+ * same port number. Only addresses of the allowed ranges are served. Malformed input is
+ * counted and closes its connection.
+ *
+ * <pre>{@code
+ * PeerServer server = new PeerServer(new InetSocketAddress("127.0.0.1", 7400), handler, options);
+ * server.start();
+ * }</pre>
+ */
+public final class PeerServer implements AutoCloseable {
+
+	private static final int BACKLOG = 128;
+
+	private final PeerHandler handler;
+
+	private final PeerOptions options;
+
+	private final ServerSocket tcp;
+
+	private final DatagramSocket udp;
+
+	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+	private final LongAdder digests = new LongAdder();
+
+	private final LongAdder requests = new LongAdder();
+
+	private final LongAdder malformed = new LongAdder();
+
+	private final LongAdder refusedAddresses = new LongAdder();
+
+	private final LongAdder refusedConnections = new LongAdder();
+
+	private volatile boolean closed;
+
+	/**
+	 * Binds both ports.
+	 * @param address address to listen on; port 0 takes a free port
+	 * @param handler answers requests
+	 * @param options settings
+	 * @throws IOException if the address cannot be bound
+	 */
+	public PeerServer(InetSocketAddress address, PeerHandler handler, PeerOptions options) throws IOException {
+		this.handler = Objects.requireNonNull(handler, "handler");
+		this.options = Objects.requireNonNull(options, "options");
+		this.tcp = new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
+		try {
+			this.udp = new DatagramSocket(new InetSocketAddress(address.getAddress(), this.tcp.getLocalPort()));
+		}
+		catch (IOException ex) {
+			this.tcp.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Starts receiving.
+	 */
+	public void start() {
+		Thread.ofPlatform().name("peer-udp").daemon().start(this::receiveDatagrams);
+		Thread.ofPlatform().name("peer-tcp").daemon().start(this::acceptConnections);
+	}
+
+	/**
+	 * Returns the port that the server listens on.
+	 * @return the port
+	 */
+	public int port() {
+		return this.tcp.getLocalPort();
+	}
+
+	/**
+	 * Returns the counters.
+	 * @return the counters
+	 */
+	public PeerStats stats() {
+		return new PeerStats(this.digests.sum(), this.requests.sum(), this.malformed.sum(), this.refusedAddresses.sum(),
+				this.refusedConnections.sum(), this.connections.size());
+	}
+
+	private void receiveDatagrams() {
+		byte[] buffer = new byte[PeerOptions.MAX_DATAGRAM_BYTES + 1];
+		while (!this.closed) {
+			try {
+				DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+				this.udp.receive(packet);
+				receive(packet);
+			}
+			catch (IOException ex) {
+				if (!this.closed) {
+					Logger.warn("gossip: cannot receive a datagram: {}", ex.getMessage());
+				}
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "gossip: cannot handle a digest");
+			}
+		}
+	}
+
+	private void receive(DatagramPacket packet) {
+		if (!this.options.allows(packet.getAddress())) {
+			this.refusedAddresses.increment();
+			return;
+		}
+		Digest digest = new Digest();
+		try {
+			if (packet.getLength() > PeerOptions.MAX_DATAGRAM_BYTES) {
+				throw new TException("datagram exceeds " + PeerOptions.MAX_DATAGRAM_BYTES + " bytes");
+			}
+			PeerCodec.decode(digest, packet.getData(), packet.getOffset(), packet.getLength());
+			if (!digest.isSetHostId()) {
+				throw new TException("digest has no host");
+			}
+		}
+		catch (TException | RuntimeException ex) {
+			this.malformed.increment();
+			return;
+		}
+		this.digests.increment();
+		this.handler.digest(digest);
+	}
+
+	private void acceptConnections() {
+		while (!this.closed) {
+			try {
+				accepted(this.tcp.accept());
+			}
+			catch (IOException ex) {
+				if (!this.closed) {
+					Logger.warn("peer: cannot accept a connection: {}", ex.getMessage());
+				}
+			}
+		}
+	}
+
+	private void accepted(Socket socket) throws IOException {
+		if (!this.options.allows(socket.getInetAddress())) {
+			this.refusedAddresses.increment();
+			socket.close();
+			return;
+		}
+		socket.setSoTimeout(this.options.idleTimeoutMs());
+		socket.setTcpNoDelay(true);
+		PeerConnection connection = new PeerConnection(socket, this.handler, this.requests, this.malformed);
+		if (this.connections.size() >= this.options.maxConnections()) {
+			this.refusedConnections.increment();
+			connection.refuse("too many connections");
+			return;
+		}
+		this.connections.add(socket);
+		Thread.ofVirtual().name("peer-connection").start(() -> {
+			try {
+				connection.run();
+			}
+			finally {
+				this.connections.remove(socket);
+			}
+		});
+	}
+
+	/**
+	 * Closes the ports and all connections.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		this.udp.close();
+		closeQuietly(this.tcp);
+		this.connections.forEach(PeerServer::closeQuietly);
+	}
+
+	private static void closeQuietly(AutoCloseable closeable) {
+		try {
+			closeable.close();
+		}
+		catch (Exception ex) {
+			Logger.debug("peer: close failed: {}", ex.getMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
@@ -0,0 +1,157 @@
+package org.medlardrum.transport.peer;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
+
+import org.apache.thrift.TException;
+import org.medlardrum.coordination.PeerNetwork;
+import org.medlardrum.coordination.PeerResult;
+import org.medlardrum.peer.gen.ClaimAnswer;
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+import org.medlardrum.peer.gen.ConfigPull;
+import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.PeerRequest;
+import org.medlardrum.peer.gen.PeerResponse;
+import org.medlardrum.state.Host;
+import org.tinylog.Logger;
+
+/**
+ * Client side of the peers' network. A call is {@code Unreachable} only when the peer
+ * cannot have processed it: the connection was not established, or the peer answered that
+ * it refused the request. Every later failure is {@code Unknown}.
+ *
+ * <p>
+ * Connections are kept and reused, at most {@value PeerConnectionPool#MAX_IDLE} idle ones
+ * for each peer.
+ */
+public final class ThriftPeerNetwork implements PeerNetwork, AutoCloseable {
+
+	private final PeerOptions options;
+
+	private final DatagramSocket udp;
+
+	private final Map<String, PeerConnectionPool> pools = new ConcurrentHashMap<>();
+
+	private final LongAdder unsentDatagrams = new LongAdder();
+
+	public ThriftPeerNetwork(PeerOptions options) throws IOException {
+		this.options = Objects.requireNonNull(options, "options");
+		this.udp = new DatagramSocket();
+	}
+
+	@Override
+	public void send(Host peer, Digest digest) {
+		try {
+			byte[] content = PeerCodec.encode(digest);
+			this.udp.send(new DatagramPacket(content, content.length, address(peer.peerAddress())));
+		}
+		catch (IOException | TException | IllegalArgumentException ex) {
+			this.unsentDatagrams.increment();
+			Logger.debug("gossip: digest to {} not sent: {}", peer.id(), ex.getMessage());
+		}
+	}
+
+	@Override
+	public PeerResult<ConfigPull> pullConfig(Host peer, long afterVersion) {
+		return call(peer, PeerRequest.pullConfigAfterVersion(afterVersion),
+				(response) -> (response.isSetConfigPull()) ? response.getConfigPull() : null);
+	}
+
+	@Override
+	public PeerResult<ClaimAnswer> claim(Host peer, ClaimRequest request) {
+		return call(peer, PeerRequest.claim(request),
+				(response) -> (response.isSetClaim()) ? response.getClaim() : null);
+	}
+
+	@Override
+	public PeerResult<Boolean> recordOutcome(Host peer, ClaimOutcome outcome) {
+		return call(peer, PeerRequest.recordOutcome(outcome),
+				(response) -> (response.isSetOutcomeRecorded()) ? response.isOutcomeRecorded() : null);
+	}
+
+	private <T> PeerResult<T> call(Host peer, PeerRequest request, Function<PeerResponse, T> value) {
+		byte[] content;
+		try {
+			content = PeerCodec.encode(request);
+		}
+		catch (TException ex) {
+			return new PeerResult.Unreachable<>("request cannot be encoded: " + ex.getMessage());
+		}
+		if (content.length > PeerOptions.MAX_FRAME_BYTES) {
+			return new PeerResult.Unreachable<>("request has " + content.length + " bytes, more than a frame holds");
+		}
+		PeerConnectionPool pool = this.pools.computeIfAbsent(peer.peerAddress(),
+				(address) -> new PeerConnectionPool(address, this.options));
+		KeptConnection connection;
+		try {
+			connection = pool.take();
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return new PeerResult.Unreachable<>("cannot connect to " + peer.peerAddress() + ": " + ex.getMessage());
+		}
+		return exchange(pool, connection, content, value);
+	}
+
+	private static <T> PeerResult<T> exchange(PeerConnectionPool pool, KeptConnection connection, byte[] content,
+			Function<PeerResponse, T> value) {
+		PeerResponse response;
+		try {
+			response = connection.exchange(content);
+		}
+		catch (IOException | TException ex) {
+			connection.close();
+			return new PeerResult.Unknown<>("response lost: " + ex.getMessage());
+		}
+		if (response.isSetError()) {
+			connection.close();
+			return new PeerResult.Unreachable<>("refused: " + response.getError());
+		}
+		T result = value.apply(response);
+		if (result == null) {
+			connection.close();
+			return new PeerResult.Unknown<>("response of another kind: " + response.getSetField());
+		}
+		pool.giveBack(connection);
+		return new PeerResult.Ok<>(result);
+	}
+
+	/**
+	 * Parses a numeric address. Names are refused, because looking them up could block.
+	 * @param text {@code ip:port}
+	 * @return the address
+	 * @throws UnknownHostException if the text has no valid IP address
+	 */
+	static InetSocketAddress address(String text) throws UnknownHostException {
+		int colon = text.lastIndexOf(':');
+		String ip = (colon > 0) ? text.substring(0, colon) : "";
+		if (!ip.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]?")) {
+			throw new UnknownHostException("'" + text + "' is not a numeric ip:port");
+		}
+		return new InetSocketAddress(InetAddress.getByName(ip), Integer.parseInt(text.substring(colon + 1)));
+	}
+
+	/**
+	 * Returns how many digests could not be handed to the network.
+	 * @return the count since the start
+	 */
+	public long unsentDatagrams() {
+		return this.unsentDatagrams.sum();
+	}
+
+	@Override
+	public void close() {
+		this.udp.close();
+		this.pools.values().forEach(PeerConnectionPool::close);
+	}
+
+}
