--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/AdmissionResult.java
@@ -0,0 +1,29 @@
+package org.medlardrum.entry.internal.admission;
+
+/**
+ * What became of an offer to the admission thread.
+ */
+public sealed interface AdmissionResult {
+
+	/**
+	 * The request may start now.
+	 */
+	record Started() implements AdmissionResult {
+	}
+
+	/**
+	 * The request is refused and did not run.
+	 *
+	 * @param reason short technical reason
+	 * @param retryAfterMs time after which a retry can help
+	 */
+	record Refused(String reason, long retryAfterMs) implements AdmissionResult {
+	}
+
+	/**
+	 * The request's timeout passed in the queue. It did not run.
+	 */
+	record Expired() implements AdmissionResult {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/LinkTimes.java
@@ -0,0 +1,77 @@
+package org.medlardrum.entry.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.medlardrum.state.LinkState;
+import org.medlardrum.state.config.LinkConfig;
+
+/**
+ * Times of the links between availability zones: the configured ones, raised by what
+ * stages measure. Owned by the fleet thread.
+ */
+final class LinkTimes {
+
+	/** Latency within a zone and of links that are neither configured nor measured. */
+	static final long DEFAULT_LATENCY_US = 200;
+
+	private static final double MEASUREMENT_WEIGHT = 0.2;
+
+	/** A raised time fades, so that an avoided link is tried again. */
+	private static final double FADE_MS = 30_000;
+
+	private final Map<Link, Long> configuredUs = new HashMap<>();
+
+	private final Map<Link, Measured> measured = new HashMap<>();
+
+	void configure(List<LinkConfig> links) {
+		this.configuredUs.clear();
+		for (LinkConfig link : links) {
+			this.configuredUs.put(new Link(link.from(), link.to()), link.latencyUs());
+			this.configuredUs.put(new Link(link.to(), link.from()), link.latencyUs());
+		}
+	}
+
+	long configuredUs(String from, String to) {
+		return this.configuredUs.getOrDefault(new Link(from, to), DEFAULT_LATENCY_US);
+	}
+
+	void measured(String from, String to, double latencyUs, long nowMs) {
+		Link link = new Link(from, to);
+		double before = latencyUs(link, nowMs);
+		this.measured.put(link, new Measured(before + MEASUREMENT_WEIGHT * (latencyUs - before), nowMs));
+	}
+
+	List<LinkState> states(long nowMs) {
+		List<LinkState> states = new ArrayList<>();
+		this.configuredUs
+			.forEach((link, latencyUs) -> states.add(new LinkState(link.from(), link.to(), round(link, nowMs))));
+		this.measured.keySet()
+			.stream()
+			.filter((link) -> !this.configuredUs.containsKey(link))
+			.forEach((link) -> states.add(new LinkState(link.from(), link.to(), round(link, nowMs))));
+		return states;
+	}
+
+	private long round(Link link, long nowMs) {
+		return Math.round(latencyUs(link, nowMs));
+	}
+
+	private double latencyUs(Link link, long nowMs) {
+		double base = this.configuredUs.getOrDefault(link, DEFAULT_LATENCY_US);
+		Measured value = this.measured.get(link);
+		if (value == null) {
+			return base;
+		}
+		return base + (value.latencyUs() - base) * Math.exp(-(nowMs - value.atMs()) / FADE_MS);
+	}
+
+	private record Link(String from, String to) {
+	}
+
+	private record Measured(double latencyUs, long atMs) {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Wiring of the entry host and its graceful shutdown.
+ */
+package org.medlardrum.entry.internal.host;
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Interfaces to callers and operators.
+ */
+package org.medlardrum.entry.internal.http;
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Model requests: choice of chains, attempts, resumption and streaming.
+ */
+package org.medlardrum.entry.internal.model;
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/route/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Identification of organisations and routes.
+ */
+package org.medlardrum.entry.internal.route;
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
@@ -0,0 +1,93 @@
+package org.medlardrum.entry.internal.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+
+/**
+ * Command-line flags as text, so that all faults can be reported at once.
+ */
+final class Flags {
+
+	@Parameter(names = "--host-id", description = "Unique name of this host, as in the platform's host list")
+	String hostId = "";
+
+	@Parameter(names = "--availability-zone", description = "Availability zone of this host; also its site")
+	String availabilityZone = "";
+
+	@Parameter(names = "--listen-ip", description = "Numeric IP address of all listeners")
+	String listenIp = "127.0.0.1";
+
+	@Parameter(names = "--listen-port", description = "Port for callers")
+	String listenPort = "";
+
+	@Parameter(names = "--admin-port", description = "Port for operators")
+	String adminPort = "";
+
+	@Parameter(names = "--peer-port", description = "UDP and TCP port for other entry hosts")
+	String peerPort = "";
+
+	@Parameter(names = "--platform-address", description = "ip:port of the platform's key-value service")
+	String platformAddress = "";
+
+	@Parameter(names = "--platform-timeout-ms", description = "Longest call of the platform, in milliseconds")
+	String platformTimeoutMs = "1000";
+
+	@Parameter(names = "--peer-ranges", description = "Comma-separated address ranges of peers, as 10.0.0.0/8")
+	String peerRanges = "127.0.0.0/8";
+
+	@Parameter(names = "--max-connections", description = "Connections of callers at the same time")
+	String maxConnections = "4096";
+
+	@Parameter(names = "--max-header-bytes", description = "Longest start line or header field, in bytes")
+	String maxHeaderBytes = "8192";
+
+	@Parameter(names = "--idle-timeout-ms",
+			description = "Time until a connection without a request is closed, in milliseconds")
+	String idleTimeoutMs = "60000";
+
+	@Parameter(names = "--body-timeout-ms", description = "Longest time to receive a body, in milliseconds")
+	String bodyTimeoutMs = "10000";
+
+	@Parameter(names = "--write-timeout-ms",
+			description = "Longest time for which a caller may leave a response unread, in milliseconds")
+	String writeTimeoutMs = "10000";
+
+	@Parameter(names = "--connect-timeout-ms",
+			description = "Longest time to connect to a backend server, in milliseconds")
+	String connectTimeoutMs = "500";
+
+	@Parameter(names = "--first-frame-timeout-ms",
+			description = "Longest time to the first frame of an attempt, in milliseconds")
+	String firstFrameTimeoutMs = "10000";
+
+	@Parameter(names = "--stall-timeout-ms",
+			description = "Longest time between the frames of an attempt, in milliseconds")
+	String stallTimeoutMs = "1500";
+
+	@Parameter(names = "--poll-interval-ms",
+			description = "Time between polls of a backend server's load, in milliseconds")
+	String pollIntervalMs = "5000";
+
+	@Parameter(names = "--drain-delay-ms",
+			description = "Time from failing readiness to refusing new requests, in milliseconds")
+	String drainDelayMs = "2000";
+
+	@Parameter(names = "--drain-timeout-ms",
+			description = "Longest wait for requests in progress at shutdown, in milliseconds")
+	String drainTimeoutMs = "600000";
+
+	@Parameter(names = "--admission-ring-size", description = "Messages that may wait for the admission thread")
+	String admissionRingSize = "4096";
+
+	@Parameter(names = "--check", description = "Check the settings and exit")
+	boolean check;
+
+	@Parameter(names = "--help", help = true, description = "Print the flags and exit")
+	boolean help;
+
+	@Parameter(description = "", hidden = true)
+	List<String> rest = new ArrayList<>();
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of the process from flags and environment variables.
+ */
+package org.medlardrum.entry.internal.settings;
