Add gossip between entry hosts

Cause: demand, configuration versions and rumours spread from host to host. Change: Gossip with a rumour table, bounded digests and partner choice. Before: no exchange. Conclusion: the entry host can be wired against it.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
@@ -226,9 +226,9 @@
 	}
 
 	/**
-	 * Tells whether a sealed segment is the newest that exists. It must stay: without it a
-	 * host that reads the bucket would start again at segment 1, while others go on at the
-	 * next number.
+	 * Tells whether a sealed segment is the newest that exists. It must stay: without it
+	 * a host that reads the bucket would start again at segment 1, while others go on at
+	 * the next number.
 	 * @param number number of the segment
 	 * @return whether its successor does not exist yet
 	 */
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
@@ -284,7 +284,7 @@
 	 * Called by the thread of this responsibility, or by a test instead of it.
 	 * @return time until the next commit is due, in milliseconds
 	 */
-	long step() {
+	public long step() {
 		long nowMs = this.clock.millis();
 		this.mailbox.drain((operation) -> bucketOf(operation).add(operation, nowMs));
 		retryOutcomes(nowMs);
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/DigestBuilder.java
@@ -0,0 +1,85 @@
+package org.medlardrum.coordination.gossip;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+import org.apache.thrift.TBase;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.OrganisationDemand;
+import org.medlardrum.peer.gen.Rumour;
+
+/**
+ * Fills a digest up to a size. The demand per rank goes first, then rumours in half of
+ * the remaining space, then the heaviest organisations, then further rumours.
+ */
+final class DigestBuilder {
+
+	/** Growth of the two list headers beyond 14 elements, in bytes. */
+	private static final int LIST_HEADERS_BYTES = 4;
+
+	private final TSerializer serializer;
+
+	private final int maxBytes;
+
+	DigestBuilder(int maxBytes) {
+		this.maxBytes = maxBytes;
+		try {
+			this.serializer = new TSerializer(new TCompactProtocol.Factory());
+		}
+		catch (TException ex) {
+			throw new IllegalStateException("cannot create a serialiser", ex);
+		}
+	}
+
+	int sizeBytes(TBase<?, ?> message) {
+		try {
+			return this.serializer.serialize(message).length;
+		}
+		catch (TException ex) {
+			throw new IllegalStateException("cannot encode " + message.getClass().getSimpleName(), ex);
+		}
+	}
+
+	/**
+	 * Adds what fits to a digest that holds everything but lists.
+	 * @param digest the digest
+	 * @param demand own demand
+	 * @param rumours rumours in sending order
+	 * @return the rumours that were added
+	 */
+	List<Rumour> fill(Digest digest, OwnDemand demand, List<Rumour> rumours) {
+		digest.setRanks(new ArrayList<>());
+		digest.setOrganisations(new ArrayList<>());
+		digest.setRumours(new ArrayList<>());
+		int room = this.maxBytes - LIST_HEADERS_BYTES - sizeBytes(digest);
+		room -= addWhileRoom(demand.ranks(), digest.getRanks(), room);
+		int rumourRoom = room / 2;
+		int rumourBytes = addWhileRoom(rumours, digest.getRumours(), rumourRoom);
+		room -= rumourBytes;
+		List<OrganisationDemand> heaviest = new ArrayList<>(demand.organisations());
+		heaviest.sort(Comparator.comparingLong(OrganisationDemand::getDemandCostPerS).reversed());
+		room -= addWhileRoom(heaviest, digest.getOrganisations(), room);
+		int sent = digest.getRumoursSize();
+		addWhileRoom(rumours.subList(sent, rumours.size()), digest.getRumours(), room);
+		return digest.getRumours();
+	}
+
+	private <T extends TBase<?, ?>> int addWhileRoom(Collection<T> from, List<T> into, int room) {
+		int used = 0;
+		for (T element : from) {
+			int bytes = sizeBytes(element);
+			if (used + bytes > room) {
+				return used;
+			}
+			into.add(element);
+			used += bytes;
+		}
+		return used;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
@@ -0,0 +1,314 @@
+package org.medlardrum.coordination.gossip;
+
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+import org.jctools.queues.MpscArrayQueue;
+import org.medlardrum.coordination.PeerNetwork;
+import org.medlardrum.coordination.internal.DutyThread;
+import org.medlardrum.coordination.membership.Membership;
+import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.OrganisationDemand;
+import org.medlardrum.peer.gen.RankDemand;
+import org.medlardrum.peer.gen.Rumour;
+import org.medlardrum.peer.gen.RumourKind;
+import org.medlardrum.state.Host;
+
+/**
+ * Exchanges digests with other entry hosts: configuration version, demand and rumours.
+ *
+ * <pre>{@code
+ * Gossip gossip = new Gossip(peers, membership, self, InstantSource.system(), new SplittableRandom(),
+ *         GossipOptions.DEFAULT);
+ * gossip.onPeerVersion((host, version) -> agent.heardVersion(host, version));
+ * gossip.start();
+ * }</pre>
+ *
+ * All public methods may be called from any thread. State belongs to the thread
+ * {@code gossip}, which receives messages through a bounded mailbox and publishes what
+ * others read.
+ */
+public final class Gossip implements AutoCloseable {
+
+	private static final int MAILBOX_CAPACITY = 4_096;
+
+	/** Replies for each interval, against a peer that sends too often. */
+	private static final int MAX_REPLIES = 5;
+
+	/** Life of the rumour that the own host is leaving; renewed at half of it. */
+	private static final long LEAVING_MS = 60_000;
+
+	private final PeerNetwork peers;
+
+	private final Membership membership;
+
+	private final Host self;
+
+	private final InstantSource clock;
+
+	private final GossipOptions options;
+
+	private final PartnerChoice partners;
+
+	private final DigestBuilder builder;
+
+	private final RumourTable rumours;
+
+	private final MpscArrayQueue<Runnable> mailbox = new MpscArrayQueue<>(MAILBOX_CAPACITY);
+
+	private final Map<String, HeardDemand> heard = new HashMap<>();
+
+	private final LongAdder sent = new LongAdder();
+
+	private final LongAdder received = new LongAdder();
+
+	private final LongAdder dropped = new LongAdder();
+
+	private final DutyThread thread;
+
+	private volatile BiConsumer<Host, Long> versionListener = (host, version) -> {
+	};
+
+	private volatile OwnDemand ownDemand = OwnDemand.NONE;
+
+	private volatile long configVersion;
+
+	private volatile boolean draining;
+
+	private volatile Map<String, HeardDemand> publishedDemands = Map.of();
+
+	private volatile List<Rumour> publishedRumours = List.of();
+
+	private boolean rumoursChanged;
+
+	private long exchangeAtMs;
+
+	private long leavingUntilMs;
+
+	private int replies;
+
+	public Gossip(PeerNetwork peers, Membership membership, Host self, InstantSource clock, RandomGenerator random,
+			GossipOptions options) {
+		this.peers = Objects.requireNonNull(peers, "peers");
+		this.membership = Objects.requireNonNull(membership, "membership");
+		this.self = Objects.requireNonNull(self, "self");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.options = Objects.requireNonNull(options, "options");
+		this.partners = new PartnerChoice(self.availabilityZone(), options.otherZoneEvery(), random);
+		this.builder = new DigestBuilder(options.maxDigestBytes());
+		this.rumours = new RumourTable(options.rumourMaxMs(), options.maxRumours());
+		this.exchangeAtMs = clock.millis() + random.nextLong(options.intervalMs());
+		this.thread = new DutyThread("gossip", this::step);
+	}
+
+	/**
+	 * Starts the thread that exchanges digests.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	@Override
+	public void close() {
+		this.thread.close();
+	}
+
+	/**
+	 * Sets what is told about the configuration versions of peers. Called on the gossip
+	 * thread; it must not block.
+	 * @param listener receives the peer and its version
+	 */
+	public void onPeerVersion(BiConsumer<Host, Long> listener) {
+		this.versionListener = Objects.requireNonNull(listener, "listener");
+	}
+
+	/**
+	 * Takes a digest from the network. Dropped when too many wait.
+	 * @param digest the digest
+	 */
+	public void receive(Digest digest) {
+		tell(() -> handle(digest));
+	}
+
+	/**
+	 * Adds a rumour to be spread.
+	 * @param rumour the rumour
+	 */
+	public void addRumour(Rumour rumour) {
+		Rumour copy = new Rumour(rumour);
+		tell(() -> merge(copy));
+	}
+
+	/**
+	 * Sets the own demand that the next digests carry.
+	 * @param ranks demand per pool and rank
+	 * @param organisations demand per pool and organisation; the heaviest are sent
+	 */
+	public void publishDemand(List<RankDemand> ranks, List<OrganisationDemand> organisations) {
+		this.ownDemand = new OwnDemand(ranks, organisations);
+	}
+
+	/**
+	 * Sets the own configuration version and tells it to some peers at once, in digests
+	 * without demand and rumours.
+	 * @param version the version
+	 */
+	public void publishVersion(long version) {
+		if (version > this.configVersion) {
+			this.configVersion = version;
+			tell(this::push);
+		}
+	}
+
+	/**
+	 * Tells peers whether the own host drains.
+	 * @param draining whether it takes no new work
+	 */
+	public void setDraining(boolean draining) {
+		boolean withdrawn = this.draining && !draining;
+		this.draining = draining;
+		if (withdrawn) {
+			tell(() -> merge(new Rumour(RumourKind.CLEARED, this.self.id(), this.clock.millis() + LEAVING_MS, 0)));
+		}
+	}
+
+	/**
+	 * Returns the rumours known.
+	 * @return the rumours
+	 */
+	public List<Rumour> rumours() {
+		return this.publishedRumours;
+	}
+
+	/**
+	 * Returns the counters.
+	 * @return the counters
+	 */
+	public GossipStats stats() {
+		return new GossipStats(this.sent.sum(), this.received.sum(), this.dropped.sum(), this.publishedRumours.size());
+	}
+
+	private void tell(Runnable message) {
+		if (!this.mailbox.offer(message)) {
+			this.dropped.increment();
+			return;
+		}
+		this.thread.wake();
+	}
+
+	/**
+	 * Handles waiting messages and starts an exchange when one is due. Called by the
+	 * thread of this responsibility, or by a test instead of it.
+	 * @return time until the next exchange, in milliseconds
+	 */
+	public long step() {
+		this.mailbox.drain(Runnable::run);
+		long nowMs = this.clock.millis();
+		if (nowMs >= this.exchangeAtMs) {
+			this.exchangeAtMs += this.options.intervalMs();
+			if (this.exchangeAtMs <= nowMs) {
+				this.exchangeAtMs = nowMs + this.options.intervalMs();
+			}
+			this.replies = 0;
+			removeExpired(nowMs);
+			renewLeaving(nowMs);
+			this.partners.next(this.membership.livePeers()).ifPresent((peer) -> send(peer, false));
+		}
+		publish();
+		return Math.max(0, this.exchangeAtMs - nowMs);
+	}
+
+	private void removeExpired(long nowMs) {
+		this.heard.values().removeIf((demand) -> nowMs - demand.heardAtMs() > this.options.demandKeepMs());
+		this.rumours.removeExpired(nowMs);
+		this.rumoursChanged = true;
+	}
+
+	private void renewLeaving(long nowMs) {
+		if (this.draining && this.leavingUntilMs - nowMs < LEAVING_MS / 2) {
+			this.leavingUntilMs = nowMs + LEAVING_MS;
+			merge(new Rumour(RumourKind.LEAVING, this.self.id(), this.leavingUntilMs, 0));
+		}
+	}
+
+	private void handle(Digest digest) {
+		if (digest.getHostId() == null || digest.getHostId().equals(this.self.id())) {
+			return;
+		}
+		this.received.increment();
+		long nowMs = this.clock.millis();
+		this.membership.heardFrom(digest.getHostId());
+		if (digest.isDraining()) {
+			this.membership.leavingRumour(digest.getHostId(), nowMs + this.options.demandKeepMs());
+		}
+		if (digest.isSetRanks()) {
+			this.heard.put(digest.getHostId(), HeardDemand.of(digest, nowMs));
+		}
+		if (digest.isSetRumours()) {
+			digest.getRumours().forEach(this::merge);
+		}
+		this.membership.findHost(digest.getHostId()).ifPresent((peer) -> answer(peer, digest));
+	}
+
+	private void answer(Host peer, Digest digest) {
+		if (!digest.isReply() && this.replies < MAX_REPLIES) {
+			this.replies++;
+			send(peer, true);
+		}
+		this.versionListener.accept(peer, digest.getConfigVersion());
+	}
+
+	private void merge(Rumour rumour) {
+		Rumour merged = this.rumours.merge(rumour, this.clock.millis());
+		if (merged == null) {
+			return;
+		}
+		this.rumoursChanged = true;
+		switch (merged.getKind()) {
+			case LEAVING -> this.membership.leavingRumour(merged.getSubject(), merged.getUntilMs());
+			case CLEARED -> this.membership.leavingRumour(merged.getSubject(), 0);
+			case QUARANTINED, SUSPECT -> {
+			}
+		}
+	}
+
+	private void push() {
+		for (Host peer : this.partners.any(this.membership.livePeers(), this.options.pushFanOut())) {
+			this.sent.increment();
+			this.peers.send(peer, header(true));
+		}
+	}
+
+	private void send(Host peer, boolean reply) {
+		Digest digest = header(reply);
+		this.rumours.sent(this.builder.fill(digest, this.ownDemand, this.rumours.inSendingOrder()));
+		this.sent.increment();
+		this.peers.send(peer, digest);
+	}
+
+	private Digest header(boolean reply) {
+		Digest digest = new Digest();
+		digest.setHostId(this.self.id());
+		digest.setAvailabilityZone(this.self.availabilityZone());
+		digest.setConfigVersion(this.configVersion);
+		digest.setDraining(this.draining);
+		digest.setSentAtMs(this.clock.millis());
+		digest.setReply(reply);
+		return digest;
+	}
+
+	private void publish() {
+		this.publishedDemands = Map.copyOf(this.heard);
+		if (this.rumoursChanged) {
+			this.rumoursChanged = false;
+			this.publishedRumours = this.rumours.inSendingOrder();
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/GossipOptions.java
@@ -0,0 +1,29 @@
+package org.medlardrum.coordination.gossip;
+
+/**
+ * Settings of {@link Gossip}.
+ *
+ * @param intervalMs time between two exchanges started by a host
+ * @param maxDigestBytes largest encoded digest. A host starts one exchange a second and
+ * answers one on average, so it sends and receives four digests a second; 430 B and 28 B
+ * of IP and UDP headers keep them at 1.8 KB/s of the control-plane budget of 2 KB/s
+ * @param demandKeepMs time for which the demand of a host is kept
+ * @param rumourMaxMs longest life of a rumour, against clocks that are far ahead
+ * @param maxRumours rumours kept
+ * @param pushFanOut peers told at once about a new configuration version
+ * @param otherZoneEvery every how many exchanges the partner is of another zone
+ */
+public record GossipOptions(long intervalMs, int maxDigestBytes, long demandKeepMs, long rumourMaxMs, int maxRumours,
+		int pushFanOut, int otherZoneEvery) {
+
+	/** Largest digest that any host may send, in bytes. */
+	public static final int DIGEST_LIMIT_BYTES = 900;
+
+	/** Default settings. */
+	public static final GossipOptions DEFAULT = new GossipOptions(1_000, 430, 10_000, 3_600_000, 1_000, 4, 8);
+
+	public GossipOptions {
+		maxDigestBytes = Math.min(maxDigestBytes, DIGEST_LIMIT_BYTES);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/RumourTable.java
@@ -0,0 +1,152 @@
+package org.medlardrum.coordination.gossip;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.medlardrum.peer.gen.Rumour;
+import org.medlardrum.peer.gen.RumourKind;
+
+/**
+ * Rumours known to a host. Merging is commutative and repeatable, so hosts agree whatever
+ * the order and number of digests: of two rumours of the same kind and subject the later
+ * expiry and the larger count stay, and {@code CLEARED} displaces {@code SUSPECT} and
+ * {@code LEAVING} of its subject unless their expiry is later. Rumours sent the fewest
+ * times go first, newer ones before older ones; by age alone the oldest would never reach
+ * the last hosts when more rumours exist than a digest holds.
+ */
+final class RumourTable {
+
+	/** Longest subject in characters; a fingerprint has 64. */
+	private static final int MAX_SUBJECT = 128;
+
+	private final Map<Key, Known> known = new HashMap<>();
+
+	private final long maxLifeMs;
+
+	private final int capacity;
+
+	private long sequence;
+
+	RumourTable(long maxLifeMs, int capacity) {
+		this.maxLifeMs = maxLifeMs;
+		this.capacity = capacity;
+	}
+
+	/**
+	 * Adds a rumour.
+	 * @param rumour the rumour
+	 * @param nowMs clock reading
+	 * @return the rumour as it is now held, {@code null} when it brought nothing new
+	 */
+	Rumour merge(Rumour rumour, long nowMs) {
+		if (!isValid(rumour) || rumour.getUntilMs() <= nowMs) {
+			return null;
+		}
+		Rumour added = new Rumour(rumour);
+		added.setUntilMs(Math.min(rumour.getUntilMs(), nowMs + this.maxLifeMs));
+		if (isCleared(added)) {
+			return null;
+		}
+		Key key = new Key(added.getKind(), added.getSubject());
+		Known before = this.known.get(key);
+		if (before != null) {
+			added.setUntilMs(Math.max(before.rumour.getUntilMs(), added.getUntilMs()));
+			added.setCount(Math.max(before.rumour.getCount(), added.getCount()));
+			if (added.equals(before.rumour)) {
+				return null;
+			}
+		}
+		if (added.getKind() == RumourKind.CLEARED) {
+			removeUntil(new Key(RumourKind.SUSPECT, added.getSubject()), added.getUntilMs());
+			removeUntil(new Key(RumourKind.LEAVING, added.getSubject()), added.getUntilMs());
+		}
+		this.known.put(key, new Known(added, this.sequence++));
+		makeRoom();
+		return added;
+	}
+
+	private static boolean isValid(Rumour rumour) {
+		return rumour != null && rumour.getKind() != null && rumour.getSubject() != null
+				&& !rumour.getSubject().isEmpty() && rumour.getSubject().length() <= MAX_SUBJECT;
+	}
+
+	private boolean isCleared(Rumour rumour) {
+		if (rumour.getKind() != RumourKind.SUSPECT && rumour.getKind() != RumourKind.LEAVING) {
+			return false;
+		}
+		Known cleared = this.known.get(new Key(RumourKind.CLEARED, rumour.getSubject()));
+		return cleared != null && cleared.rumour.getUntilMs() >= rumour.getUntilMs();
+	}
+
+	private void removeUntil(Key key, long untilMs) {
+		Known other = this.known.get(key);
+		if (other != null && other.rumour.getUntilMs() <= untilMs) {
+			this.known.remove(key);
+		}
+	}
+
+	private void makeRoom() {
+		if (this.known.size() > this.capacity) {
+			this.known.values()
+				.stream()
+				.min(Comparator.comparingLong((known) -> known.rumour.getUntilMs()))
+				.ifPresent((oldest) -> this.known.values().remove(oldest));
+		}
+	}
+
+	void removeExpired(long nowMs) {
+		this.known.values().removeIf((known) -> known.rumour.getUntilMs() <= nowMs);
+	}
+
+	/**
+	 * Returns the rumours in the order in which they should be sent.
+	 * @return copies of the rumours
+	 */
+	List<Rumour> inSendingOrder() {
+		List<Known> ordered = new ArrayList<>(this.known.values());
+		ordered.sort(Comparator.<Known>comparingInt((known) -> known.sent)
+			.thenComparing(Comparator.<Known>comparingLong((known) -> known.sequence).reversed()));
+		return ordered.stream().map((known) -> new Rumour(known.rumour)).toList();
+	}
+
+	void sent(List<Rumour> rumours) {
+		for (Rumour rumour : rumours) {
+			Known entry = this.known.get(new Key(rumour.getKind(), rumour.getSubject()));
+			if (entry != null) {
+				entry.sent++;
+			}
+		}
+	}
+
+	/**
+	 * Identity of a rumour.
+	 *
+	 * @param kind the kind
+	 * @param subject the subject
+	 */
+	private record Key(RumourKind kind, String subject) {
+	}
+
+	/**
+	 * A rumour and how often it was sent.
+	 */
+	private static final class Known {
+
+		private final Rumour rumour;
+
+		private final long sequence;
+
+		private int sent;
+
+		Known(Rumour rumour, long sequence) {
+			this.rumour = Objects.requireNonNull(rumour, "rumour");
+			this.sequence = sequence;
+		}
+
+	}
+
+}
