--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/LoadLimit.java
@@ -0,0 +1,31 @@
+package org.medlardrum.coordination.orders;
+
+/**
+ * Token bucket for loads from the weight store. It holds the loads of at most six
+ * seconds, so that a new issuer cannot start a minute's loads at once.
+ */
+final class LoadLimit {
+
+	private static final double BURST_MINUTES = 0.1;
+
+	private double tokens = 1;
+
+	private long filledAtMs;
+
+	LoadLimit(long nowMs) {
+		this.filledAtMs = nowMs;
+	}
+
+	boolean tryTake(double loadsPerMinute, long nowMs) {
+		double burst = Math.max(1, loadsPerMinute * BURST_MINUTES);
+		double grown = this.tokens + loadsPerMinute * Math.max(0, nowMs - this.filledAtMs) / 60_000;
+		this.tokens = Math.min(burst, grown);
+		this.filledAtMs = nowMs;
+		if (this.tokens < 1) {
+			return false;
+		}
+		this.tokens -= 1;
+		return true;
+	}
+
+}
