Hold the crash ledger in gossip and give demand per pool

Cause: quarantine facts and demand are needed by other threads. Change: SharedCrashLedger, Gossip.demands, a heard host counts as alive even when it is not listed yet, and a cleared rumour leaves newer ones in force. Before: rumours were spread without effect on quarantine. Conclusion: ready to be wired.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/Bucket.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/Bucket.java
@@ -93,8 +93,19 @@
 		this.busy.set(false);
 	}
 
-	void removeOld() {
-		this.log.removeOld(this.clock.millis());
+	/**
+	 * Removes old segments.
+	 * @param writer whether the own host is the preferred writer; it reads the bucket
+	 * first, so that a bucket without new claims is cleaned too
+	 */
+	void removeOld(boolean writer) {
+		long nowMs = this.clock.millis();
+		if (writer && !this.log.isUsable(nowMs)) {
+			this.log.catchUp(nowMs);
+		}
+		if (this.log.isLoaded()) {
+			this.log.removeOld(nowMs);
+		}
 	}
 
 	/**
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
@@ -194,9 +194,6 @@
 	 * @param nowMs clock reading
 	 */
 	void removeOld(long nowMs) {
-		if (this.index == null) {
-			return;
-		}
 		this.index.removeExpired(nowMs);
 		String leaseId = null;
 		int removed = 0;
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
@@ -164,6 +164,7 @@
 	 * @return the verdict
 	 */
 	public ClaimAnswer claimHere(ClaimRequest request) {
+		this.membership.heardFrom(request.getHostId());
 		return await(ClaimOperation.claim(request)).answer();
 	}
 
@@ -314,7 +315,7 @@
 			try {
 				bucket.commit(batch);
 				if (clean) {
-					bucket.removeOld();
+					bucket.removeOld(preferredWriter(this.buckets.indexOf(bucket)).isEmpty());
 				}
 			}
 			catch (RuntimeException ex) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
@@ -1,10 +1,13 @@
 package org.medlardrum.coordination.gossip;
 
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
@@ -13,6 +16,8 @@
 import org.medlardrum.coordination.PeerNetwork;
 import org.medlardrum.coordination.internal.DutyThread;
 import org.medlardrum.coordination.membership.Membership;
+import org.medlardrum.decisions.CrashFact;
+import org.medlardrum.decisions.HostDemand;
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.peer.gen.OrganisationDemand;
 import org.medlardrum.peer.gen.RankDemand;
@@ -60,6 +65,8 @@
 
 	private final RumourTable rumours;
 
+	private final SharedCrashLedger crashes;
+
 	private final MpscArrayQueue<Runnable> mailbox = new MpscArrayQueue<>(MAILBOX_CAPACITY);
 
 	private final Map<String, HeardDemand> heard = new HashMap<>();
@@ -103,6 +110,7 @@
 		this.partners = new PartnerChoice(self.availabilityZone(), options.otherZoneEvery(), random);
 		this.builder = new DigestBuilder(options.maxDigestBytes());
 		this.rumours = new RumourTable(options.rumourMaxMs(), options.maxRumours());
+		this.crashes = new SharedCrashLedger(options.quarantineMs());
 		this.exchangeAtMs = clock.millis() + random.nextLong(options.intervalMs());
 		this.thread = new DutyThread("gossip", this::step);
 	}
@@ -178,6 +186,66 @@
 		}
 	}
 
+	/**
+	 * Returns the demand for a pool of the own host and of the hosts heard from lately.
+	 * @param pool the pool
+	 * @return one entry for each host
+	 */
+	public Collection<HostDemand> demands(String pool) {
+		List<HostDemand> result = new ArrayList<>();
+		OwnDemand own = this.ownDemand;
+		result.add(new HeardDemand(this.self.id(), own.ranks(), own.organisations(), this.clock.millis()).of(pool));
+		this.publishedDemands.values().forEach((demand) -> result.add(demand.of(pool)));
+		return result;
+	}
+
+	/**
+	 * Records the crash of a backend server and spreads what follows from it.
+	 * @param server the server
+	 * @param bootId boot identifier of the crashed process
+	 * @param fingerprints requests that were in its batch
+	 */
+	public void crashed(String server, String bootId, Set<String> fingerprints) {
+		Set<String> copy = Set.copyOf(fingerprints);
+		tell(() -> this.crashes.crashed(server, bootId, copy, this.clock.millis()).forEach(this::merge));
+	}
+
+	/**
+	 * Clears a request that completed, if it was suspected of crashing its server.
+	 * @param fingerprint fingerprint of the request
+	 */
+	public void completed(String fingerprint) {
+		if (this.crashes.isSuspect(fingerprint)) {
+			tell(() -> this.crashes.completed(fingerprint, this.clock.millis()).ifPresent(this::merge));
+		}
+	}
+
+	/**
+	 * Tells whether a request was present at a crash and has not completed since.
+	 * @param fingerprint fingerprint of the request
+	 * @return whether it must not share a server with another suspect
+	 */
+	public boolean isSuspect(String fingerprint) {
+		return this.crashes.isSuspect(fingerprint);
+	}
+
+	/**
+	 * Returns the end of a request's quarantine.
+	 * @param fingerprint fingerprint of the request
+	 * @return the end in milliseconds since the epoch, 0 when it is not in quarantine
+	 */
+	public long quarantinedUntilMs(String fingerprint) {
+		return this.crashes.quarantinedUntilMs(fingerprint, this.clock.millis());
+	}
+
+	/**
+	 * Returns suspects and quarantined requests.
+	 * @return the facts
+	 */
+	public Collection<CrashFact> crashFacts() {
+		return this.crashes.facts();
+	}
+
 	/**
 	 * Returns the rumours known.
 	 * @return the rumours
@@ -227,6 +295,7 @@
 	private void removeExpired(long nowMs) {
 		this.heard.values().removeIf((demand) -> nowMs - demand.heardAtMs() > this.options.demandKeepMs());
 		this.rumours.removeExpired(nowMs);
+		this.crashes.expire(nowMs);
 		this.rumoursChanged = true;
 	}
 
@@ -272,9 +341,18 @@
 		this.rumoursChanged = true;
 		switch (merged.getKind()) {
 			case LEAVING -> this.membership.leavingRumour(merged.getSubject(), merged.getUntilMs());
-			case CLEARED -> this.membership.leavingRumour(merged.getSubject(), 0);
-			case QUARANTINED, SUSPECT -> {
-			}
+			case CLEARED -> cleared(merged);
+			case QUARANTINED, SUSPECT -> this.crashes.merge(merged, this.clock.millis());
+		}
+	}
+
+	private void cleared(Rumour rumour) {
+		// A newer rumour of the same subject stays in force.
+		if (!this.rumours.holds(RumourKind.LEAVING, rumour.getSubject())) {
+			this.membership.leavingRumour(rumour.getSubject(), 0);
+		}
+		if (!this.rumours.holds(RumourKind.SUSPECT, rumour.getSubject())) {
+			this.crashes.merge(rumour, this.clock.millis());
 		}
 	}
 
@@ -305,6 +383,7 @@
 
 	private void publish() {
 		this.publishedDemands = Map.copyOf(this.heard);
+		this.crashes.publish();
 		if (this.rumoursChanged) {
 			this.rumoursChanged = false;
 			this.publishedRumours = this.rumours.inSendingOrder();
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/GossipOptions.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/GossipOptions.java
@@ -12,15 +12,26 @@
  * @param maxRumours rumours kept
  * @param pushFanOut peers told at once about a new configuration version
  * @param otherZoneEvery every how many exchanges the partner is of another zone
+ * @param quarantineMs duration of a quarantine and of a suspicion
  */
 public record GossipOptions(long intervalMs, int maxDigestBytes, long demandKeepMs, long rumourMaxMs, int maxRumours,
-		int pushFanOut, int otherZoneEvery) {
+		int pushFanOut, int otherZoneEvery, long quarantineMs) {
 
 	/** Largest digest that any host may send, in bytes. */
 	public static final int DIGEST_LIMIT_BYTES = 900;
 
 	/** Default settings. */
-	public static final GossipOptions DEFAULT = new GossipOptions(1_000, 430, 10_000, 3_600_000, 1_000, 4, 8);
+	public static final GossipOptions DEFAULT = new GossipOptions(1_000, 430, 10_000, 3_600_000, 1_000, 4, 8, 600_000);
+
+	/**
+	 * Returns these settings with another duration of a quarantine.
+	 * @param quarantineMs duration of a quarantine and of a suspicion
+	 * @return the settings
+	 */
+	public GossipOptions withQuarantineMs(long quarantineMs) {
+		return new GossipOptions(this.intervalMs, this.maxDigestBytes, this.demandKeepMs, this.rumourMaxMs,
+				this.maxRumours, this.pushFanOut, this.otherZoneEvery, quarantineMs);
+	}
 
 	public GossipOptions {
 		maxDigestBytes = Math.min(maxDigestBytes, DIGEST_LIMIT_BYTES);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/HeardDemand.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/HeardDemand.java
@@ -1,10 +1,15 @@
 package org.medlardrum.coordination.gossip;
 
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
+import org.medlardrum.decisions.HostDemand;
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.peer.gen.OrganisationDemand;
 import org.medlardrum.peer.gen.RankDemand;
+import org.medlardrum.state.Rank;
 
 /**
  * Demand of a peer as its last digest told.
@@ -21,4 +26,20 @@
 				(digest.isSetOrganisations()) ? digest.getOrganisations() : List.of(), nowMs);
 	}
 
+	HostDemand of(String pool) {
+		Map<Rank, Long> byRank = new EnumMap<>(Rank.class);
+		for (RankDemand demand : this.ranks) {
+			if (pool.equals(demand.getPool()) && demand.getRank() >= 0 && demand.getRank() < Rank.values().length) {
+				byRank.merge(Rank.values()[demand.getRank()], demand.getDemandCostPerS(), Long::sum);
+			}
+		}
+		Map<String, Long> byOrganisation = new HashMap<>();
+		for (OrganisationDemand demand : this.organisations) {
+			if (pool.equals(demand.getPool()) && demand.getOrganisation() != null) {
+				byOrganisation.merge(demand.getOrganisation(), demand.getDemandCostPerS(), Long::sum);
+			}
+		}
+		return new HostDemand(this.hostId, byRank, byOrganisation, this.heardAtMs);
+	}
+
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/RumourTable.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/RumourTable.java
@@ -69,6 +69,10 @@
 		return added;
 	}
 
+	boolean holds(RumourKind kind, String subject) {
+		return this.known.containsKey(new Key(kind, subject));
+	}
+
 	private static boolean isValid(Rumour rumour) {
 		return rumour != null && rumour.getKind() != null && rumour.getSubject() != null
 				&& !rumour.getSubject().isEmpty() && rumour.getSubject().length() <= MAX_SUBJECT;
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/SharedCrashLedger.java
@@ -0,0 +1,99 @@
+package org.medlardrum.coordination.gossip;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.medlardrum.decisions.CrashFact;
+import org.medlardrum.decisions.CrashLedger;
+import org.medlardrum.peer.gen.Rumour;
+import org.medlardrum.peer.gen.RumourKind;
+
+/**
+ * Crash ledger of the gossip thread. Changes are made on that thread only; other threads
+ * read the facts published last.
+ */
+final class SharedCrashLedger {
+
+	private final CrashLedger ledger;
+
+	private final long quarantineMs;
+
+	private volatile Map<String, CrashFact> published = Map.of();
+
+	private boolean changed;
+
+	SharedCrashLedger(long quarantineMs) {
+		this.ledger = new CrashLedger(quarantineMs);
+		this.quarantineMs = quarantineMs;
+	}
+
+	List<Rumour> crashed(String server, String bootId, Set<String> fingerprints, long nowMs) {
+		this.changed = true;
+		return this.ledger.crashed(server, bootId, fingerprints, nowMs)
+			.stream()
+			.map(SharedCrashLedger::rumour)
+			.toList();
+	}
+
+	Optional<Rumour> completed(String fingerprint, long nowMs) {
+		if (!this.ledger.isSuspect(fingerprint) || this.ledger.quarantinedUntilMs(fingerprint, nowMs) != 0) {
+			return Optional.empty();
+		}
+		this.ledger.completed(fingerprint);
+		this.changed = true;
+		// The suspicion ends at most this late, so the rumour outlives it.
+		return Optional.of(new Rumour(RumourKind.CLEARED, fingerprint, nowMs + this.quarantineMs, 0));
+	}
+
+	void merge(Rumour rumour, long nowMs) {
+		CrashFact.Kind kind = switch (rumour.getKind()) {
+			case SUSPECT -> CrashFact.Kind.SUSPECT;
+			case QUARANTINED -> CrashFact.Kind.QUARANTINED;
+			case CLEARED, LEAVING -> CrashFact.Kind.CLEARED;
+		};
+		this.ledger.merge(new CrashFact(kind, rumour.getSubject(), rumour.getCount(), rumour.getUntilMs()), nowMs);
+		this.changed = true;
+	}
+
+	private static Rumour rumour(CrashFact fact) {
+		RumourKind kind = switch (fact.kind()) {
+			case SUSPECT -> RumourKind.SUSPECT;
+			case QUARANTINED -> RumourKind.QUARANTINED;
+			case CLEARED -> RumourKind.CLEARED;
+		};
+		return new Rumour(kind, fact.fingerprint(), fact.untilMs(), fact.crashes());
+	}
+
+	void expire(long nowMs) {
+		this.ledger.expire(nowMs);
+		this.changed = true;
+	}
+
+	void publish() {
+		if (this.changed) {
+			this.changed = false;
+			Map<String, CrashFact> facts = new HashMap<>();
+			this.ledger.entries().forEach((fact) -> facts.put(fact.fingerprint(), fact));
+			this.published = Map.copyOf(facts);
+		}
+	}
+
+	boolean isSuspect(String fingerprint) {
+		return this.published.containsKey(fingerprint);
+	}
+
+	long quarantinedUntilMs(String fingerprint, long nowMs) {
+		CrashFact fact = this.published.get(fingerprint);
+		boolean quarantined = fact != null && fact.kind() == CrashFact.Kind.QUARANTINED && fact.untilMs() > nowMs;
+		return (quarantined) ? fact.untilMs() : 0;
+	}
+
+	Collection<CrashFact> facts() {
+		return this.published.values();
+	}
+
+}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/membership/Membership.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/membership/Membership.java
@@ -177,22 +177,30 @@
 	}
 
 	/**
-	 * Tells whether an entry host is taken to be alive.
+	 * Tells whether an entry host is taken to be alive. A host that was heard from need
+	 * not be listed, because the list lags behind joining hosts.
 	 * @param hostId the host
 	 * @return whether it is the own host or a live peer
 	 */
 	public boolean isLive(String hostId) {
-		return hostId.equals(this.ownHostId)
-				|| findHost(hostId).filter((host) -> isLive(host, this.clock.millis())).isPresent();
+		long nowMs = this.clock.millis();
+		return hostId.equals(this.ownHostId) || wasHeard(hostId, nowMs)
+				|| findHost(hostId).filter((host) -> isLive(host, nowMs)).isPresent();
 	}
 
 	private boolean isLive(Host host, long nowMs) {
-		Long heard = this.heardAtMs.get(host.id());
-		Long refused = this.refusedAtMs.get(host.id());
-		if (refused != null && nowMs - refused <= this.options.deadForMs() && (heard == null || heard <= refused)) {
-			return false;
-		}
-		return host.state() == HostState.LIVE || (heard != null && nowMs - heard <= this.options.heardForMs());
+		return wasHeard(host.id(), nowMs) || (host.state() == HostState.LIVE && !hasRefused(host.id(), nowMs));
+	}
+
+	private boolean wasHeard(String hostId, long nowMs) {
+		Long heard = this.heardAtMs.get(hostId);
+		Long refused = this.refusedAtMs.get(hostId);
+		return heard != null && nowMs - heard <= this.options.heardForMs() && (refused == null || heard > refused);
+	}
+
+	private boolean hasRefused(String hostId, long nowMs) {
+		Long refused = this.refusedAtMs.get(hostId);
+		return refused != null && nowMs - refused <= this.options.deadForMs();
 	}
 
 	/**
