--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
@@ -164,6 +164,7 @@
 	 * @return the verdict
 	 */
 	public ClaimAnswer claimHere(ClaimRequest request) {
+		this.membership.heardFrom(request.getHostId());
 		return await(ClaimOperation.claim(request)).answer();
 	}
 
@@ -284,7 +285,7 @@
 	 * Called by the thread of this responsibility, or by a test instead of it.
 	 * @return time until the next commit is due, in milliseconds
 	 */
-	long step() {
+	public long step() {
 		long nowMs = this.clock.millis();
 		this.mailbox.drain((operation) -> bucketOf(operation).add(operation, nowMs));
 		retryOutcomes(nowMs);
@@ -314,7 +315,7 @@
 			try {
 				bucket.commit(batch);
 				if (clean) {
-					bucket.removeOld();
+					bucket.removeOld(preferredWriter(this.buckets.indexOf(bucket)).isEmpty());
 				}
 			}
 			catch (RuntimeException ex) {
