Add the model and service request paths

Cause: requests need a path from the caller to the backend servers. Before: only admission and fleet threads.

--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/CrashDetector.java
@@ -0,0 +1,112 @@
+package org.medlardrum.entry.internal.fleet;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.medlardrum.state.EngineReport;
+import org.medlardrum.state.EngineState;
+import org.medlardrum.state.Outcome;
+import org.medlardrum.transport.EngineClient;
+import org.tinylog.Logger;
+
+/**
+ * Tells a crash of an engine from other failures: its stream broke, and it refuses
+ * connections or has another boot identifier. Safe for use by several threads.
+ */
+public final class CrashDetector {
+
+	private final EngineClient client;
+
+	private final CrashListener listener;
+
+	private final long probeTimeoutMs;
+
+	private final Map<String, Map<Long, String>> runningByServer = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a detector.
+	 * @param client client of the engines
+	 * @param listener receives the crashes
+	 * @param probeTimeoutMs longest probe of an engine
+	 */
+	public CrashDetector(EngineClient client, CrashListener listener, long probeTimeoutMs) {
+		this.client = client;
+		this.listener = listener;
+		this.probeTimeoutMs = probeTimeoutMs;
+	}
+
+	/**
+	 * Records that an attempt runs on an engine.
+	 * @param server the engine
+	 * @param attempt number of the attempt
+	 * @param fingerprint fingerprint of the request
+	 */
+	public void started(String server, long attempt, String fingerprint) {
+		this.runningByServer.computeIfAbsent(server, (id) -> new ConcurrentHashMap<>()).put(attempt, fingerprint);
+	}
+
+	/**
+	 * Records the end of an attempt, after {@link #check} when it failed.
+	 * @param server the engine
+	 * @param attempt number of the attempt
+	 */
+	public void ended(String server, long attempt) {
+		Map<Long, String> running = this.runningByServer.get(server);
+		if (running != null) {
+			running.remove(attempt);
+		}
+	}
+
+	/**
+	 * Returns whether an engine answers a load request.
+	 * @param engine the engine
+	 * @return {@code false} if it does not answer in time
+	 */
+	public boolean responds(EngineState engine) {
+		return this.client.load(engine.server().address(),
+				this.probeTimeoutMs) instanceof Outcome.Completed<EngineReport>;
+	}
+
+	/**
+	 * Checks whether an engine crashed, and reports the requests that ran on it.
+	 * @param engine the engine as known when the attempt started, may be {@code null}
+	 * @return {@code true} for a crash
+	 */
+	public boolean check(EngineState engine) {
+		if (engine == null || engine.report() == null) {
+			return false;
+		}
+		String bootId = engine.report().bootId();
+		boolean crashed = switch (this.client.load(engine.server().address(), this.probeTimeoutMs)) {
+			case Outcome.NotRun<EngineReport> refused -> true;
+			case Outcome.MayHaveRun<EngineReport> unclear -> false;
+			case Outcome.Completed<EngineReport> report -> !String.valueOf(bootId).equals(report.value().bootId());
+		};
+		if (crashed) {
+			String server = engine.server().id();
+			Set<String> fingerprints = new HashSet<>(this.runningByServer.getOrDefault(server, Map.of()).values());
+			Logger.warn("chain: engine {} crashed with {} different requests", server, fingerprints.size());
+			this.listener.crashed(server, String.valueOf(bootId), fingerprints);
+		}
+		return crashed;
+	}
+
+	/**
+	 * Receives crashes. The same crash may be reported several times.
+	 */
+	@FunctionalInterface
+	public interface CrashListener {
+
+		/**
+		 * An engine crashed.
+		 * @param server the engine
+		 * @param bootId boot identifier before the crash
+		 * @param fingerprints requests that ran on it
+		 */
+		void crashed(String server, String bootId, Set<String> fingerprints);
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Retries.java
@@ -0,0 +1,77 @@
+package org.medlardrum.entry.internal.host;
+
+import java.time.InstantSource;
+import java.util.concurrent.ThreadLocalRandom;
+
+import org.medlardrum.decisions.Backoff;
+import org.medlardrum.decisions.RetryBudget;
+import org.medlardrum.state.config.LimitsConfig;
+
+/**
+ * Retry budget that all requests of this host share. Safe for use by several threads.
+ */
+public final class Retries {
+
+	/** Lets a host with few requests retry those that one failed engine held. */
+	private static final int BURST = 100;
+
+	private static final long BACKOFF_BASE_MS = 10;
+
+	private static final long BACKOFF_MAX_MS = 500;
+
+	private final InstantSource clock;
+
+	private final Backoff backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS);
+
+	private double share = -1;
+
+	private RetryBudget budget = new RetryBudget(0, BURST);
+
+	private volatile int maxAttempts = 1;
+
+	/**
+	 * Creates a budget without retries until it is configured.
+	 * @param clock the clock
+	 */
+	public Retries(InstantSource clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Sets the limits in force.
+	 * @param limits the limits
+	 */
+	public synchronized void configure(LimitsConfig limits) {
+		this.maxAttempts = Math.max(1, limits.maxAttempts());
+		if (limits.retryBudgetShare() != this.share) {
+			this.share = limits.retryBudgetShare();
+			this.budget = new RetryBudget(this.share, BURST);
+		}
+	}
+
+	/**
+	 * Counts a first attempt.
+	 */
+	public synchronized void onFirstAttempt() {
+		this.budget.onFirstAttempt();
+	}
+
+	/**
+	 * Asks for another attempt.
+	 * @param attempts attempts of the request so far
+	 * @return {@code true} if it may be made
+	 */
+	public synchronized boolean tryRetry(int attempts) {
+		return attempts < this.maxAttempts && this.budget.tryRetry(this.clock.millis());
+	}
+
+	/**
+	 * Returns the pause before another attempt.
+	 * @param attempts attempts of the request so far
+	 * @return the pause
+	 */
+	public long delayMs(int attempts) {
+		return this.backoff.delayMs(attempts, ThreadLocalRandom.current());
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdmissionProblems.java
@@ -0,0 +1,28 @@
+package org.medlardrum.entry.internal.http;
+
+import org.medlardrum.entry.internal.admission.AdmissionResult;
+import org.medlardrum.protocol.problem.Problem;
+import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.Rank;
+
+/**
+ * Problems of requests that were not admitted.
+ */
+final class AdmissionProblems {
+
+	private static final long DEFAULT_RETRY_MS = 1000;
+
+	private AdmissionProblems() {
+	}
+
+	static Problem of(AdmissionResult result, Rank rank) {
+		return switch (result) {
+			case AdmissionResult.Refused refused -> Problem.notRun(ProblemType.OVERLOADED, refused.reason(), rank,
+					Math.max(refused.retryAfterMs(), DEFAULT_RETRY_MS));
+			case AdmissionResult.Expired expired -> Problem.notRun(ProblemType.TIMED_OUT,
+					"the timeout of the route passed in the queue", rank, DEFAULT_RETRY_MS);
+			case AdmissionResult.Started started -> throw new IllegalArgumentException("The request was admitted");
+		};
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/Identification.java
@@ -0,0 +1,98 @@
+package org.medlardrum.entry.internal.http;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.medlardrum.entry.internal.route.RouteTable;
+import org.medlardrum.protocol.problem.Problem;
+import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.config.OrganisationConfig;
+import org.medlardrum.transport.server.BodyResult;
+
+/**
+ * First steps of each request: key, body and the organisation's limit of requests in
+ * flight. Safe for use by several threads.
+ */
+public final class Identification {
+
+	private static final String BEARER = "bearer ";
+
+	private static final long IN_FLIGHT_RETRY_MS = 1000;
+
+	private final Map<String, AtomicInteger> inFlight = new ConcurrentHashMap<>();
+
+	/**
+	 * Identifies the organisation by the key's SHA-256 digest.
+	 * @param context the request
+	 * @param table the configuration in force
+	 * @return name of the organisation, empty when the request was refused
+	 * @throws IOException if the caller has gone
+	 */
+	public Optional<String> organisation(CallerContext context, RouteTable table) throws IOException {
+		String authorization = context.exchange().header("Authorization").orElse("");
+		String key = (authorization.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+				? authorization.substring(BEARER.length()).trim() : null;
+		Optional<String> organisation = table.organisation(key);
+		if (organisation.isEmpty()) {
+			context.end(Problem.notRun(ProblemType.UNKNOWN_KEY,
+					(key != null) ? "the key belongs to no organisation" : "header Authorization has no bearer key",
+					null, 0));
+			return organisation;
+		}
+		context.organisation(organisation.get());
+		return organisation;
+	}
+
+	/**
+	 * Reads the body.
+	 * @param context the request
+	 * @param table the configuration in force
+	 * @return the body, {@code null} when the request was refused
+	 * @throws IOException if the caller has gone
+	 */
+	public byte[] body(CallerContext context, RouteTable table) throws IOException {
+		switch (context.exchange().readBody(table.configuration().limits().maxBodyBytes())) {
+			case BodyResult.Complete complete -> {
+				return complete.bytes();
+			}
+			case BodyResult.TooLarge tooLarge -> context.end(Problem.notRun(ProblemType.BODY_TOO_LARGE,
+					"the body exceeds " + tooLarge.maxBytes() + " bytes", null, 0));
+			case BodyResult.Incomplete incomplete -> context.end(Problem.notRun(ProblemType.INCOMPLETE_BODY,
+					"the body is incomplete: " + incomplete.reason(), null, 0));
+		}
+		return null;
+	}
+
+	/**
+	 * Takes one of the organisation's places for requests in flight.
+	 * @param context the request
+	 * @param table the configuration in force
+	 * @param organisation name of the organisation
+	 * @return whether a place was taken; otherwise the request was refused
+	 * @throws IOException if the caller has gone
+	 */
+	public boolean enter(CallerContext context, RouteTable table, String organisation) throws IOException {
+		OrganisationConfig config = table.configuration().organisations().get(organisation);
+		AtomicInteger count = this.inFlight.computeIfAbsent(organisation, (name) -> new AtomicInteger());
+		int limit = (config != null) ? config.maxInFlight() : 0;
+		if (count.incrementAndGet() <= limit || limit <= 0) {
+			return true;
+		}
+		count.decrementAndGet();
+		context.end(Problem.notRun(ProblemType.TOO_MANY_IN_FLIGHT,
+				"the organisation has " + limit + " requests in flight on this host", null, IN_FLIGHT_RETRY_MS));
+		return false;
+	}
+
+	/**
+	 * Returns a place taken by {@link #enter}.
+	 * @param organisation name of the organisation
+	 */
+	public void leave(String organisation) {
+		this.inFlight.get(organisation).decrementAndGet();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
@@ -0,0 +1,233 @@
+package org.medlardrum.entry.internal.model;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+
+import org.medlardrum.decisions.ChainDecision;
+import org.medlardrum.decisions.ChainPlanner;
+import org.medlardrum.decisions.ChainQuery;
+import org.medlardrum.entry.internal.fleet.FleetView;
+import org.medlardrum.protocol.problem.Problem;
+import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.Chain;
+import org.medlardrum.state.EngineState;
+import org.medlardrum.state.FleetSnapshot;
+import org.medlardrum.state.Stage;
+import org.tinylog.Logger;
+
+/**
+ * All attempts of one model request. A failed attempt is resumed on another chain after
+ * the tokens that the caller already has. Used by the request's thread.
+ */
+public final class ModelRun {
+
+	private static final long CANCEL_TIMEOUT_MS = 500;
+
+	private final ChainPlanner planner = new ChainPlanner();
+
+	private final ModelServices services;
+
+	private final ModelJob job;
+
+	private final TokenSink sink;
+
+	private final List<String> emitted = new ArrayList<>();
+
+	private final Set<String> excluded = new HashSet<>();
+
+	private boolean suspect;
+
+	private boolean mayHaveRun;
+
+	private int attempts;
+
+	/**
+	 * Creates a run.
+	 * @param services what the run needs
+	 * @param job the request
+	 * @param sink receiver of the tokens
+	 */
+	public ModelRun(ModelServices services, ModelJob job, TokenSink sink) {
+		this.services = services;
+		this.job = job;
+		this.sink = sink;
+		this.suspect = services.gossip().isSuspect(job.fingerprint());
+	}
+
+	/**
+	 * Returns the tokens that the sink has received.
+	 * @return the tokens
+	 */
+	public List<String> emitted() {
+		return this.emitted;
+	}
+
+	/**
+	 * Runs the request to its end.
+	 * @return the result
+	 */
+	public RunResult run() {
+		this.services.retries().onFirstAttempt();
+		while (true) {
+			FleetView view = this.services.fleet().view();
+			ChainDecision decision = plan(view);
+			String failure;
+			if (decision instanceof ChainDecision.Chosen chosen) {
+				AttemptResult result = attempt(chosen.chain(), view);
+				switch (result) {
+					case AttemptResult.Completed completed -> {
+						this.services.gossip().completed(this.job.fingerprint());
+						return new RunResult.Completed(completed.reason());
+					}
+					case AttemptResult.Cut cut -> {
+						return new RunResult.Cut();
+					}
+					case AttemptResult.Rejected rejected -> {
+						return new RunResult.Failed(problem(ProblemType.BAD_REQUEST, rejected.detail(), 0));
+					}
+					case AttemptResult.Failed failed -> failure = failed.code();
+				}
+			}
+			else {
+				failure = ((ChainDecision.NoChain) decision).reason();
+				if (this.attempts == 0) {
+					return new RunResult.Failed(problem(ProblemType.NO_CAPACITY, failure,
+							((ChainDecision.NoChain) decision).retryAfterMs()));
+				}
+				// Excluded engines may be usable again, or the only ones left.
+				this.excluded.clear();
+				this.attempts++;
+			}
+			RunResult end = nextAttempt(failure);
+			if (end != null) {
+				return end;
+			}
+		}
+	}
+
+	// Returns null when another attempt may be made.
+	private RunResult nextAttempt(String failure) {
+		long nowMs = this.services.clock().millis();
+		long untilMs = this.services.gossip().quarantinedUntilMs(this.job.fingerprint());
+		if (untilMs > nowMs) {
+			return new RunResult.Failed(
+					problem(ProblemType.QUARANTINED, "the request crashed backend servers", untilMs - nowMs));
+		}
+		if (nowMs >= this.job.deadlineMs()) {
+			return new RunResult.Failed(problem(ProblemType.TIMED_OUT, "the timeout of the route passed", 0));
+		}
+		if (!this.services.retries().tryRetry(this.attempts)) {
+			return new RunResult.Failed(problem(ProblemType.BACKEND_FAILED,
+					"gave up after " + this.attempts + " attempts: " + failure, 1000));
+		}
+		this.services.metrics().retry("model");
+		if (!this.emitted.isEmpty()) {
+			this.services.metrics().resume();
+		}
+		try {
+			Thread.sleep(this.services.retries().delayMs(this.attempts));
+		}
+		catch (InterruptedException ex) {
+			return new RunResult.Cut();
+		}
+		return null;
+	}
+
+	private Problem problem(ProblemType type, String detail, long retryAfterMs) {
+		return new Problem(type, detail, this.job.rank(), (this.mayHaveRun) ? "unknown" : "no", retryAfterMs);
+	}
+
+	private ChainDecision plan(FleetView view) {
+		FleetSnapshot snapshot = view.engines().get(this.job.pool());
+		if (snapshot == null) {
+			return new ChainDecision.NoChain("pool \"" + this.job.pool() + "\" has no engines", 1000, List.of());
+		}
+		ChainQuery query = new ChainQuery(this.job.request(), this.job.model(), this.job.version(), this.job.adapter(),
+				this.job.layerCount(), this.job.rank(), this.job.promptTokens(), this.job.maxTokens(), "",
+				this.job.fingerprint(), this.suspect || this.services.gossip().isSuspect(this.job.fingerprint()),
+				Set.copyOf(this.excluded));
+		long seed = ThreadLocalRandom.current().nextLong();
+		ChainDecision decision = this.planner.plan(query, snapshot, new SplittableRandom(seed));
+		this.services.traces().decision(query, snapshot, seed, decision);
+		return decision;
+	}
+
+	private AttemptResult attempt(Chain chain, FleetView view) {
+		this.attempts++;
+		List<String> servers = chain.stages().stream().map(Stage::server).distinct().toList();
+		long id = this.services.fleet().started(servers, this.job.fingerprint());
+		servers.forEach((server) -> this.services.crashes().started(server, id, this.job.fingerprint()));
+		try {
+			AttemptResult result = new Attempt(this.services, this.job, chain, this.attempts, this.emitted, this.sink)
+				.run();
+			record(result, chain, view, servers);
+			return result;
+		}
+		finally {
+			servers.forEach((server) -> this.services.crashes().ended(server, id));
+			this.services.fleet().ended(servers, id);
+		}
+	}
+
+	private void record(AttemptResult result, Chain chain, FleetView view, List<String> servers) {
+		switch (result) {
+			case AttemptResult.Completed completed ->
+				servers.forEach((server) -> this.services.fleet().result(server, true));
+			case AttemptResult.Cut cut -> cancel(chain);
+			case AttemptResult.Rejected rejected -> cancel(chain);
+			case AttemptResult.Failed failed -> failed(failed, chain, view);
+		}
+		this.services.traces().event(this.job.request(), "attempt " + this.attempts, result.toString());
+	}
+
+	private void failed(AttemptResult.Failed failed, Chain chain, FleetView view) {
+		Logger.info("chain: request {} attempt {} failed on {}: {}", this.job.request(), this.attempts,
+				(failed.server().isEmpty()) ? "an unknown engine" : failed.server(), failed.code());
+		this.mayHaveRun |= failed.mayHaveRun();
+		cancel(chain);
+		if (failed.server().isEmpty()) {
+			stalled(chain, view);
+			return;
+		}
+		this.excluded.add(failed.server());
+		if (failed.serverFault()) {
+			this.services.fleet().result(failed.server(), false);
+		}
+		if (failed.crashSuspected()) {
+			checkCrash(view.engine(failed.server()));
+		}
+	}
+
+	// A stalled chain does not tell which engine failed; each one is asked.
+	private void stalled(Chain chain, FleetView view) {
+		for (Stage stage : chain.stages()) {
+			EngineState engine = view.engine(stage.server());
+			if (engine == null || !this.services.crashes().responds(engine)) {
+				this.excluded.add(stage.server());
+				this.services.fleet().result(stage.server(), false);
+				checkCrash(engine);
+			}
+		}
+	}
+
+	private void checkCrash(EngineState engine) {
+		if (this.services.crashes().check(engine)) {
+			this.suspect = true;
+		}
+	}
+
+	private void cancel(Chain chain) {
+		String request = this.job.request();
+		int number = this.attempts;
+		for (Stage stage : chain.stages()) {
+			Thread.ofVirtual()
+				.name("cancel")
+				.start(() -> this.services.client().cancel(stage.address(), request, number, CANCEL_TIMEOUT_MS));
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/service/ServiceJob.java
@@ -0,0 +1,32 @@
+package org.medlardrum.entry.internal.service;
+
+import org.medlardrum.state.Rank;
+import org.medlardrum.transport.ServiceRequest;
+
+/**
+ * A plain-service call that was identified and is ready for admission.
+ *
+ * @param request identifier of the request
+ * @param organisation name of the organisation
+ * @param route name of the route
+ * @param pool name of the pool
+ * @param rank rank
+ * @param idempotent whether the call may run more than once
+ * @param idempotencyKey key of the caller, empty for none
+ * @param fingerprint fingerprint of the request
+ * @param call the call
+ * @param timeoutMs timeout of the route
+ * @param deadlineMs clock reading at which the timeout passes
+ */
+public record ServiceJob(String request, String organisation, String route, String pool, Rank rank, boolean idempotent,
+		String idempotencyKey, String fingerprint, ServiceRequest call, long timeoutMs, long deadlineMs) {
+
+	/**
+	 * Returns whether the call needs a claim before it runs.
+	 * @return {@code true} for a non-idempotent call with a key
+	 */
+	public boolean needsClaim() {
+		return !this.idempotent && !this.idempotencyKey.isEmpty();
+	}
+
+}
