Add the platform, engine and plain-service stand-ins

Cause: tests and demonstrations need the outside systems as processes over TCP. Change: platform with compare-and-swap, watches, leases, host list and faults; engine with generate, stage, cancel, load, orders and KV transfer; plain service that counts executions; main class with one subcommand each. Before: the module was empty.

--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/ServiceCommand.java
@@ -0,0 +1,54 @@
+package org.medlardrum.standins;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.tinylog.Logger;
+
+/**
+ * Runs one or several plain services until the process is stopped. Each server's entry of
+ * the host list is printed as a JSON line.
+ */
+@Parameters(commandDescription = "Run plain services")
+final class ServiceCommand implements Command {
+
+	@Parameter(names = "--count", description = "number of servers")
+	private int count = 1;
+
+	@Parameter(names = "--id-prefix", description = "prefix of the servers' ids")
+	private String idPrefix = "service-";
+
+	@Parameter(names = "--pool", description = "pool of the servers")
+	private String pool = "services";
+
+	@Parameter(names = "--zone", description = "availability zone of the servers")
+	private String zone = "zone-1";
+
+	@Parameter(names = { "--port-base", "--listen-port" }, description = "port of the first server, 0 for free ports")
+	private int portBase;
+
+	@Parameter(names = "--slots", description = "calls that run at the same time")
+	private int slots = 64;
+
+	@Parameter(names = "--delay-ms", description = "time of one call")
+	private long delayMs = 5;
+
+	@Parameter(names = "--control-port", description = "port of /<server>/control/..., 0 for any free one")
+	private int controlPort;
+
+	@Override
+	public int run() throws Exception {
+		ControlEndpoint control = new ControlEndpoint(this.controlPort);
+		for (int i = 0; i < this.count; i++) {
+			String id = this.idPrefix + (i + 1);
+			int port = (this.portBase > 0) ? this.portBase + i : 0;
+			ServiceStandIn service = new ServiceStandIn(
+					new ServiceSettings(id, this.zone, this.pool, port, this.slots, this.delayMs));
+			control.add(id, service::control);
+			System.out.println(Json.GSON.toJson(service.listed()));
+		}
+		Logger.info("service: {} servers started, control address {}", this.count, control.address());
+		Thread.currentThread().join();
+		return 0;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
@@ -0,0 +1,46 @@
+package org.medlardrum.standins;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+
+/**
+ * Main class of the stand-ins. Example: {@code StandIns platform --listen-port 7000}.
+ */
+public final class StandIns {
+
+	private StandIns() {
+	}
+
+	/**
+	 * Runs a subcommand.
+	 * @param args name of the subcommand and its flags
+	 * @throws Exception if the subcommand fails
+	 */
+	public static void main(String[] args) throws Exception {
+		Map<String, Command> commands = new LinkedHashMap<>();
+		commands.put("platform", new PlatformCommand());
+		commands.put("engine", new EngineCommand());
+		commands.put("service", new ServiceCommand());
+		JCommander.Builder builder = JCommander.newBuilder().programName("medlardrum-standins");
+		commands.forEach(builder::addCommand);
+		JCommander parser = builder.build();
+		try {
+			parser.parse(args);
+		}
+		catch (ParameterException ex) {
+			System.err.println(ex.getMessage());
+			System.exit(2);
+		}
+		Command command = commands.get(parser.getParsedCommand());
+		if (command == null) {
+			parser.usage();
+			System.exit(2);
+			return;
+		}
+		System.exit(command.run());
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/LoadReporter.java
@@ -0,0 +1,88 @@
+package org.medlardrum.standins.internal.engine;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.medlardrum.standins.EngineSettings;
+import org.medlardrum.state.EngineReport;
+
+/**
+ * Reports the load of an engine as it was some time ago. Thread-safe.
+ */
+public final class LoadReporter implements AutoCloseable {
+
+	private static final long MIN_SAMPLE_PERIOD_MS = 20;
+
+	private final EngineCore core;
+
+	private final Deque<EngineReport> samples = new ArrayDeque<>();
+
+	private final Thread sampler;
+
+	/**
+	 * Creates a reporter and starts sampling if reports have a lag.
+	 * @param core state of the engine
+	 */
+	public LoadReporter(EngineCore core) {
+		this.core = core;
+		this.sampler = (core.settings().loadLagMs() > 0) ? Thread.ofVirtual().start(this::sample) : null;
+	}
+
+	/**
+	 * Returns the report.
+	 * @return the load at the lag's time ago, or since the start
+	 */
+	public EngineReport report() {
+		if (this.sampler == null) {
+			return current();
+		}
+		long asOfMs = System.currentTimeMillis() - this.core.settings().loadLagMs();
+		synchronized (this.samples) {
+			while (this.samples.size() > 1 && second().reportedAtMs() <= asOfMs) {
+				this.samples.removeFirst();
+			}
+			return (!this.samples.isEmpty()) ? this.samples.getFirst() : current();
+		}
+	}
+
+	@Override
+	public void close() {
+		if (this.sampler != null) {
+			this.sampler.interrupt();
+		}
+	}
+
+	private EngineReport second() {
+		var iterator = this.samples.iterator();
+		iterator.next();
+		return iterator.next();
+	}
+
+	private void sample() {
+		long periodMs = Math.max(MIN_SAMPLE_PERIOD_MS, this.core.settings().loadLagMs() / 4);
+		try {
+			while (true) {
+				synchronized (this.samples) {
+					this.samples.addLast(current());
+				}
+				report();
+				Thread.sleep(periodMs);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private EngineReport current() {
+		EngineSettings settings = this.core.settings();
+		Holdings holdings = this.core.holdings();
+		StepScheduler scheduler = this.core.scheduler();
+		long layerTimeUs = (long) (settings.layerTimeUs() * this.core.faults().slowFactor());
+		return new EngineReport(settings.id(), holdings.bootId(), holdings.model(), holdings.version(),
+				holdings.adapters(), holdings.role(), settings.fromLayer(), settings.toLayer(), settings.slots(),
+				scheduler.running(), scheduler.queued(), layerTimeUs, this.core.faults().leaving(), settings.fencing(),
+				System.currentTimeMillis());
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/PrefixCache.java
@@ -0,0 +1,133 @@
+package org.medlardrum.standins.internal.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * Cache of prompt prefixes with least recently used eviction. A prefix is a multiple of
+ * {@value #BLOCK_CHARS} characters; its hash is the first 16 hexadecimal digits of the
+ * SHA-256 of model, adapter and prefix, separated by line feeds. Thread-safe.
+ */
+public final class PrefixCache {
+
+	/** Length of a block of a prompt, in characters. */
+	public static final int BLOCK_CHARS = 64;
+
+	private static final int MAX_EVENTS = 10_000;
+
+	private final int maxPrefixes;
+
+	private final long eventDelayMs;
+
+	private final double eventLossShare;
+
+	private final Random random;
+
+	private final LinkedHashMap<String, Integer> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+	private final Deque<CacheEvent> events = new ArrayDeque<>();
+
+	private long lastSequence;
+
+	/**
+	 * Creates an empty cache.
+	 * @param maxPrefixes largest number of prefixes
+	 * @param eventDelayMs time until an event is published, in milliseconds
+	 * @param eventLossShare share of events that are never published, 0 to 1
+	 * @param seed seed of the choice of lost events
+	 */
+	public PrefixCache(int maxPrefixes, long eventDelayMs, double eventLossShare, long seed) {
+		this.maxPrefixes = maxPrefixes;
+		this.eventDelayMs = eventDelayMs;
+		this.eventLossShare = eventLossShare;
+		this.random = new Random(seed);
+	}
+
+	/**
+	 * Looks up the longest cached prefix and then caches every prefix of the prompt.
+	 * @param model name of the model
+	 * @param adapter name of the adapter, empty for none
+	 * @param prompt the prompt
+	 * @return length of the longest prefix that was cached, in characters
+	 */
+	public synchronized int use(String model, String adapter, String prompt) {
+		int hitChars = 0;
+		for (int end = BLOCK_CHARS; end <= prompt.length(); end += BLOCK_CHARS) {
+			String hash = hash(model, adapter, prompt.substring(0, end));
+			if (this.prefixes.get(hash) != null) {
+				hitChars = end;
+			}
+			else {
+				store(hash, end);
+			}
+		}
+		return hitChars;
+	}
+
+	/**
+	 * Forgets all prefixes, without events.
+	 */
+	public synchronized void clear() {
+		this.prefixes.clear();
+	}
+
+	/**
+	 * Returns the events that are published by now.
+	 * @param after sequence number already known
+	 * @param nowMs time of the call, in milliseconds
+	 * @return the events, with gaps in their sequence numbers where events were lost
+	 */
+	public synchronized List<CacheEvent> events(long after, long nowMs) {
+		return this.events.stream()
+			.filter((event) -> event.sequence() > after && event.atMs() + this.eventDelayMs <= nowMs)
+			.toList();
+	}
+
+	/**
+	 * Returns the hash of a prefix.
+	 * @param model name of the model
+	 * @param adapter name of the adapter, empty for none
+	 * @param prefix the prefix
+	 * @return 16 hexadecimal digits
+	 */
+	public static String hash(String model, String adapter, String prefix) {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			byte[] bytes = digest.digest((model + "\n" + adapter + "\n" + prefix).getBytes(StandardCharsets.UTF_8));
+			return HexFormat.of().formatHex(bytes, 0, 8);
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is missing", ex);
+		}
+	}
+
+	private void store(String hash, int chars) {
+		this.prefixes.put(hash, chars);
+		publish("stored", hash, chars);
+		if (this.prefixes.size() > this.maxPrefixes) {
+			Map.Entry<String, Integer> oldest = this.prefixes.entrySet().iterator().next();
+			this.prefixes.remove(oldest.getKey());
+			publish("removed", oldest.getKey(), oldest.getValue());
+		}
+	}
+
+	private void publish(String kind, String hash, int chars) {
+		this.lastSequence++;
+		if (this.random.nextDouble() < this.eventLossShare) {
+			return;
+		}
+		if (this.events.size() >= MAX_EVENTS) {
+			this.events.removeFirst();
+		}
+		this.events.addLast(new CacheEvent(this.lastSequence, kind, hash, chars, System.currentTimeMillis()));
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/Running.java
@@ -0,0 +1,35 @@
+package org.medlardrum.standins.internal.engine;
+
+/**
+ * A request that a thread of the engine runs, which other threads can cancel.
+ */
+final class Running {
+
+	private final String request;
+
+	private final int attempt;
+
+	private final Thread thread = Thread.currentThread();
+
+	private boolean finished;
+
+	Running(String request, int attempt) {
+		this.request = request;
+		this.attempt = attempt;
+	}
+
+	boolean matches(String otherRequest, int otherAttempt) {
+		return this.request.equals(otherRequest) && (otherAttempt == 0 || this.attempt == otherAttempt);
+	}
+
+	synchronized void cancel() {
+		if (!this.finished) {
+			this.thread.interrupt();
+		}
+	}
+
+	synchronized void finish() {
+		this.finished = true;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
@@ -0,0 +1,207 @@
+package org.medlardrum.standins.internal.engine;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+import org.medlardrum.state.Rank;
+
+/**
+ * Slots of an engine. Steps that find no free slot wait by rank, then by the arrival of
+ * their sequence. A waiting step starts at the nominal end of the step before it, so that
+ * late wake-ups of threads do not lower the throughput of a full engine. Thread-safe.
+ */
+public final class StepScheduler {
+
+	/** Largest time by which a late start is made up for. */
+	private static final long MAX_CATCH_UP_NS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final PriorityQueue<Waiter> waiting = new PriorityQueue<>(Comparator.comparing(Waiter::rank)
+		.thenComparingLong(Waiter::arrivedAtUs)
+		.thenComparingLong(Waiter::number));
+
+	private int freeSlots;
+
+	private int running;
+
+	private long nextNumber;
+
+	/**
+	 * Creates a scheduler with all slots free.
+	 * @param slots number of slots
+	 */
+	public StepScheduler(int slots) {
+		this.freeSlots = slots;
+	}
+
+	/**
+	 * Waits for a slot, keeps it for a time and frees it.
+	 * @param rank rank of the sequence
+	 * @param arrivedAtUs arrival of the sequence, in microseconds
+	 * @param durationNs time of the step, in nanoseconds
+	 * @param deadlineNs reading of {@link System#nanoTime()} after which the step must
+	 * not start
+	 * @return {@code false} if the deadline passed before the step started
+	 * @throws InterruptedException if the thread is interrupted; its slot is then free
+	 */
+	public boolean run(Rank rank, long arrivedAtUs, long durationNs, long deadlineNs) throws InterruptedException {
+		long startNs = acquire(rank, arrivedAtUs, deadlineNs);
+		if (startNs < 0) {
+			return false;
+		}
+		long endNs = startNs + durationNs;
+		try {
+			long leftNs = endNs - elapsedNs();
+			if (leftNs > 0) {
+				TimeUnit.NANOSECONDS.sleep(leftNs);
+			}
+		}
+		finally {
+			release(Math.min(endNs, elapsedNs()));
+		}
+		return true;
+	}
+
+	/**
+	 * Returns the number of steps that hold a slot.
+	 * @return the number of steps
+	 */
+	public int running() {
+		this.lock.lock();
+		try {
+			return this.running;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Returns the number of steps that wait for a slot.
+	 * @return the number of steps
+	 */
+	public int queued() {
+		this.lock.lock();
+		try {
+			return this.waiting.size();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private long acquire(Rank rank, long arrivedAtUs, long deadlineNs) throws InterruptedException {
+		this.lock.lockInterruptibly();
+		try {
+			long nowNs = elapsedNs();
+			if (this.freeSlots > 0) {
+				this.freeSlots--;
+				this.running++;
+				return nowNs;
+			}
+			Waiter waiter = new Waiter(rank, arrivedAtUs, this.nextNumber++, nowNs, this.lock.newCondition());
+			this.waiting.add(waiter);
+			return await(waiter, deadlineNs);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private long await(Waiter waiter, long deadlineNs) throws InterruptedException {
+		try {
+			while (waiter.startNs < 0) {
+				long leftNs = deadlineNs - System.nanoTime();
+				if (leftNs <= 0) {
+					this.waiting.remove(waiter);
+					return -1;
+				}
+				waiter.granted.awaitNanos(leftNs);
+			}
+			return waiter.startNs;
+		}
+		catch (InterruptedException ex) {
+			if (waiter.startNs < 0) {
+				this.waiting.remove(waiter);
+			}
+			else {
+				free(elapsedNs());
+			}
+			throw ex;
+		}
+	}
+
+	private void release(long nominalEndNs) {
+		this.lock.lock();
+		try {
+			free(nominalEndNs);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private void free(long nominalEndNs) {
+		Waiter next = this.waiting.poll();
+		if (next == null) {
+			this.freeSlots++;
+			this.running--;
+			return;
+		}
+		long earliestNs = Math.max(nominalEndNs, elapsedNs() - MAX_CATCH_UP_NS);
+		next.startNs = Math.max(earliestNs, next.enqueuedAtNs);
+		next.granted.signal();
+	}
+
+	private static long elapsedNs() {
+		return System.nanoTime() - Origin.NS;
+	}
+
+	/** Origin of the scheduler's times, so that they are never negative. */
+	private static final class Origin {
+
+		static final long NS = System.nanoTime();
+
+	}
+
+	private static final class Waiter {
+
+		private final Rank rank;
+
+		private final long arrivedAtUs;
+
+		private final long number;
+
+		private final long enqueuedAtNs;
+
+		private final Condition granted;
+
+		private long startNs = -1;
+
+		Waiter(Rank rank, long arrivedAtUs, long number, long enqueuedAtNs, Condition granted) {
+			this.rank = rank;
+			this.arrivedAtUs = arrivedAtUs;
+			this.number = number;
+			this.enqueuedAtNs = enqueuedAtNs;
+			this.granted = granted;
+		}
+
+		Rank rank() {
+			return this.rank;
+		}
+
+		long arrivedAtUs() {
+			return this.arrivedAtUs;
+		}
+
+		long number() {
+			return this.number;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/SuccessorCaller.java
@@ -0,0 +1,83 @@
+package org.medlardrum.standins.internal.engine;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import io.servicetalk.http.api.HttpResponse;
+import org.medlardrum.protocol.engine.EngineFrame;
+import org.medlardrum.protocol.engine.StageRequest;
+import org.medlardrum.state.Stage;
+
+/**
+ * Calls the next stage of a chain over kept connections.
+ */
+final class SuccessorCaller {
+
+	private static final Gson GSON = new Gson();
+
+	private final EngineCore core;
+
+	SuccessorCaller(EngineCore core) {
+		this.core = core;
+	}
+
+	// Runs the rest of a chain. The first stage time of the result includes the link.
+	StageResult call(StageRequest request, StageHints hints) throws StageFailure, InterruptedException {
+		Stage next = request.chain().get(0);
+		long startNs = System.nanoTime();
+		long linkDelayUs = this.core.faults().linkDelayUs(next.server());
+		if (linkDelayUs > 0) {
+			TimeUnit.MICROSECONDS.sleep(linkDelayUs);
+		}
+		JsonObject json = GSON.toJsonTree(request).getAsJsonObject();
+		json.add("hints", GSON.toJsonTree(hints));
+		StageResult result = decode(next, send(next, GSON.toJson(json), request.deadlineMs()));
+		List<Long> timesUs = new ArrayList<>(result.stageTimesUs());
+		long laterUs = timesUs.stream().skip(1).mapToLong(Long::longValue).sum();
+		timesUs.set(0, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNs) - laterUs);
+		return new StageResult(result.request(), result.attempt(), result.position(), result.activation(),
+				result.layers(), timesUs, result.loads());
+	}
+
+	private HttpResponse send(Stage next, String json, long deadlineMs) throws StageFailure, InterruptedException {
+		long timeoutMs = this.core.settings().stageTimeoutMs();
+		try {
+			return this.core.caller()
+				.post(next.address(), "/v1/stage", json,
+						(timeoutMs > 0) ? Math.min(timeoutMs, deadlineMs) : deadlineMs);
+		}
+		catch (TimeoutException ex) {
+			throw new StageFailure(next.server(), "stage-failed", "no response in time");
+		}
+		catch (ExecutionException | IOException ex) {
+			Throwable cause = (ex.getCause() != null) ? ex.getCause() : ex;
+			throw new StageFailure(next.server(), "stage-failed", cause.getClass().getSimpleName());
+		}
+	}
+
+	private StageResult decode(Stage next, HttpResponse response) throws StageFailure {
+		try {
+			JsonObject json = GSON.fromJson(response.payloadBody().toString(StandardCharsets.UTF_8), JsonObject.class);
+			if (json != null && json.has("type")) {
+				EngineFrame.Error error = GSON.fromJson(json, EngineFrame.Error.class);
+				throw new StageFailure(error.server(), error.code(), error.detail());
+			}
+			if (json != null && response.status().code() == 200) {
+				return GSON.fromJson(json, StageResult.class);
+			}
+		}
+		catch (JsonParseException ex) {
+			throw new StageFailure(next.server(), "stage-failed", "malformed response");
+		}
+		throw new StageFailure(next.server(), "stage-failed", "HTTP status " + response.status().code());
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parts of the engine stand-in.
+ */
+package org.medlardrum.standins.internal.engine;
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/HttpCaller.java
@@ -0,0 +1,81 @@
+package org.medlardrum.standins.internal.http;
+
+import java.io.IOException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.servicetalk.concurrent.api.Executor;
+import io.servicetalk.concurrent.api.Executors;
+import io.servicetalk.http.api.BlockingHttpClient;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.HostAndPort;
+
+/**
+ * HTTP client that keeps its connections and never repeats a request. Thread-safe.
+ */
+public final class HttpCaller implements AutoCloseable {
+
+	private static final Executor VIRTUAL_THREADS = Executors
+		.from(java.util.concurrent.Executors.newVirtualThreadPerTaskExecutor());
+
+	private final ConcurrentHashMap<String, BlockingHttpClient> clients = new ConcurrentHashMap<>();
+
+	/**
+	 * Sends a JSON request and waits for the whole response.
+	 * @param address {@code ip:port} of the receiver
+	 * @param path request target
+	 * @param json request body
+	 * @param timeoutMs longest wait, in milliseconds
+	 * @return the response
+	 * @throws IOException if the request cannot be created
+	 * @throws ExecutionException if the connection fails
+	 * @throws TimeoutException if the response does not arrive in time
+	 * @throws InterruptedException if the thread is interrupted; the request is cancelled
+	 */
+	public HttpResponse post(String address, String path, String json, long timeoutMs)
+			throws IOException, ExecutionException, TimeoutException, InterruptedException {
+		HttpClient client = client(address).asClient();
+		HttpRequest request = client.post(path);
+		request.setHeader("Content-Type", "application/json");
+		request.payloadBody(client.executionContext().bufferAllocator().fromUtf8(json));
+		Future<HttpResponse> response = client.request(request).toFuture();
+		try {
+			return response.get(timeoutMs, TimeUnit.MILLISECONDS);
+		}
+		finally {
+			response.cancel(true);
+		}
+	}
+
+	private BlockingHttpClient client(String address) {
+		return this.clients.computeIfAbsent(address, HttpCaller::newClient);
+	}
+
+	/**
+	 * Creates a client without retries.
+	 * @param address {@code ip:port} of the receiver
+	 * @return the client
+	 */
+	public static BlockingHttpClient newClient(String address) {
+		return HttpClients.forResolvedAddress(HostAndPort.ofIpPort(address))
+			.executor(VIRTUAL_THREADS)
+			.appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
+			.buildBlocking();
+	}
+
+	@Override
+	public void close() {
+		for (BlockingHttpClient client : this.clients.values()) {
+			client.asClient().closeAsync().subscribe();
+		}
+		this.clients.clear();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/LineWriter.java
@@ -0,0 +1,46 @@
+package org.medlardrum.standins.internal.http;
+
+import java.io.IOException;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.http.api.HttpPayloadWriter;
+
+/**
+ * Writes the lines of a streamed response and flushes after each.
+ */
+public final class LineWriter implements AutoCloseable {
+
+	private final HttpPayloadWriter<Buffer> writer;
+
+	private final BufferAllocator allocator;
+
+	LineWriter(HttpPayloadWriter<Buffer> writer, BufferAllocator allocator) {
+		this.writer = writer;
+		this.allocator = allocator;
+	}
+
+	/**
+	 * Writes a line.
+	 * @param line the line, without line feed
+	 * @throws IOException if the connection is closed
+	 */
+	public void write(String line) throws IOException {
+		this.writer.write(this.allocator.fromUtf8(line + "\n"));
+		this.writer.flush();
+	}
+
+	/**
+	 * Breaks the connection so that the response stays incomplete.
+	 * @throws IOException if the connection cannot be closed
+	 */
+	public void abort() throws IOException {
+		this.writer.close(new IOException("response aborted"));
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.writer.close();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP plumbing shared by the stand-ins.
+ */
+package org.medlardrum.standins.internal.http;
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/KvStore.java
@@ -0,0 +1,270 @@
+package org.medlardrum.standins.internal.platform;
+
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Key-value store with compare-and-swap, leases and blocking watches. Revisions are taken
+ * from one counter, so they also grow when a key is removed and created again.
+ * Thread-safe.
+ */
+public final class KvStore {
+
+	/** Versions kept for each key to answer stale reads. */
+	private static final int HISTORY_VERSIONS = 32;
+
+	/** Bounds the time until a waiting watch notices a moved clock or an outage. */
+	private static final long WATCH_CHECK_MS = 100;
+
+	private final InstantSource clock;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final TreeMap<String, Deque<KvVersion>> keys = new TreeMap<>();
+
+	private final Map<String, Condition> watched = new HashMap<>();
+
+	private final Map<String, Lease> leases = new HashMap<>();
+
+	private final Map<String, Long> leaseEndsMs = new HashMap<>();
+
+	private long lastRevision;
+
+	private long lastLease;
+
+	/**
+	 * Creates an empty store.
+	 * @param clock clock by which leases expire
+	 */
+	public KvStore(InstantSource clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Reads a key.
+	 * @param key the key
+	 * @param staleByMs age of the state to read, 0 for the current one
+	 * @return the entry, {@code null} if the key did not exist
+	 */
+	public KvEntry get(String key, long staleByMs) {
+		this.lock.lock();
+		try {
+			expireLeases();
+			return visible(this.keys.get(key), staleByMs);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Reads the entries whose key starts with a prefix, in key order.
+	 * @param prefix the prefix
+	 * @param staleByMs age of the state to read, 0 for the current one
+	 * @return the entries
+	 */
+	public List<KvEntry> list(String prefix, long staleByMs) {
+		this.lock.lock();
+		try {
+			expireLeases();
+			List<KvEntry> entries = new ArrayList<>();
+			for (Map.Entry<String, Deque<KvVersion>> key : this.keys.tailMap(prefix).entrySet()) {
+				if (!key.getKey().startsWith(prefix)) {
+					break;
+				}
+				KvEntry entry = visible(key.getValue(), staleByMs);
+				if (entry != null) {
+					entries.add(entry);
+				}
+			}
+			return entries;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Writes a key if it has the expected revision.
+	 * @param key the key
+	 * @param expect expected revision, 0 if the key must not exist
+	 * @param value the value
+	 * @param leaseId lease that removes the key when it ends, {@code null} for none
+	 * @return the result
+	 */
+	public CasResult compareAndSet(String key, long expect, String value, String leaseId) {
+		this.lock.lock();
+		try {
+			expireLeases();
+			KvEntry current = visible(this.keys.get(key), 0);
+			if (((current != null) ? current.revision() : 0) != expect) {
+				return new CasResult.Conflict(current);
+			}
+			if (leaseId != null && !this.leases.containsKey(leaseId)) {
+				return new CasResult.NoLease();
+			}
+			KvEntry entry = new KvEntry(key, value, ++this.lastRevision);
+			append(key, new KvVersion(entry, leaseId, this.clock.millis()));
+			return new CasResult.Written(entry);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Waits until a key has a revision above the given one.
+	 * @param key the key
+	 * @param after revision already known
+	 * @param waitMs longest wait, in milliseconds
+	 * @param ended whether the wait must end early
+	 * @return the entry, {@code null} if the wait ended without a change
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public KvEntry watch(String key, long after, long waitMs, BooleanSupplier ended) throws InterruptedException {
+		long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+		this.lock.lock();
+		try {
+			while (true) {
+				expireLeases();
+				KvEntry entry = visible(this.keys.get(key), 0);
+				if (entry != null && entry.revision() > after) {
+					return entry;
+				}
+				long leftNs = endNs - System.nanoTime();
+				if (leftNs <= 0 || ended.getAsBoolean()) {
+					return null;
+				}
+				Condition changed = this.watched.computeIfAbsent(key, (watchedKey) -> this.lock.newCondition());
+				changed.awaitNanos(Math.min(leftNs, TimeUnit.MILLISECONDS.toNanos(WATCH_CHECK_MS)));
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Grants a lease.
+	 * @param ttlMs time to live, in milliseconds
+	 * @return the lease
+	 */
+	public Lease createLease(long ttlMs) {
+		if (ttlMs <= 0) {
+			throw new IllegalArgumentException("ttlMs must be greater than 0, not " + ttlMs);
+		}
+		this.lock.lock();
+		try {
+			Lease lease = new Lease("lease-" + (++this.lastLease), ttlMs);
+			this.leases.put(lease.id(), lease);
+			this.leaseEndsMs.put(lease.id(), this.clock.millis() + ttlMs);
+			return lease;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Renews a lease for its whole time to live.
+	 * @param id identifier of the lease
+	 * @return the lease, {@code null} if it has ended
+	 */
+	public Lease renewLease(String id) {
+		this.lock.lock();
+		try {
+			expireLeases();
+			Lease lease = this.leases.get(id);
+			if (lease != null) {
+				this.leaseEndsMs.put(id, this.clock.millis() + lease.ttlMs());
+			}
+			return lease;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Ends a lease before its time and removes its keys.
+	 * @param id identifier of the lease, {@code *} for all leases
+	 */
+	public void expireLease(String id) {
+		this.lock.lock();
+		try {
+			this.leaseEndsMs.replaceAll((lease, endMs) -> ("*".equals(id) || lease.equals(id)) ? 0L : endMs);
+			expireLeases();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private void expireLeases() {
+		long nowMs = this.clock.millis();
+		Iterator<Map.Entry<String, Long>> ends = this.leaseEndsMs.entrySet().iterator();
+		while (ends.hasNext()) {
+			Map.Entry<String, Long> end = ends.next();
+			if (end.getValue() <= nowMs) {
+				ends.remove();
+				this.leases.remove(end.getKey());
+				removeKeysOf(end.getKey(), nowMs);
+			}
+		}
+	}
+
+	private void removeKeysOf(String leaseId, long nowMs) {
+		this.keys.forEach((key, versions) -> {
+			KvVersion last = versions.getLast();
+			if (last.entry() != null && leaseId.equals(last.leaseId())) {
+				this.lastRevision++;
+				append(key, new KvVersion(null, null, nowMs));
+			}
+		});
+	}
+
+	private void append(String key, KvVersion version) {
+		Deque<KvVersion> versions = this.keys.get(key);
+		if (versions == null) {
+			versions = new ArrayDeque<>();
+			this.keys.put(key, versions);
+		}
+		versions.addLast(version);
+		if (versions.size() > HISTORY_VERSIONS) {
+			versions.removeFirst();
+		}
+		Condition changed = this.watched.remove(key);
+		if (changed != null) {
+			changed.signalAll();
+		}
+	}
+
+	private KvEntry visible(Deque<KvVersion> versions, long staleByMs) {
+		if (versions == null) {
+			return null;
+		}
+		if (staleByMs <= 0) {
+			return versions.getLast().entry();
+		}
+		long asOfMs = this.clock.millis() - staleByMs;
+		KvEntry entry = null;
+		for (KvVersion version : versions) {
+			if (version.atMs() <= asOfMs) {
+				entry = version.entry();
+			}
+		}
+		return entry;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/KvVersion.java
@@ -0,0 +1,11 @@
+package org.medlardrum.standins.internal.platform;
+
+/**
+ * One version of a key.
+ *
+ * @param entry the value, {@code null} if the key was removed
+ * @param leaseId lease that the key is bound to, {@code null} for none
+ * @param atMs time of the write, in milliseconds
+ */
+record KvVersion(KvEntry entry, String leaseId, long atMs) {
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * State of the platform stand-in.
+ */
+package org.medlardrum.standins.internal.platform;
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parts of the plain-service stand-in.
+ */
+package org.medlardrum.standins.internal.service;
