--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
@@ -0,0 +1,370 @@
+package org.medlardrum.coordination.config;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.jctools.queues.MpscArrayQueue;
+import org.medlardrum.coordination.PeerNetwork;
+import org.medlardrum.coordination.PeerResult;
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.coordination.StoreEntry;
+import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.peer.gen.ConfigEntry;
+import org.medlardrum.peer.gen.ConfigPull;
+import org.medlardrum.state.Host;
+import org.medlardrum.state.config.ConfigCodec;
+import org.medlardrum.state.config.ConfigDocuments;
+import org.medlardrum.state.config.ConfigFault;
+import org.medlardrum.state.config.ConfigMerge;
+import org.medlardrum.state.config.ConfigParser;
+import org.medlardrum.state.config.ConfigResult;
+import org.tinylog.Logger;
+
+/**
+ * Reader of the configuration log in an entry host. It runs on the thread {@code config};
+ * the public methods may be called from any thread. The version never falls: a store or
+ * peer that answers with an older one is ignored.
+ * <p>
+ * <pre>
+ * ConfigAgent agent = new ConfigAgent(store, peers, settings, membership::livePeers, clock, random);
+ * agent.onChange((documents) -&gt; admission.update(documents));
+ * agent.start();
+ * </pre>
+ */
+public final class ConfigAgent implements AutoCloseable {
+
+	/** Changes read one by one before the snapshot is tried, which may be further on. */
+	private static final int MAX_CHANGES_BEFORE_SNAPSHOT = 64;
+
+	/** Peers asked in one step when the store does not help. */
+	private static final int PEERS_PER_STEP = 3;
+
+	private final PlatformStore store;
+
+	private final PeerNetwork peers;
+
+	private final ConfigAgentSettings settings;
+
+	private final Supplier<List<Host>> livePeers;
+
+	private final InstantSource clock;
+
+	private final RandomGenerator random;
+
+	private final MpscArrayQueue<HeardVersion> heard = new MpscArrayQueue<>(256);
+
+	private final List<Consumer<ConfigDocuments>> listeners = new ArrayList<>();
+
+	private final Thread thread = Thread.ofPlatform().name("config").daemon().unstarted(this::run);
+
+	private volatile ConfigState state = new ConfigState(ConfigMerge.empty(), null, List.of());
+
+	private volatile boolean closed;
+
+	private volatile String problem = "";
+
+	private boolean started;
+
+	private long nextPollAtMs;
+
+	private long damagedRevision = PlatformStore.ABSENT;
+
+	private long highestHeard;
+
+	/**
+	 * Creates an agent.
+	 * @param store the platform's store
+	 * @param peers network of entry hosts
+	 * @param settings own host and times
+	 * @param livePeers supplies the live entry hosts
+	 * @param clock clock for polls
+	 * @param random source of jitter and peer selection
+	 */
+	public ConfigAgent(PlatformStore store, PeerNetwork peers, ConfigAgentSettings settings,
+			Supplier<List<Host>> livePeers, InstantSource clock, RandomGenerator random) {
+		this.store = store;
+		this.peers = peers;
+		this.settings = settings;
+		this.livePeers = livePeers;
+		this.clock = clock;
+		this.random = random;
+	}
+
+	/**
+	 * Starts the thread.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		LockSupport.unpark(this.thread);
+	}
+
+	/**
+	 * Returns the documents in force.
+	 * @return the documents, empty until the first valid ones were read
+	 */
+	public Optional<ConfigDocuments> current() {
+		return Optional.ofNullable(this.state.active());
+	}
+
+	/**
+	 * Returns why the newest version of the log is not in force.
+	 * @return a short reason, empty when it is in force
+	 */
+	public String problem() {
+		return this.problem;
+	}
+
+	/**
+	 * Registers a listener for documents that come into force. It is called at once with
+	 * the present ones, later on the thread {@code config}, and must not block.
+	 * @param listener the listener
+	 */
+	public void onChange(Consumer<ConfigDocuments> listener) {
+		synchronized (this.listeners) {
+			this.listeners.add(listener);
+			current().ifPresent(listener);
+		}
+	}
+
+	/**
+	 * Returns the changes after a version, for a peer or for the command line. Changes
+	 * that this host cannot apply are not among them.
+	 * @param afterVersion version that the caller has
+	 * @return the changes, or a snapshot when they are no longer all held
+	 */
+	public ConfigPull pull(long afterVersion) {
+		return this.state.pull(afterVersion);
+	}
+
+	/**
+	 * Notes the version that a peer has reported. When it is above the own one, the
+	 * changes are pulled from the peer on the thread {@code config}.
+	 * @param peer the peer
+	 * @param version the peer's version
+	 */
+	public void heardVersion(Host peer, long version) {
+		// A full queue drops the news: peers repeat their version each second.
+		if (version > this.state.newest().version() && this.heard.offer(new HeardVersion(peer, version))) {
+			LockSupport.unpark(this.thread);
+		}
+	}
+
+	/**
+	 * Returns whether a host is one of those that watch the store for its zone.
+	 * @param hostId the host
+	 * @param availabilityZone its availability zone
+	 * @param livePeers live entry hosts
+	 * @return {@code true} for the 3 hosts of the zone with the highest rendezvous weight
+	 */
+	public static boolean isWatcher(String hostId, String availabilityZone, Collection<Host> livePeers) {
+		return ConfigWatchers.isWatcher(hostId, availabilityZone, livePeers);
+	}
+
+	private void run() {
+		while (!this.closed) {
+			long waitMs = step();
+			if (waitMs > 0 && this.heard.isEmpty()) {
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(waitMs));
+			}
+		}
+	}
+
+	/**
+	 * Handles peers' news and looks into the store if it is time.
+	 * @return how long to wait before the next step, in milliseconds
+	 */
+	long step() {
+		pullFromReporters();
+		if (!this.started) {
+			return startUp();
+		}
+		List<Host> live = this.livePeers.get();
+		if (ConfigWatchers.isWatcher(this.settings.hostId(), this.settings.availabilityZone(), live)) {
+			return watch();
+		}
+		long nowMs = this.clock.millis();
+		if (nowMs >= this.nextPollAtMs) {
+			this.nextPollAtMs = nowMs + jittered(this.settings.pollMs());
+			readNext(this.store.get(nextKey()));
+		}
+		return Math.max(1, this.nextPollAtMs - nowMs);
+	}
+
+	private long startUp() {
+		boolean read = readSnapshot();
+		if (read) {
+			readNext(this.store.get(nextKey()));
+		}
+		// The store may be stale or may have lost changes, so peers are asked as well.
+		boolean pulled = pullFromAny();
+		this.started = read || (pulled && this.state.active() != null);
+		this.nextPollAtMs = this.clock.millis() + jittered(this.settings.pollMs());
+		return this.started ? 0 : jittered(this.settings.retryMs());
+	}
+
+	private long watch() {
+		StoreResult<StoreEntry> found = this.store.watch(nextKey(), this.damagedRevision, this.settings.watchMs());
+		readNext(found);
+		boolean answered = found instanceof StoreResult.Ok<StoreEntry>
+				|| found instanceof StoreResult.NotFound<StoreEntry>;
+		if (!answered && this.state.active() == null) {
+			pullFromAny();
+		}
+		return answered ? 0 : jittered(this.settings.retryMs());
+	}
+
+	private String nextKey() {
+		return LogReader.changeKey(this.state.newest().version() + 1);
+	}
+
+	private void readNext(StoreResult<StoreEntry> first) {
+		StoreResult<StoreEntry> next = first;
+		int count = 0;
+		while (next instanceof StoreResult.Ok<StoreEntry> ok && applyChange(ok.value().value())) {
+			count++;
+			if (count % MAX_CHANGES_BEFORE_SNAPSHOT == 0) {
+				readSnapshot();
+			}
+			next = this.store.get(nextKey());
+		}
+		if (next instanceof StoreResult.Ok<StoreEntry> damaged) {
+			this.damagedRevision = damaged.value().revision();
+			readSnapshot();
+			pullFromAny();
+		}
+		else if (next instanceof StoreResult.NotFound<StoreEntry>
+				&& this.highestHeard > this.state.newest().version()) {
+			// The store may hold a newer snapshot without the changes before it.
+			readSnapshot();
+		}
+	}
+
+	private boolean readSnapshot() {
+		StoreResult<StoreEntry> snapshot = this.store.get(LogReader.SNAPSHOT_KEY);
+		if (snapshot instanceof StoreResult.Ok<StoreEntry> ok) {
+			applySnapshot(ok.value().value());
+			return true;
+		}
+		return snapshot instanceof StoreResult.NotFound<StoreEntry>;
+	}
+
+	private void pullFromReporters() {
+		int failures = 0;
+		for (HeardVersion news = this.heard.poll(); news != null; news = this.heard.poll()) {
+			this.highestHeard = Math.max(this.highestHeard, news.version());
+			boolean wanted = news.version() > this.state.newest().version() && failures < PEERS_PER_STEP;
+			if (wanted && !pullFrom(news.peer())) {
+				failures++;
+			}
+		}
+	}
+
+	private boolean pullFromAny() {
+		List<Host> candidates = new ArrayList<>(this.livePeers.get());
+		candidates.removeIf((host) -> host.id().equals(this.settings.hostId()));
+		Collections.shuffle(candidates, java.util.Random.from(this.random));
+		boolean answered = false;
+		for (Host peer : candidates.subList(0, Math.min(PEERS_PER_STEP, candidates.size()))) {
+			answered |= pullFrom(peer);
+		}
+		return answered;
+	}
+
+	private boolean pullFrom(Host peer) {
+		PeerResult<ConfigPull> result = this.peers.pullConfig(peer, this.state.newest().version());
+		if (!(result instanceof PeerResult.Ok<ConfigPull> ok)) {
+			return false;
+		}
+		ConfigPull pull = ok.value();
+		if (pull.isSetSnapshotJson()) {
+			applySnapshot(pull.getSnapshotJson());
+		}
+		if (pull.isSetChanges()) {
+			for (ConfigEntry entry : pull.getChanges()) {
+				if (entry.getVersion() == this.state.newest().version() + 1 && !applyChange(entry.getChangeJson())) {
+					break;
+				}
+			}
+		}
+		return true;
+	}
+
+	private boolean applyChange(String changeJson) {
+		switch (LogStep.of(this.state.newest(), changeJson)) {
+			case LogStep.Applied applied -> {
+				this.damagedRevision = PlatformStore.ABSENT;
+				boolean valid = validate(applied.documents());
+				publish(this.state.withChange(applied.documents(), changeJson, valid), valid);
+				return true;
+			}
+			case LogStep.Damaged damaged -> {
+				reportProblem("not applied, version " + this.state.newest().version() + " stays: " + damaged.reason());
+				return false;
+			}
+		}
+	}
+
+	private void applySnapshot(String snapshotJson) {
+		Optional<ConfigDocuments> snapshot = ConfigCodec.readSnapshot(snapshotJson);
+		if (snapshot.isEmpty()) {
+			Logger.warn("config: a snapshot is not readable or fails its hash check");
+		}
+		else if (snapshot.get().version() > this.state.newest().version()) {
+			this.damagedRevision = PlatformStore.ABSENT;
+			boolean valid = validate(snapshot.get());
+			publish(this.state.withSnapshot(snapshot.get(), valid), valid);
+		}
+	}
+
+	private boolean validate(ConfigDocuments documents) {
+		// Invalid documents stay in the log, because the change that corrects them
+		// follows them.
+		ConfigResult result = ConfigParser.forSite(documents, this.settings.availabilityZone());
+		if (result instanceof ConfigResult.Invalid invalid) {
+			reportProblem("version " + documents.version() + " is not valid here: "
+					+ String.join("; ", invalid.faults().stream().map(ConfigFault::describe).toList()));
+			return false;
+		}
+		this.problem = "";
+		return true;
+	}
+
+	private void reportProblem(String text) {
+		if (!text.equals(this.problem)) {
+			this.problem = text;
+			Logger.error("config: {}", text);
+		}
+	}
+
+	private void publish(ConfigState next, boolean valid) {
+		synchronized (this.listeners) {
+			this.state = next;
+			if (valid) {
+				Logger.info("config: version {} is in force", next.active().version());
+				this.listeners.forEach((listener) -> listener.accept(next.active()));
+			}
+		}
+	}
+
+	private long jittered(long meanMs) {
+		return meanMs * 3 / 4 + this.random.nextLong(Math.max(1, meanMs / 2));
+	}
+
+	private record HeardVersion(Host peer, long version) {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/LogReader.java
@@ -0,0 +1,105 @@
+package org.medlardrum.coordination.config;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.coordination.StoreEntry;
+import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.state.config.ConfigChange;
+import org.medlardrum.state.config.ConfigCodec;
+import org.medlardrum.state.config.ConfigDocuments;
+import org.medlardrum.state.config.ConfigMerge;
+
+/**
+ * Reads snapshot and changes from the store. Entries that a failed write has shown are
+ * remembered, so that a store with stale reads cannot hide them.
+ */
+final class LogReader {
+
+	static final String SNAPSHOT_KEY = "config/snapshot";
+
+	private final PlatformStore store;
+
+	private final Map<Long, StoreEntry> seen = new HashMap<>();
+
+	LogReader(PlatformStore store) {
+		this.store = store;
+	}
+
+	static String changeKey(long version) {
+		return "config/change/" + version;
+	}
+
+	void remember(long version, StoreEntry entry) {
+		this.seen.put(version, entry);
+	}
+
+	StoreResult<LogHead> head() {
+		StoreResult<StoreEntry> snapshot = this.store.get(SNAPSHOT_KEY);
+		return switch (snapshot) {
+			case StoreResult.Ok<StoreEntry> ok -> {
+				Optional<ConfigDocuments> documents = ConfigCodec.readSnapshot(ok.value().value());
+				// Without a usable snapshot the changes are read from the first one.
+				yield replay(documents.orElseGet(ConfigMerge::empty), ok.value().revision());
+			}
+			case StoreResult.NotFound<StoreEntry> missing -> replay(ConfigMerge.empty(), PlatformStore.ABSENT);
+			default -> failure(snapshot);
+		};
+	}
+
+	private StoreResult<LogHead> replay(ConfigDocuments start, long snapshotRevision) {
+		ConfigDocuments documents = start;
+		while (true) {
+			StoreResult<StoreEntry> next = entry(documents.version() + 1);
+			if (next instanceof StoreResult.NotFound<StoreEntry>) {
+				return new StoreResult.Ok<>(new LogHead(documents, start.version(), snapshotRevision, ""));
+			}
+			if (!(next instanceof StoreResult.Ok<StoreEntry> ok)) {
+				return failure(next);
+			}
+			switch (LogStep.of(documents, ok.value().value())) {
+				case LogStep.Applied applied -> {
+					documents = applied.documents();
+				}
+				case LogStep.Damaged damaged -> {
+					return new StoreResult.Ok<>(
+							new LogHead(documents, start.version(), snapshotRevision, damaged.reason()));
+				}
+			}
+		}
+	}
+
+	StoreResult<ConfigChange> change(long version) {
+		StoreResult<StoreEntry> entry = entry(version);
+		if (!(entry instanceof StoreResult.Ok<StoreEntry> ok)) {
+			return failure(entry);
+		}
+		Optional<ConfigChange> change = ConfigCodec.readChange(ok.value().value());
+		return change.isPresent() ? new StoreResult.Ok<>(change.get())
+				: new StoreResult.Unavailable<>("change " + version + " is not readable");
+	}
+
+	private StoreResult<StoreEntry> entry(long version) {
+		StoreEntry known = this.seen.get(version);
+		return (known != null) ? new StoreResult.Ok<>(known) : this.store.get(changeKey(version));
+	}
+
+	/**
+	 * Returns a result without value as one of another type.
+	 * @param <T> type wanted
+	 * @param result a result that is not {@code Ok}
+	 * @return the same failure
+	 */
+	static <T> StoreResult<T> failure(StoreResult<?> result) {
+		return switch (result) {
+			case StoreResult.NotFound<?> missing -> new StoreResult.NotFound<>();
+			case StoreResult.Conflict<?> conflict -> new StoreResult.Conflict<>(conflict.current());
+			case StoreResult.Unavailable<?> unavailable -> new StoreResult.Unavailable<>(unavailable.reason());
+			case StoreResult.Unknown<?> unknown -> new StoreResult.Unknown<>(unknown.reason());
+			case StoreResult.Ok<?> ok -> throw new IllegalArgumentException("Not a failure: " + ok);
+		};
+	}
+
+}
--- a/medlardrum-state/src/main/java/org/medlardrum/state/config/ConfigMerge.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/ConfigMerge.java
@@ -150,9 +150,6 @@
 			if (isObject(old) && isObject(updated)) {
 				diffEntries(document, "/" + escape(name), old.getAsJsonObject(), updated.getAsJsonObject(), edits);
 			}
-			else if (old == null && isObject(updated) && !updated.getAsJsonObject().isEmpty()) {
-				diffEntries(document, "/" + escape(name), new JsonObject(), updated.getAsJsonObject(), edits);
-			}
 			else if (!same(old, updated)) {
 				edits.add(new ConfigEdit(document, "/" + escape(name), old, updated));
 			}
@@ -210,6 +207,21 @@
 		return documents(version, base, overlays);
 	}
 
+	/**
+	 * Undoes edits made by {@link #diff}.
+	 * @param documents documents after the edits, not modified
+	 * @param edits the edits
+	 * @param version version of the result
+	 * @return the documents before the edits
+	 */
+	public static ConfigDocuments revert(ConfigDocuments documents, List<ConfigEdit> edits, long version) {
+		return apply(documents,
+				edits.stream()
+					.map((edit) -> new ConfigEdit(edit.document(), edit.path(), edit.newValue(), edit.oldValue()))
+					.toList(),
+				version);
+	}
+
 	private static void applyToOverlay(Map<String, JsonObject> overlays, ConfigEdit edit) {
 		String site = edit.document().substring(OVERLAY_PREFIX.length());
 		if (!edit.path().isEmpty()) {
