Close the connection only after the handler has started in the disconnect test

Cause: the client could close before the handler registered its disconnect action; the server then interrupts the handler and nothing is reported, so the test waited 20 s and failed. Change: the test waits for the handler, then closes. The assertion is the same.

--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/server/HttpListenerTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/server/HttpListenerTests.java
@@ -111,6 +111,7 @@
 	void disconnectIsReportedDuringARequestOnly() throws Exception {
 		CountDownLatch disconnected = new CountDownLatch(1);
 		CountDownLatch started = new CountDownLatch(1);
+		CountDownLatch waiting = new CountDownLatch(1);
 		AtomicInteger reports = new AtomicInteger();
 		try (HttpListener listener = HttpListener.start("127.0.0.1:0", LIMITS, (exchange) -> {
 			exchange.readBody(10);
@@ -120,6 +121,7 @@
 			});
 			started.countDown();
 			if (exchange.path().equals("/wait")) {
+				waiting.countDown();
 				disconnected.await(20, TimeUnit.SECONDS);
 			}
 			exchange.respond(200, null, new byte[0]);
@@ -132,6 +134,7 @@
 			assertThat(reports.get()).isEqualTo(0);
 			try (Socket socket = connect(listener)) {
 				send(socket, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+				assertThat(waiting.await(20, TimeUnit.SECONDS)).isTrue();
 			}
 			assertThat(disconnected.await(20, TimeUnit.SECONDS)).isTrue();
 		}
