Plan chains by sampled candidates and exact cover

Cause: the simple planner had no penalties, no links and a cost that grew with engines times layers squared. Change: filter, cost per layer and stage, two-choice samples per range and zone with Gumbel noise between ranges, and a cover search linear in candidates times bounds. Before: hosts with the same reports chose the same engines. Conclusion: the load in a report is trusted for about 250 ms only.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/ChainPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/ChainPlanner.java
@@ -1,13 +1,12 @@
 package org.medlardrum.decisions;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 import org.medlardrum.state.Chain;
-import org.medlardrum.state.CircuitState;
 import org.medlardrum.state.EngineReport;
 import org.medlardrum.state.EngineState;
 import org.medlardrum.state.FleetSnapshot;
@@ -15,12 +14,36 @@
 import org.medlardrum.state.Stage;
 
 /**
- * Chooses the engines that run the layers of a request.
+ * Chooses the engines that run the layers of a request. Each layer is run exactly once;
+ * an engine may run a part of the range that it holds. Decisions of many hosts on the
+ * same reports spread over engines, ranges and availability zones, because they are
+ * weighted samples. <pre>{@code
+ * ChainPlanner planner = new ChainPlanner();
+ * switch (planner.plan(query, fleet, new SplittableRandom(seed))) {
+ *     case ChainDecision.Chosen chosen -> start(chosen.chain());
+ *     case ChainDecision.NoChain none -> refuse(none.reason(), none.retryAfterMs());
+ * }
+ * }</pre>
  */
 public final class ChainPlanner {
 
 	private static final long RETRY_AFTER_MS = 1000;
 
+	// Candidates explain a decision to operators; a fleet of 3,000 engines would make the
+	// explanation larger than the response.
+	private static final int MAX_CONSIDERED = 32;
+
+	private static final int MAX_REJECTED = 32;
+
+	// Ranges whose costs differ by a tenth are nearly equal: with fresh reports the
+	// cheaper
+	// one is 2.6 times as likely, with old reports 1.5 times.
+	private static final double FRESH_TEMPERATURE = 0.1;
+
+	private static final double STALE_TEMPERATURE = 0.25;
+
+	private static final double STALE_MS = 5000;
+
 	private final PrefixIndex prefixes;
 
 	/**
@@ -39,64 +62,108 @@
 	}
 
 	/**
-	 * Chooses a chain.
+	 * Chooses a chain. The same arguments and the same state of the random source give
+	 * the same decision.
 	 * @param query the request
 	 * @param fleet engines of the model's pool
 	 * @param random random source
 	 * @return the chain, or why there is none
 	 */
 	public ChainDecision plan(ChainQuery query, FleetSnapshot fleet, RandomGenerator random) {
-		int layers = query.layerCount();
-		double[] best = new double[layers + 1];
-		Arrays.fill(best, Double.POSITIVE_INFINITY);
-		best[0] = 0;
-		EngineState[] via = new EngineState[layers + 1];
-		int[] from = new int[layers + 1];
-		List<EngineState> usable = fleet.engines().stream().filter((engine) -> usable(engine, query)).toList();
-		for (int layer = 0; layer < layers; layer++) {
-			for (EngineState engine : usable) {
-				EngineReport report = engine.report();
-				if (report.fromLayer() > layer || report.toLayer() <= layer || Double.isInfinite(best[layer])) {
-					continue;
-				}
-				double load = (report.running() + report.queued() + engine.ownInFlight())
-						/ (double) Math.max(1, report.slots());
-				double layerUs = report.layerTimeUs() * (1 + load) * (1 + random.nextDouble() / 4);
-				for (int to = layer + 1; to <= Math.min(layers, report.toLayer()); to++) {
-					double cost = best[layer] + fleet.defaultLinkLatencyUs() + layerUs * (to - layer);
-					if (cost < best[to]) {
-						best[to] = cost;
-						via[to] = engine;
-						from[to] = layer;
-					}
-				}
+		List<EngineState> usable = new ArrayList<>(fleet.engines().size());
+		List<CandidateScore> rejected = new ArrayList<>();
+		Map<String, Integer> rejections = new TreeMap<>();
+		for (EngineState engine : fleet.engines()) {
+			String reason = EngineFilter.reject(engine, query);
+			if (reason == null) {
+				usable.add(engine);
+			}
+			else if (!reason.equals(EngineFilter.OTHER_MODEL)) {
+				rejections.merge(reason, 1, Integer::sum);
+				addRejected(engine, reason, rejected);
 			}
 		}
-		if (via[layers] == null) {
-			return new ChainDecision.NoChain("no usable engines cover the model", RETRY_AFTER_MS, List.of());
+		LinkTable links = new LinkTable(fleet);
+		List<RangeCandidate> candidates = sample(query, usable, links, random);
+		links.build();
+		CoverSearch search = new CoverSearch(query.layerCount(), candidates, links);
+		List<CoverSearch.PlannedStage> stages = search.cheapest();
+		if (stages.isEmpty()) {
+			return new ChainDecision.NoChain(reason(query, search.firstUncoveredLayer(), rejections), RETRY_AFTER_MS,
+					scores(stages, candidates, rejected));
 		}
-		List<Stage> stages = new ArrayList<>();
-		List<CandidateScore> candidates = new ArrayList<>();
-		for (int to = layers; to > 0; to = from[to]) {
-			EngineState engine = via[to];
-			stages.add(new Stage(engine.server().id(), engine.server().address(), from[to], to));
-			candidates.add(new CandidateScore(engine.server().id(),
-					new LayerRange(engine.report().fromLayer(), engine.report().toLayer()), best[to] - best[from[to]],
-					"chosen"));
+		return new ChainDecision.Chosen(chain(stages), scores(stages, candidates, rejected));
+	}
+
+	private List<RangeCandidate> sample(ChainQuery query, List<EngineState> usable, LinkTable links,
+			RandomGenerator random) {
+		double loadSum = 0;
+		double ageSumMs = 0;
+		for (EngineState engine : usable) {
+			loadSum += EngineCost.reportedLoad(engine.report());
+			ageSumMs += Math.max(0, engine.reportAgeMs());
+		}
+		int count = Math.max(1, usable.size());
+		EngineCost cost = new EngineCost(query, this.prefixes, loadSum / count);
+		RangeCandidates ranges = new RangeCandidates(query.layerCount(), random);
+		for (EngineState engine : usable) {
+			int zone = links.zone(engine.server().availabilityZone());
+			ranges.add(engine, zone, cost.layerUs(engine, random), cost.stageUs(engine, zone != 0));
 		}
-		Collections.reverse(stages);
-		return new ChainDecision.Chosen(new Chain(stages), candidates);
+		double staleness = 1 - Math.exp(-ageSumMs / count / STALE_MS);
+		return ranges.sample(FRESH_TEMPERATURE + (STALE_TEMPERATURE - FRESH_TEMPERATURE) * staleness);
 	}
 
-	private static boolean usable(EngineState engine, ChainQuery query) {
+	private static void addRejected(EngineState engine, String reason, List<CandidateScore> rejected) {
 		EngineReport report = engine.report();
-		return report != null && !engine.leaving() && !report.leaving() && engine.circuit() != CircuitState.OPEN
-				&& report.model().equals(query.model())
-				&& (query.version().isEmpty() || query.version().equals(report.version()))
-				&& !query.excludedServers().contains(engine.server().id())
-				&& !(query.suspect() && engine.suspectFingerprints()
-					.stream()
-					.anyMatch((fingerprint) -> !fingerprint.equals(query.fingerprint())));
+		if (report != null && rejected.size() < MAX_REJECTED) {
+			rejected.add(new CandidateScore(engine.server().id(), new LayerRange(report.fromLayer(), report.toLayer()),
+					0, reason));
+		}
+	}
+
+	private static Chain chain(List<CoverSearch.PlannedStage> planned) {
+		List<Stage> stages = new ArrayList<>(planned.size());
+		for (CoverSearch.PlannedStage stage : planned) {
+			EngineState engine = stage.candidate().engine();
+			stages.add(new Stage(engine.server().id(), engine.server().address(), stage.layers().fromLayer(),
+					stage.layers().toLayer()));
+		}
+		return new Chain(stages);
+	}
+
+	private static List<CandidateScore> scores(List<CoverSearch.PlannedStage> stages, List<RangeCandidate> candidates,
+			List<CandidateScore> rejected) {
+		List<CandidateScore> scores = new ArrayList<>();
+		for (CoverSearch.PlannedStage stage : stages) {
+			RangeCandidate candidate = stage.candidate();
+			scores.add(new CandidateScore(candidate.engine().server().id(), stage.layers(),
+					candidate.stageUs() + candidate.layerUs() * stage.layers().length(), "chosen"));
+		}
+		int considered = 0;
+		for (RangeCandidate candidate : candidates) {
+			if (considered < MAX_CONSIDERED && !isChosen(candidate, stages)) {
+				scores.add(new CandidateScore(candidate.engine().server().id(), candidate.layers(), candidate.costUs(),
+						"considered"));
+				considered++;
+			}
+		}
+		scores.addAll(rejected);
+		return scores;
+	}
+
+	private static boolean isChosen(RangeCandidate candidate, List<CoverSearch.PlannedStage> stages) {
+		for (CoverSearch.PlannedStage stage : stages) {
+			if (stage.candidate() == candidate) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static String reason(ChainQuery query, int uncoveredLayer, Map<String, Integer> rejections) {
+		String reason = "no usable engine continues at layer " + uncoveredLayer + " of model " + query.model();
+		return (rejections.isEmpty()) ? reason : reason + "; unusable engines: " + rejections;
 	}
 
 }
--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/EngineCost.java
@@ -0,0 +1,101 @@
+package org.medlardrum.decisions;
+
+import java.util.random.RandomGenerator;
+
+import org.medlardrum.state.CircuitState;
+import org.medlardrum.state.EngineReport;
+import org.medlardrum.state.EngineState;
+
+/**
+ * Expected time of one generated token on an engine: a part for each layer and a part for
+ * the stage as a whole.
+ */
+final class EngineCost {
+
+	// Engines process a prompt's tokens in parallel; the factor is the usual order of
+	// magnitude between the cost of a prompt token and of a generated token.
+	private static final double PROMPT_TOKEN_SHARE = 1.0 / 16;
+
+	// Time constant of trust in a report. In trials with the fleet of HerdingTests and
+	// reports every 1 s to 5 s, 250 ms left a quarter to two thirds of the overload that
+	// 1 s left; with reports every 200 ms the two were equal.
+	private static final double REPORT_TRUST_MS = 250;
+
+	private static final double QUEUEING_FACTOR = 8;
+
+	private static final double STAGE_OVERHEAD_US = 100;
+
+	private static final double REMOTE_ZONE_US = 200;
+
+	// Loading an adapter takes seconds and is spread over the tokens of the request.
+	private static final double COLD_ADAPTER_US = 2_000_000;
+
+	private static final double PREFILL_ROLE_FACTOR = 2;
+
+	private static final double HALF_OPEN_FACTOR = 8;
+
+	// One request in 16 probes a half-open engine at its normal cost.
+	private static final double PROBE_SHARE = 1.0 / 16;
+
+	private final ChainQuery query;
+
+	private final PrefixIndex prefixes;
+
+	private final double meanLoad;
+
+	EngineCost(ChainQuery query, PrefixIndex prefixes, double meanLoad) {
+		this.query = query;
+		this.prefixes = prefixes;
+		this.meanLoad = meanLoad;
+	}
+
+	static double reportedLoad(EngineReport report) {
+		return (report.running() + report.queued()) / (double) Math.max(1, report.slots());
+	}
+
+	// The older the report, the more the estimate returns to the fleet's mean: an engine
+	// that was idle a while ago has been found by the other hosts since.
+	private double load(EngineState engine) {
+		EngineReport report = engine.report();
+		double trust = Math.exp(-Math.max(0, engine.reportAgeMs()) / REPORT_TRUST_MS);
+		double others = this.meanLoad + (reportedLoad(report) - this.meanLoad) * trust;
+		double own = engine.ownInFlight() / (double) Math.max(1, report.slots());
+		return (others + own) / Math.min(1, Math.max(0.01, engine.rampShare()));
+	}
+
+	// A batch slows down with its size; work beyond the slots waits for a slot.
+	private static double loadFactor(double load) {
+		return 1 + Math.min(1, load * load) + QUEUEING_FACTOR * Math.max(0, load - 1);
+	}
+
+	double layerUs(EngineState engine, RandomGenerator random) {
+		EngineReport report = engine.report();
+		double layerUs = Math.max(1, report.layerTimeUs()) * Math.max(0.1, engine.observedSlowdown())
+				* loadFactor(load(engine)) * promptFactor(engine);
+		if ("prefill".equals(report.role())) {
+			layerUs *= PREFILL_ROLE_FACTOR;
+		}
+		if (engine.circuit() == CircuitState.HALF_OPEN && random.nextDouble() >= PROBE_SHARE) {
+			layerUs *= HALF_OPEN_FACTOR;
+		}
+		return layerUs;
+	}
+
+	private double promptFactor(EngineState engine) {
+		int uncached = Math.max(0, this.query.promptTokens());
+		if (!this.query.promptPrefixHash().isEmpty()) {
+			int cached = this.prefixes.cachedTokens(engine.server().id(), this.query.promptPrefixHash());
+			uncached = Math.max(0, uncached - cached);
+		}
+		return 1 + PROMPT_TOKEN_SHARE * uncached / Math.max(1, this.query.maxTokens());
+	}
+
+	double stageUs(EngineState engine, boolean remoteZone) {
+		double stageUs = STAGE_OVERHEAD_US + ((remoteZone) ? REMOTE_ZONE_US : 0);
+		if (!this.query.adapter().isEmpty() && !engine.report().adapters().contains(this.query.adapter())) {
+			stageUs += COLD_ADAPTER_US / Math.max(1, this.query.maxTokens());
+		}
+		return stageUs;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RangeCandidates.java
@@ -0,0 +1,104 @@
+package org.medlardrum.decisions;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.medlardrum.state.EngineState;
+import org.medlardrum.state.LayerRange;
+
+/**
+ * Groups usable engines by held range and availability zone, and samples one candidate
+ * from each group by the power of two choices.
+ */
+final class RangeCandidates {
+
+	private final Map<Long, Range> ranges = new LinkedHashMap<>();
+
+	private final int layerCount;
+
+	private final RandomGenerator random;
+
+	private double slots;
+
+	RangeCandidates(int layerCount, RandomGenerator random) {
+		this.layerCount = layerCount;
+		this.random = random;
+	}
+
+	void add(EngineState engine, int zone, double layerUs, double stageUs) {
+		int from = engine.report().fromLayer();
+		int to = Math.min(engine.report().toLayer(), this.layerCount);
+		long key = ((long) zone * (this.layerCount + 1) + from) * (this.layerCount + 1) + to;
+		Range range = this.ranges.get(key);
+		if (range == null) {
+			range = new Range(zone, new LayerRange(from, to));
+			this.ranges.put(key, range);
+		}
+		range.add(engine, layerUs, stageUs, this.random);
+		this.slots += Math.max(1, engine.report().slots());
+	}
+
+	// Returns one candidate for each range and zone. Ranges and zones compete by cost,
+	// too.
+	// Gumbel noise on the logarithm of the cost makes the cheapest one a weighted sample:
+	// its probability is proportional to slots × cost^(-1/temperature). Without the
+	// slots, a
+	// range that few engines hold would draw as many decisions as one that many hold.
+	List<RangeCandidate> sample(double temperature) {
+		List<RangeCandidate> sampled = new ArrayList<>(this.ranges.size());
+		double meanSlots = this.slots / Math.max(1, this.ranges.size());
+		for (Range range : this.ranges.values()) {
+			double uniform = Math.max(Double.MIN_NORMAL, this.random.nextDouble());
+			double gumbel = -Math.log(-Math.log(uniform));
+			double noise = Math.exp(-temperature * (gumbel + Math.log(range.slots / meanSlots)));
+			sampled.add(range.better().withNoise(noise));
+		}
+		return sampled;
+	}
+
+	// Keeps two independent samples, drawn in one pass with probability proportional to
+	// 1 / cost² (weighted reservoir sampling, Chao 1982).
+	private static final class Range {
+
+		private final int zone;
+
+		private final LayerRange layers;
+
+		private RangeCandidate first;
+
+		private RangeCandidate second;
+
+		private double weightSum;
+
+		private double slots;
+
+		Range(int zone, LayerRange layers) {
+			this.zone = zone;
+			this.layers = layers;
+		}
+
+		void add(EngineState engine, double layerUs, double stageUs, RandomGenerator random) {
+			double costUs = stageUs + layerUs * this.layers.length();
+			double weight = 1 / (costUs * costUs);
+			this.weightSum += weight;
+			this.slots += Math.max(1, engine.report().slots());
+			double share = weight / this.weightSum;
+			boolean asFirst = this.first == null || random.nextDouble() < share;
+			boolean asSecond = this.second == null || random.nextDouble() < share;
+			if (asFirst || asSecond) {
+				RangeCandidate candidate = new RangeCandidate(engine, this.zone, this.layers, layerUs, stageUs, 1);
+				this.first = (asFirst) ? candidate : this.first;
+				this.second = (asSecond) ? candidate : this.second;
+			}
+		}
+
+		RangeCandidate better() {
+			return (this.first.costUs() <= this.second.costUs()) ? this.first : this.second;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/ChainPlannerTests.java
@@ -0,0 +1,181 @@
+package org.medlardrum.decisions;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.medlardrum.state.CircuitState;
+import org.medlardrum.state.EngineState;
+import org.medlardrum.state.FleetSnapshot;
+import org.medlardrum.state.LinkState;
+import org.medlardrum.state.Stage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against chains that skip or repeat layers, use unfit engines or ignore a cost.
+ */
+class ChainPlannerTests {
+
+	private final ChainPlanner planner = new ChainPlanner();
+
+	private static FleetSnapshot fleet(List<EngineState> engines) {
+		return new FleetSnapshot("hr-central-1", engines, List.of(), 500);
+	}
+
+	private static FleetSnapshot fleet(Engines... engines) {
+		return fleet(Stream.of(engines).map(Engines::build).toList());
+	}
+
+	private double shareOf(String server, ChainQuery query, FleetSnapshot fleet) {
+		SplittableRandom random = new SplittableRandom(7);
+		int hits = 0;
+		for (int i = 0; i < 1000; i++) {
+			ChainDecision decision = this.planner.plan(query, fleet, random);
+			if (decision instanceof ChainDecision.Chosen chosen
+					&& chosen.chain().stages().stream().anyMatch((stage) -> stage.server().equals(server))) {
+				hits++;
+			}
+		}
+		return hits / 1000.0;
+	}
+
+	@Property(tries = 500)
+	void coversEachLayerOnceWheneverTheEnginesHoldAllLayers(@ForAll long seed,
+			@ForAll @IntRange(min = 1, max = 90) int layers, @ForAll @IntRange(min = 1, max = 25) int count) {
+		SplittableRandom random = new SplittableRandom(seed);
+		List<EngineState> engines = new ArrayList<>();
+		boolean[] held = new boolean[layers];
+		for (int i = 0; i < count; i++) {
+			int from = random.nextInt(layers);
+			int to = from + 1 + random.nextInt(layers);
+			engines.add(Engines.engine("e" + i, from, to)
+				.withZone("zone-" + random.nextInt(3))
+				.withLayerTime(1 + random.nextInt(2000))
+				.withLoad(random.nextInt(40), random.nextInt(5), random.nextInt(20_000))
+				.build());
+			for (int layer = from; layer < Math.min(to, layers); layer++) {
+				held[layer] = true;
+			}
+		}
+		boolean coverable = true;
+		for (boolean layerHeld : held) {
+			coverable &= layerHeld;
+		}
+		ChainDecision decision = this.planner.plan(Engines.query(layers), fleet(engines), random);
+		assertThat(decision instanceof ChainDecision.Chosen).isEqualTo(coverable);
+		if (decision instanceof ChainDecision.Chosen chosen) {
+			assertThat(chosen.chain().covers(layers)).isTrue();
+			assertThat(chosen.chain().stages().stream().map(Stage::server).toList()).containsNoDuplicates();
+			for (Stage stage : chosen.chain().stages()) {
+				EngineState engine = engines.get(Integer.parseInt(stage.server().substring(1)));
+				assertThat(stage.fromLayer()).isAtLeast(engine.report().fromLayer());
+				assertThat(stage.toLayer()).isAtMost(engine.report().toLayer());
+			}
+		}
+	}
+
+	static Stream<Engines> unfit() {
+		Engines engine = Engines.engine("unfit", 0, 32).withLayerTime(1);
+		return Stream.of(engine.withLeaving(true, false), engine.withLeaving(false, true),
+				engine.withCircuit(CircuitState.OPEN), engine.withCircuit(CircuitState.HALF_OPEN).withLoad(0, 1, 0),
+				engine.withSuspect("other"));
+	}
+
+	@ParameterizedTest
+	@MethodSource("unfit")
+	void neverUsesAnUnfitEngineEvenWhenItIsTheOnlyOne(Engines unfit) {
+		assertThat(shareOf("unfit", Engines.suspect(32), fleet(unfit, Engines.engine("fit", 0, 32)))).isEqualTo(0.0);
+		ChainDecision decision = this.planner.plan(Engines.suspect(32), fleet(unfit), new SplittableRandom(1));
+		assertThat(decision).isInstanceOf(ChainDecision.NoChain.class);
+		assertThat(((ChainDecision.NoChain) decision).reason()).contains("layer 0");
+	}
+
+	@Test
+	void neverUsesAnExcludedEngine() {
+		ChainQuery query = Engines.query(32);
+		ChainQuery retry = new ChainQuery("r1", "tally", "v1", "", 32, query.rank(), 1, 1, "", "f1", false,
+				Set.of("failed"));
+		assertThat(shareOf("failed", retry, fleet(Engines.engine("failed", 0, 32), Engines.engine("other", 0, 32))))
+			.isEqualTo(0.0);
+	}
+
+	@Test
+	void letsASuspectShareAnEngineWithItselfAndOthersWithASuspect() {
+		Engines engine = Engines.engine("e", 0, 32);
+		assertThat(shareOf("e", Engines.suspect(32), fleet(engine.withSuspect("f1")))).isEqualTo(1.0);
+		assertThat(shareOf("e", Engines.query(32), fleet(engine.withSuspect("f2")))).isEqualTo(1.0);
+	}
+
+	static Stream<Engines> costly() {
+		Engines engine = Engines.engine("costly", 0, 32).withAdapter("reindeer");
+		return Stream.of(engine.withLayerTime(1000), engine.withLoad(32, 0, 0), engine.withLoad(0, 32, 5000),
+				engine.withPace(1, 8), engine.withLoad(16, 0, 0).withPace(0.1, 1),
+				Engines.engine("costly", 0, 32).withAdapter("other"), engine.withZone("elqui-1"),
+				engine.withCircuit(CircuitState.HALF_OPEN));
+	}
+
+	@ParameterizedTest
+	@MethodSource("costly")
+	void prefersTheCheaperEngineForEachKindOfCost(Engines costly) {
+		ChainQuery query = new ChainQuery("r1", "tally", "v1", "reindeer", 32, Engines.query(32).rank(), 100, 100, "",
+				"f1", false, Set.of());
+		FleetSnapshot fleet = new FleetSnapshot("hr-central-1",
+				List.of(costly.build(), Engines.engine("cheap", 0, 32).withAdapter("reindeer").build()),
+				List.of(new LinkState("hr-central-1", "elqui-1", 20_000)), 500);
+		assertThat(shareOf("costly", query, fleet)).isLessThan(0.15);
+	}
+
+	@Test
+	void stillProbesAHalfOpenEngine() {
+		FleetSnapshot fleet = fleet(Engines.engine("probed", 0, 32).withCircuit(CircuitState.HALF_OPEN),
+				Engines.engine("other", 0, 32));
+		assertThat(shareOf("probed", Engines.query(32), fleet)).isGreaterThan(0.005);
+	}
+
+	@Test
+	void avoidsASlowLinkBetweenStages() {
+		FleetSnapshot fleet = new FleetSnapshot("hr-central-1",
+				List.of(Engines.engine("a", 0, 16).build(), Engines.engine("b", 0, 16).withZone("hr-central-2").build(),
+						Engines.engine("c", 16, 32).withZone("hr-central-3").build()),
+				List.of(new LinkState("hr-central-1", "hr-central-3", 50_000)), 500);
+		assertThat(shareOf("b", Engines.query(32), fleet)).isGreaterThan(0.99);
+	}
+
+	@Test
+	void prefersAnEngineThatHasThePromptCached() {
+		Map<String, Integer> cached = Map.of("warm", 8000);
+		ChainQuery query = new ChainQuery("r1", "tally", "v1", "", 32, Engines.query(32).rank(), 8000, 100, "prefix",
+				"f1", false, Set.of());
+		FleetSnapshot fleet = fleet(Engines.engine("warm", 0, 32), Engines.engine("cold", 0, 32));
+		ChainPlanner aware = new ChainPlanner((server, prefix) -> cached.getOrDefault(server, 0));
+		SplittableRandom random = new SplittableRandom(3);
+		int warm = 0;
+		for (int i = 0; i < 100; i++) {
+			ChainDecision.Chosen chosen = (ChainDecision.Chosen) aware.plan(query, fleet, random);
+			warm += (chosen.chain().head().server().equals("warm")) ? 1 : 0;
+		}
+		assertThat(warm).isAtLeast(90);
+	}
+
+	@Test
+	void spreadsOldReportsOverEnginesThatLookIdle() {
+		Engines[] engines = new Engines[10];
+		for (int i = 0; i < engines.length; i++) {
+			engines[i] = Engines.engine("e" + i, 0, 32).withLoad((i == 0) ? 0 : 12, 0, 10_000);
+		}
+		double share = shareOf("e0", Engines.query(32), fleet(engines));
+		assertWithMessage("share of the engine that was idle 10 s ago").that(share).isLessThan(0.3);
+	}
+
+}
