Add the operators' command line (not yet tested)

Cause: operators need to check, apply and inspect configuration and entry hosts. Before: an empty module. Conclusion: tests follow.

--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/AdminClient.java
@@ -0,0 +1,19 @@
+package org.medlardrum.cli.internal;
+
+/**
+ * Port to the admin addresses of entry hosts.
+ */
+@FunctionalInterface
+interface AdminClient {
+
+	/**
+	 * Calls an entry host.
+	 * @param address {@code ip:port}
+	 * @param method HTTP method
+	 * @param target path and query
+	 * @param timeoutMs longest duration of the call
+	 * @return the response or why there is none
+	 */
+	AdminResponse call(String address, String method, String target, long timeoutMs);
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ApplyCommand.java
@@ -0,0 +1,121 @@
+package org.medlardrum.cli.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.google.gson.JsonObject;
+import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.config.ApplyResult;
+import org.medlardrum.coordination.config.ConfigLog;
+import org.medlardrum.state.config.ConfigDocuments;
+
+/**
+ * Writes new documents and waits until they are in force.
+ */
+@Parameters(commandDescription = "Write a base file and overlays as one change and wait until it is in force")
+final class ApplyCommand extends StoreCommand {
+
+	private static final long MAX_WAIT_MS = 3_600_000;
+
+	@Parameter(names = "--base", description = "File with the base document; the present one is kept without it")
+	String base = "";
+
+	@Parameter(names = "--overlays",
+			description = "Overlay files or directories, separated by commas; <site>.json is the overlay of a site, "
+					+ "other sites keep theirs")
+	List<String> overlays = List.of();
+
+	@Parameter(names = "--remove-overlays", description = "Sites whose overlay is removed, separated by commas")
+	List<String> removeOverlays = List.of();
+
+	@Parameter(names = "--based-on",
+			description = "Version that the files were made from; the newest one by default. Changes after it are "
+					+ "kept unless they touch the same entries")
+	String basedOn = "";
+
+	@Parameter(names = "--author", description = "Operator named in the history")
+	String author = System.getProperty("user.name", "unknown");
+
+	@Parameter(names = "--wait-ms", description = "Longest wait until all hosts use the change, 0 for none")
+	String waitMs = "30000";
+
+	@Parameter(names = "--ignore-unreachable-hosts",
+			description = "Write even if no entry host answers, so that changes which the store has lost stay unknown")
+	boolean ignoreUnreachableHosts;
+
+	@Override
+	CommandResult run(Session session) {
+		long wait = wholeNumber("--wait-ms", this.waitMs, 0, MAX_WAIT_MS);
+		if (this.base.isEmpty() && this.overlays.isEmpty() && this.removeOverlays.isEmpty()) {
+			throw new ParameterException("nothing to apply; accepted: --base, --overlays, --remove-overlays");
+		}
+		ConfigFiles files = ConfigFiles.read(this.base, this.overlays);
+		if (!files.faults().isEmpty()) {
+			return Texts.faults(files.faults());
+		}
+		ConfigLog log = log(session);
+		StoreResult<Fleet> fleet = fleet(session);
+		if (!(fleet instanceof StoreResult.Ok<Fleet> found)) {
+			return storeFailure(fleet);
+		}
+		CommandResult obstacle = new LostChanges(log, found.value()).restore(this.ignoreUnreachableHosts);
+		if (obstacle != null) {
+			return obstacle;
+		}
+		StoreResult<ConfigDocuments> start = this.basedOn.isEmpty() ? log.load()
+				: log.loadAt(wholeNumber("--based-on", this.basedOn, 0, Long.MAX_VALUE));
+		return switch (start) {
+			case StoreResult.Ok<ConfigDocuments> ok ->
+				report(session, found.value(), apply(log, ok.value(), files), wait);
+			case StoreResult.NotFound<ConfigDocuments> none ->
+				CommandResult.failure(ExitCode.FAILED, "--based-on: version " + this.basedOn + " does not exist");
+			default -> storeFailure(start);
+		};
+	}
+
+	private ApplyResult apply(ConfigLog log, ConfigDocuments start, ConfigFiles files) {
+		Map<String, JsonObject> wanted = new TreeMap<>(start.overlays());
+		wanted.putAll(files.overlays());
+		this.removeOverlays.forEach(wanted::remove);
+		return log.apply(start, (files.base() != null) ? files.base() : start.base(), wanted, this.author);
+	}
+
+	private CommandResult report(Session session, Fleet fleet, ApplyResult result, long wait) {
+		JsonObject json = new JsonObject();
+		return switch (result) {
+			case ApplyResult.Accepted accepted ->
+				new InForce(session, fleet).await("accepted", accepted.version(), wait);
+			case ApplyResult.Unchanged unchanged ->
+				new InForce(session, fleet).await("unchanged", unchanged.version(), wait);
+			case ApplyResult.Rejected rejected -> Texts.faults(rejected.faults());
+			case ApplyResult.Conflicting conflicting -> {
+				json.addProperty("outcome", "conflict");
+				json.addProperty("version", conflicting.version());
+				json.add("edits", Texts.editsJson(conflicting.edits()));
+				yield CommandResult.of(ExitCode.CONFLICT, json, "refused, nothing was written: changes up to version "
+						+ conflicting.version() + " touch the same entries:\n" + Texts.edits(conflicting.edits()));
+			}
+			case ApplyResult.Unavailable unavailable -> CommandResult.failure(ExitCode.UNREACHABLE,
+					"nothing was written, the platform's store: " + unavailable.reason());
+			case ApplyResult.Unknown unknown -> {
+				json.addProperty("outcome", "unknown");
+				json.addProperty("changeId", unknown.changeId());
+				json.addProperty("reason", unknown.reason());
+				yield CommandResult.of(ExitCode.OUTCOME_UNKNOWN, json,
+						"outcome unknown: " + unknown.reason() + ". If 'medlardrum history' lists change "
+								+ unknown.changeId() + ", it was accepted; applying again is safe");
+			}
+		};
+	}
+
+	@Override
+	String example() {
+		return "apply --platform-address 127.0.0.1:7000 --base deploy/herd-tally/base.json "
+				+ "--overlays deploy/herd-tally --author ana";
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnCommand.java
@@ -0,0 +1,142 @@
+package org.medlardrum.cli.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.google.gson.JsonObject;
+import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.state.config.ConfigDocuments;
+import org.medlardrum.state.config.ConfigParser;
+import org.medlardrum.state.config.ConfigResult;
+
+/**
+ * Reports service-level burn from scrapes that it collects itself, because entry hosts
+ * keep no history.
+ */
+@Parameters(commandDescription = "Report burn rates and error budgets from samples, or take a sample with --sample")
+final class BurnCommand extends StoreCommand {
+
+	@Parameter(names = "--sample", description = "Scrape the entry hosts once and append to the samples file")
+	boolean sample;
+
+	@Parameter(names = "--samples-file", description = "File of samples, one JSON object a line")
+	String samplesFile = "";
+
+	@Parameter(names = "--html-file", description = "Also write the report as one HTML page")
+	String htmlFile = "";
+
+	@Parameter(names = "--windows-min", description = "Windows that end at the last sample, in minutes")
+	List<String> windowsMin = List.of("5", "60", "360", "4320");
+
+	@Parameter(names = "--budget-days", description = "Period of the error budget, in days")
+	String budgetDays = "30";
+
+	@Parameter(names = "--objective-urgent",
+			description = "Objective of the rank; with --platform-address the configured one by default")
+	String objectiveUrgent = "";
+
+	@Parameter(names = "--objective-standard", description = "The same for rank standard")
+	String objectiveStandard = "";
+
+	@Parameter(names = "--objective-background", description = "The same for rank background")
+	String objectiveBackground = "";
+
+	@Override
+	CommandResult run(Session session) {
+		if (this.samplesFile.isEmpty()) {
+			throw badValue("--samples-file", "", "a file");
+		}
+		return this.sample ? takeSample(session) : report(session);
+	}
+
+	private CommandResult takeSample(Session session) {
+		StoreResult<Fleet> fleet = fleet(session);
+		if (!(fleet instanceof StoreResult.Ok<Fleet> found)) {
+			return storeFailure(fleet);
+		}
+		long nowMs = session.clock().millis();
+		StringBuilder lines = new StringBuilder();
+		List<String> silent = new ArrayList<>();
+		found.value().callAll("GET", "/metrics").forEach((address, response) -> {
+			Optional<BurnSample> scraped = BurnSample.scrape(nowMs, address, response);
+			scraped.ifPresentOrElse((taken) -> lines.append(taken.toLine()).append('\n'),
+					() -> silent.add(address + " (" + response.describe() + ")"));
+		});
+		try {
+			Files.writeString(Path.of(this.samplesFile), lines, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+		}
+		catch (IOException ex) {
+			return CommandResult.failure(ExitCode.FAILED, "file " + this.samplesFile + " cannot be written: " + ex);
+		}
+		int total = found.value().addresses().size();
+		JsonObject json = new JsonObject();
+		json.addProperty("sampled", total - silent.size());
+		json.addProperty("hosts", total);
+		String text = "sampled " + (total - silent.size()) + " of " + total + " entry hosts";
+		return silent.isEmpty() ? CommandResult.of(ExitCode.OK, json, text)
+				: CommandResult.of(ExitCode.UNREACHABLE, json, text + ", not: " + String.join(", ", silent));
+	}
+
+	private CommandResult report(Session session) {
+		List<Long> windows = this.windowsMin.stream()
+			.map((window) -> wholeNumber("--windows-min", window, 1, 525_600))
+			.toList();
+		long days = wholeNumber("--budget-days", this.budgetDays, 1, 366);
+		Map<String, Double> objectives = objectives(session);
+		List<BurnSample> samples = new ArrayList<>();
+		int unreadable = 0;
+		try {
+			for (String line : Files.readAllLines(Path.of(this.samplesFile))) {
+				Optional<BurnSample> read = BurnSample.fromLine(line);
+				read.ifPresent(samples::add);
+				unreadable += read.isPresent() ? 0 : 1;
+			}
+			BurnHistory history = new BurnHistory(samples);
+			BurnReport report = BurnReport.of(history, objectives, windows, days);
+			if (!this.htmlFile.isEmpty()) {
+				Files.writeString(Path.of(this.htmlFile), new BurnPage(report, history).write());
+			}
+			JsonObject json = report.toJson();
+			json.addProperty("samples", samples.size());
+			json.addProperty("unreadableLines", unreadable);
+			String note = (unreadable > 0) ? "\n" + unreadable + " unreadable line(s) left out" : "";
+			return CommandResult.of(ExitCode.OK, json, report.toText() + note);
+		}
+		catch (IOException ex) {
+			return CommandResult.failure(ExitCode.FAILED, "a file cannot be read or written: " + ex);
+		}
+	}
+
+	private Map<String, Double> objectives(Session session) {
+		Map<String, Double> objectives = new HashMap<>(Map.of("urgent", 0.99, "standard", 0.95, "background", 0.90));
+		if (!this.platformAddress.isEmpty() && log(session).load() instanceof StoreResult.Ok<ConfigDocuments> ok
+				&& ConfigParser.parse(ok.value().base()) instanceof ConfigResult.Valid valid) {
+			valid.configuration()
+				.ranks()
+				.forEach((rank, config) -> objectives.put(rank.wireName(), config.objective()));
+		}
+		Map<String, String> flags = Map.of("urgent", this.objectiveUrgent, "standard", this.objectiveStandard,
+				"background", this.objectiveBackground);
+		flags.forEach((rank, value) -> {
+			if (!value.isEmpty()) {
+				objectives.put(rank, fraction("--objective-" + rank, value));
+			}
+		});
+		return objectives;
+	}
+
+	@Override
+	String example() {
+		return "burn --samples-file burn.jsonl --html-file burn.html";
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnHistory.java
@@ -0,0 +1,101 @@
+package org.medlardrum.cli.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Increases of the counters between successive samples of each host.
+ */
+final class BurnHistory {
+
+	/** Name under which the requests of all organisations of a rank are summed. */
+	static final String ALL = "(all)";
+
+	private final List<Increase> increases = new ArrayList<>();
+
+	private final long startMs;
+
+	private final long endMs;
+
+	BurnHistory(List<BurnSample> samples) {
+		List<BurnSample> ordered = new ArrayList<>(samples);
+		ordered.sort(Comparator.comparingLong(BurnSample::atMs));
+		this.startMs = ordered.isEmpty() ? 0 : ordered.get(0).atMs();
+		this.endMs = ordered.isEmpty() ? 0 : ordered.get(ordered.size() - 1).atMs();
+		Map<String, BurnSample> previous = new HashMap<>();
+		for (BurnSample sample : ordered) {
+			BurnSample before = previous.put(sample.host(), sample);
+			if (before != null) {
+				this.increases.add(new Increase(sample.atMs(), increase(before, sample)));
+			}
+		}
+	}
+
+	long startMs() {
+		return this.startMs;
+	}
+
+	long endMs() {
+		return this.endMs;
+	}
+
+	/**
+	 * Sums the increases in a window.
+	 * @param fromMs start, exclusive
+	 * @param toMs end, inclusive
+	 * @return counts by rank and organisation, with a sum for each rank
+	 */
+	Map<Series, BurnCount> between(long fromMs, long toMs) {
+		Map<Series, BurnCount> counts = new TreeMap<>();
+		for (Increase increase : this.increases) {
+			if (increase.atMs() > fromMs && increase.atMs() <= toMs) {
+				increase.counts().forEach((series, count) -> {
+					counts.merge(series, count, BurnCount::plus);
+					counts.merge(new Series(series.rank(), ALL), count, BurnCount::plus);
+				});
+			}
+		}
+		return counts;
+	}
+
+	private static Map<Series, BurnCount> increase(BurnSample before, BurnSample after) {
+		Map<Series, BurnCount> counts = new HashMap<>();
+		after.counters().forEach((key, value) -> {
+			double old = before.counters().getOrDefault(key, 0.0);
+			// A counter that fell belongs to a process that was restarted in between.
+			double grown = (value >= old) ? value - old : value;
+			BurnCount count = key.outcome().equals(BurnSample.WITHIN_TARGET) ? new BurnCount(0, grown)
+					: new BurnCount(grown, 0);
+			counts.merge(new Series(key.rank(), key.organisation()), count, BurnCount::plus);
+		});
+		return counts;
+	}
+
+	/**
+	 * Requests that are counted together.
+	 *
+	 * @param rank rank
+	 * @param organisation organisation, {@link #ALL} for a whole rank
+	 */
+	record Series(String rank, String organisation) implements Comparable<Series> {
+
+		@Override
+		public int compareTo(Series other) {
+			int byRank = Integer.compare(order(this.rank), order(other.rank));
+			return (byRank != 0) ? byRank : this.organisation.compareTo(other.organisation);
+		}
+
+		private static int order(String rank) {
+			return List.of("urgent", "standard", "background").indexOf(rank) & Integer.MAX_VALUE;
+		}
+
+	}
+
+	private record Increase(long atMs, Map<Series, BurnCount> counts) {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnReport.java
@@ -0,0 +1,125 @@
+package org.medlardrum.cli.internal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+
+/**
+ * Burn rates and error budgets by rank and organisation.
+ *
+ * @param fromMs time of the first sample
+ * @param toMs time of the last sample
+ * @param windowsMin windows that end at the last sample, in minutes
+ * @param rows one row for each rank and each of its organisations
+ */
+record BurnReport(long fromMs, long toMs, List<Long> windowsMin, List<Row> rows) {
+
+	private static final long MINUTE_MS = 60_000;
+
+	/**
+	 * Burn rates and windows of the usual multi-window alerts: 14.4 uses up 2% of a
+	 * 30-day budget in an hour, 6 uses up 5% of it in 6 hours. The short window ends the
+	 * alert soon after the cause.
+	 */
+	private static final double FAST_BURN = 14.4;
+
+	private static final double SLOW_BURN = 6;
+
+	static BurnReport of(BurnHistory history, Map<String, Double> objectives, List<Long> windowsMin, long budgetDays) {
+		Map<BurnHistory.Series, BurnCount> budget = window(history, budgetDays * 24 * 60);
+		List<Row> rows = new ArrayList<>();
+		Map<Long, Map<BurnHistory.Series, BurnCount>> counts = new LinkedHashMap<>();
+		windowsMin.forEach((window) -> counts.put(window, window(history, window)));
+		List.of(5L, 30L, 60L, 360L).forEach((window) -> counts.computeIfAbsent(window, (key) -> window(history, key)));
+		budget.forEach((series, count) -> {
+			double objective = objectives.getOrDefault(series.rank(), 0.99);
+			Map<Long, Double> burn = new LinkedHashMap<>();
+			counts.forEach((window, found) -> burn.put(window,
+					found.getOrDefault(series, BurnCount.NONE).burnRate(objective)));
+			rows.add(new Row(series.rank(), series.organisation(), objective, count.total(), count.withinTarget(),
+					1 - count.burnRate(objective), alert(burn), shown(burn, windowsMin)));
+		});
+		return new BurnReport(history.startMs(), history.endMs(), windowsMin, rows);
+	}
+
+	private static Map<BurnHistory.Series, BurnCount> window(BurnHistory history, long minutes) {
+		return history.between(history.endMs() - minutes * MINUTE_MS, history.endMs());
+	}
+
+	private static Map<Long, Double> shown(Map<Long, Double> burn, List<Long> windowsMin) {
+		Map<Long, Double> shown = new LinkedHashMap<>();
+		windowsMin.forEach((window) -> shown.put(window, burn.get(window)));
+		return shown;
+	}
+
+	private static String alert(Map<Long, Double> burn) {
+		if (burn.get(60L) >= FAST_BURN && burn.get(5L) >= FAST_BURN) {
+			return "fast burn";
+		}
+		return (burn.get(360L) >= SLOW_BURN && burn.get(30L) >= SLOW_BURN) ? "slow burn" : "";
+	}
+
+	boolean covers(long windowMin) {
+		return this.toMs - this.fromMs >= windowMin * MINUTE_MS;
+	}
+
+	JsonObject toJson() {
+		return new Gson().toJsonTree(this).getAsJsonObject();
+	}
+
+	String toText() {
+		List<List<String>> table = new ArrayList<>(List.of(header()));
+		this.rows.forEach((row) -> table.add(cells(row)));
+		return Texts.table(table) + "\n* samples do not cover the whole window";
+	}
+
+	List<String> header() {
+		List<String> header = new ArrayList<>(List.of("RANK", "ORGANISATION", "OBJECTIVE", "REQUESTS", "MET"));
+		this.windowsMin.forEach((window) -> header.add("BURN " + duration(window) + (covers(window) ? "" : "*")));
+		header.addAll(List.of("BUDGET LEFT", "ALERT"));
+		return header;
+	}
+
+	List<String> cells(Row row) {
+		List<String> cells = new ArrayList<>(
+				List.of(row.rank(), row.organisation(), format("%.3f", row.objective()), format("%.0f", row.total()),
+						(row.total() > 0) ? format("%.2f%%", 100 * row.withinTarget() / row.total()) : "-"));
+		row.burnRates().values().forEach((burn) -> cells.add(format("%.2f", burn)));
+		cells.add(format("%.1f%%", 100 * row.budgetLeft()));
+		cells.add(row.alert());
+		return cells;
+	}
+
+	static String duration(long minutes) {
+		if (minutes % 1440 == 0) {
+			return minutes / 1440 + "d";
+		}
+		return (minutes % 60 == 0) ? minutes / 60 + "h" : minutes + "m";
+	}
+
+	static String format(String pattern, double value) {
+		return String.format(Locale.ROOT, pattern, value);
+	}
+
+	/**
+	 * One rank, or one organisation at one rank.
+	 *
+	 * @param rank rank
+	 * @param organisation organisation, {@code (all)} for the whole rank
+	 * @param objective share of requests that must meet the target
+	 * @param total requests in the budget period
+	 * @param withinTarget requests that met the target
+	 * @param budgetLeft share of the error budget that is left, negative when overdrawn
+	 * @param alert {@code fast burn}, {@code slow burn} or empty
+	 * @param burnRates burn rate by window in minutes
+	 */
+	record Row(String rank, String organisation, double objective, double total, double withinTarget, double budgetLeft,
+			String alert, Map<Long, Double> burnRates) {
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/Command.java
@@ -0,0 +1,84 @@
+package org.medlardrum.cli.internal;
+
+import java.math.BigDecimal;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+
+/**
+ * A subcommand. Its fields are filled in from flags and environment variables.
+ */
+abstract class Command {
+
+	@Parameter(names = "--json", description = "Print one JSON object instead of text")
+	boolean json;
+
+	@Parameter(names = "--help", help = true, description = "Print this help")
+	boolean help;
+
+	/**
+	 * Runs the command.
+	 * @param session access to store and entry hosts
+	 * @return the result
+	 * @throws ParameterException if a flag is missing or has a bad value
+	 */
+	abstract CommandResult run(Session session);
+
+	/**
+	 * Returns a command line that shows typical use.
+	 * @return arguments after {@code medlardrum}
+	 */
+	abstract String example();
+
+	static String variableOf(String flag) {
+		return "MEDLARDRUM_" + flag.substring(2).toUpperCase(java.util.Locale.ROOT).replace('-', '_');
+	}
+
+	static ParameterException badValue(String flag, String value, String accepted) {
+		String problem = value.isEmpty() ? "is missing" : "is \"" + value + "\"";
+		return new ParameterException(flag + " (" + variableOf(flag) + ") " + problem + "; accepted: " + accepted);
+	}
+
+	static long wholeNumber(String flag, String value, long min, long max) {
+		String accepted = "a whole number from " + min + " to " + max;
+		try {
+			long number = Long.parseLong(value);
+			if (number >= min && number <= max) {
+				return number;
+			}
+		}
+		catch (NumberFormatException ex) {
+			throw badValue(flag, value, accepted);
+		}
+		throw badValue(flag, value, accepted);
+	}
+
+	static double fraction(String flag, String value) {
+		try {
+			BigDecimal number = new BigDecimal(value);
+			if (number.signum() >= 0 && number.compareTo(BigDecimal.ONE) < 0) {
+				return number.doubleValue();
+			}
+		}
+		catch (NumberFormatException ex) {
+			throw badValue(flag, value, "a number from 0 to below 1");
+		}
+		throw badValue(flag, value, "a number from 0 to below 1");
+	}
+
+	static String address(String flag, String value) {
+		if (!value.matches("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:.]+]):\\d{1,5}")) {
+			throw badValue(flag, value, "numeric ip:port");
+		}
+		return value;
+	}
+
+	static String only(List<String> values, String what) {
+		if (values.size() != 1) {
+			throw new ParameterException("expected one " + what + ", found " + values.size());
+		}
+		return values.get(0);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ConfigFiles.java
@@ -0,0 +1,82 @@
+package org.medlardrum.cli.internal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonObject;
+import org.medlardrum.state.config.ConfigFault;
+import org.medlardrum.state.config.ConfigMerge;
+import org.medlardrum.state.config.ConfigParser;
+
+/**
+ * Base document and overlays read from files. An overlay's site is its file name without
+ * {@code .json}.
+ *
+ * @param base the base document, {@code null} when no file was given
+ * @param overlays overlays by site
+ * @param faults what is wrong with the files
+ */
+record ConfigFiles(JsonObject base, Map<String, JsonObject> overlays, List<ConfigFault> faults) {
+
+	private static final String SUFFIX = ".json";
+
+	static ConfigFiles read(String baseFile, List<String> overlayFiles) {
+		List<ConfigFault> faults = new ArrayList<>();
+		JsonObject base = !baseFile.isEmpty() ? parse(Path.of(baseFile), ConfigMerge.BASE, faults) : null;
+		Map<String, JsonObject> overlays = new TreeMap<>();
+		for (Path file : expand(baseFile, overlayFiles, faults)) {
+			String name = file.getFileName().toString();
+			String site = name.endsWith(SUFFIX) ? name.substring(0, name.length() - SUFFIX.length()) : name;
+			String document = ConfigMerge.OVERLAY_PREFIX + site;
+			JsonObject overlay = parse(file, document, faults);
+			if (overlay != null && overlays.put(site, overlay) != null) {
+				faults.add(new ConfigFault(document, "two files have this name", ""));
+			}
+		}
+		return new ConfigFiles(base, overlays, faults);
+	}
+
+	private static List<Path> expand(String baseFile, List<String> names, List<ConfigFault> faults) {
+		List<Path> files = new ArrayList<>();
+		for (String name : names) {
+			Path path = Path.of(name);
+			if (!Files.isDirectory(path)) {
+				files.add(path);
+				continue;
+			}
+			Path base = Path.of(baseFile).toAbsolutePath().normalize();
+			try (Stream<Path> children = Files.list(path)) {
+				children.filter((file) -> file.toString().endsWith(SUFFIX))
+					.filter((file) -> !file.toAbsolutePath().normalize().equals(base))
+					.sorted()
+					.forEach(files::add);
+			}
+			catch (IOException | UncheckedIOException ex) {
+				faults.add(new ConfigFault(name, "the directory cannot be read: " + ex.getMessage(), ""));
+			}
+		}
+		return files;
+	}
+
+	private static JsonObject parse(Path file, String document, List<ConfigFault> faults) {
+		try {
+			List<ConfigFault> found = new ArrayList<>();
+			JsonObject json = ConfigParser.parseDocument(Files.readString(file), found).orElse(null);
+			found.forEach((fault) -> faults.add(new ConfigFault(document + ":" + fault.path(),
+					fault.message() + " (file " + file + ")", fault.acceptedValues())));
+			return json;
+		}
+		catch (IOException ex) {
+			faults.add(new ConfigFault(document, "file " + file + " cannot be read: " + ex, ""));
+			return null;
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/DiffCommand.java
@@ -0,0 +1,77 @@
+package org.medlardrum.cli.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.google.gson.JsonObject;
+import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.config.ConfigLog;
+import org.medlardrum.state.config.ConfigDocuments;
+import org.medlardrum.state.config.ConfigEdit;
+import org.medlardrum.state.config.ConfigMerge;
+
+/**
+ * Shows what files or a version would change.
+ */
+@Parameters(commandDescription = "Show the entries in which files, or a second version, differ from a version")
+final class DiffCommand extends StoreCommand {
+
+	@Parameter(names = "--base", description = "File with the base document; the present one is taken without it")
+	String base = "";
+
+	@Parameter(names = "--overlays", description = "Overlay files or directories, separated by commas")
+	List<String> overlays = List.of();
+
+	@Parameter(names = "--from-version", description = "Version to compare with; the newest one by default")
+	String fromVersion = "";
+
+	@Parameter(names = "--to-version", description = "Version to compare instead of files")
+	String toVersion = "";
+
+	@Override
+	CommandResult run(Session session) {
+		ConfigFiles files = ConfigFiles.read(this.base, this.overlays);
+		if (!files.faults().isEmpty()) {
+			return Texts.faults(files.faults());
+		}
+		ConfigLog log = log(session);
+		StoreResult<ConfigDocuments> from = load(log, "--from-version", this.fromVersion);
+		if (!(from instanceof StoreResult.Ok<ConfigDocuments> before)) {
+			return storeFailure(from);
+		}
+		if (this.toVersion.isEmpty()) {
+			return report(before.value(), wanted(before.value(), files));
+		}
+		StoreResult<ConfigDocuments> to = load(log, "--to-version", this.toVersion);
+		return (to instanceof StoreResult.Ok<ConfigDocuments> after) ? report(before.value(), after.value())
+				: storeFailure(to);
+	}
+
+	private static StoreResult<ConfigDocuments> load(ConfigLog log, String flag, String version) {
+		return version.isEmpty() ? log.load() : log.loadAt(wholeNumber(flag, version, 0, Long.MAX_VALUE));
+	}
+
+	private static ConfigDocuments wanted(ConfigDocuments before, ConfigFiles files) {
+		Map<String, JsonObject> overlays = new TreeMap<>(before.overlays());
+		overlays.putAll(files.overlays());
+		return ConfigMerge.documents(0, (files.base() != null) ? files.base() : before.base(), overlays);
+	}
+
+	private static CommandResult report(ConfigDocuments before, ConfigDocuments after) {
+		List<ConfigEdit> edits = ConfigMerge.diff(before, after);
+		JsonObject json = new JsonObject();
+		json.addProperty("fromVersion", before.version());
+		json.add("edits", Texts.editsJson(edits));
+		return CommandResult.of(ExitCode.OK, json,
+				edits.isEmpty() ? "no difference from version " + before.version() : Texts.edits(edits));
+	}
+
+	@Override
+	String example() {
+		return "diff --platform-address 127.0.0.1:7000 --base deploy/herd-tally/base.json";
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ExplainCommand.java
@@ -0,0 +1,56 @@
+package org.medlardrum.cli.internal;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonObject;
+import org.medlardrum.coordination.StoreResult;
+
+/**
+ * Finds out what became of a request.
+ */
+@Parameters(commandDescription = "Show the decisions on a request; the entry host that ran it keeps them for a while")
+final class ExplainCommand extends StoreCommand {
+
+	@Parameter(description = "<request id>")
+	List<String> requestIds = List.of();
+
+	@Override
+	CommandResult run(Session session) {
+		String requestId = only(this.requestIds, "request id");
+		StoreResult<Fleet> fleet = fleet(session);
+		if (!(fleet instanceof StoreResult.Ok<Fleet> found)) {
+			return storeFailure(fleet);
+		}
+		String target = "/explain/" + URLEncoder.encode(requestId, StandardCharsets.UTF_8).replace("+", "%20");
+		Map<String, AdminResponse> responses = found.value().callAll("GET", target);
+		for (Map.Entry<String, AdminResponse> entry : responses.entrySet()) {
+			if (entry.getValue().json().isPresent()) {
+				JsonObject json = new JsonObject();
+				json.addProperty("address", entry.getKey());
+				json.add("explanation", entry.getValue().json().get());
+				return CommandResult.of(ExitCode.OK, json,
+						"host " + entry.getKey() + "\n"
+								+ new GsonBuilder().setPrettyPrinting()
+									.disableHtmlEscaping()
+									.create()
+									.toJson(json.get("explanation")));
+			}
+		}
+		long silent = responses.values().stream().filter((response) -> response.status() == 0).count();
+		return CommandResult.failure((silent > 0) ? ExitCode.UNREACHABLE : ExitCode.FAILED,
+				"none of " + (responses.size() - silent) + " hosts that answered knows request " + requestId + "; "
+						+ silent + " did not answer");
+	}
+
+	@Override
+	String example() {
+		return "explain --platform-address 127.0.0.1:7000 req-7f3a";
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/HostStatus.java
@@ -0,0 +1,43 @@
+package org.medlardrum.cli.internal;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+
+/**
+ * Status that an entry host reports.
+ *
+ * @param address admin address
+ * @param status the reported JSON object, empty when there was no response
+ * @param failure why there is no status, empty when there is one
+ */
+record HostStatus(String address, JsonObject status, String failure) {
+
+	boolean reached() {
+		return this.failure.isEmpty();
+	}
+
+	String text(String name) {
+		JsonElement value = this.status.get(name);
+		return (value != null && value.isJsonPrimitive()) ? value.getAsString() : "-";
+	}
+
+	long number(String name) {
+		JsonElement value = this.status.get(name);
+		boolean number = value != null && value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
+		return number ? value.getAsLong() : 0;
+	}
+
+	long configVersion() {
+		return number("configVersion");
+	}
+
+	JsonObject toJson() {
+		JsonObject json = this.status.deepCopy();
+		json.addProperty("address", this.address);
+		if (!reached()) {
+			json.addProperty("failure", this.failure);
+		}
+		return json;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
@@ -0,0 +1,80 @@
+package org.medlardrum.cli.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+
+/**
+ * Waits until entry hosts use a version.
+ */
+final class InForce {
+
+	private static final long POLL_MS = 250;
+
+	private final Session session;
+
+	private final Fleet fleet;
+
+	InForce(Session session, Fleet fleet) {
+		this.session = session;
+		this.fleet = fleet;
+	}
+
+	/**
+	 * Waits and reports the hosts that do not use the version yet.
+	 * @param outcome what happened to the change
+	 * @param version the version
+	 * @param waitMs longest wait, 0 for none
+	 * @return the report
+	 */
+	CommandResult await(String outcome, long version, long waitMs) {
+		JsonObject json = new JsonObject();
+		json.addProperty("outcome", outcome);
+		json.addProperty("version", version);
+		String text = outcome + ", version " + version;
+		if (waitMs == 0) {
+			return CommandResult.of(ExitCode.OK, json, text + ", not waited for");
+		}
+		long startMs = this.session.clock().millis();
+		List<HostStatus> behind = behind(version);
+		while (!behind.isEmpty() && this.session.clock().millis() - startMs < waitMs) {
+			this.session.sleepMs(POLL_MS);
+			behind = behind(version);
+		}
+		int total = this.fleet.addresses().size();
+		json.addProperty("hosts", total);
+		json.addProperty("inForceAt", total - behind.size());
+		json.addProperty("waitedMs", this.session.clock().millis() - startMs);
+		json.add("notInForceAt", describe(behind));
+		text += ", in force at " + (total - behind.size()) + " of " + total + " entry hosts";
+		return behind.isEmpty() ? CommandResult.of(ExitCode.OK, json, text)
+				: CommandResult.of(exitCode(behind), json, text + ", not at:\n" + lines(behind));
+	}
+
+	private List<HostStatus> behind(long version) {
+		return this.fleet.statuses()
+			.stream()
+			.filter((host) -> !host.reached() || host.configVersion() < version)
+			.toList();
+	}
+
+	private static ExitCode exitCode(List<HostStatus> behind) {
+		return behind.stream().allMatch(HostStatus::reached) ? ExitCode.FAILED : ExitCode.UNREACHABLE;
+	}
+
+	private static JsonArray describe(List<HostStatus> behind) {
+		JsonArray array = new JsonArray();
+		behind.forEach((host) -> array.add(host.toJson()));
+		return array;
+	}
+
+	private static String lines(List<HostStatus> behind) {
+		List<String> lines = new ArrayList<>();
+		behind.forEach((host) -> lines
+			.add("  " + host.address() + "  " + (host.reached() ? "version " + host.configVersion() : host.failure())));
+		return String.join("\n", lines);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
@@ -0,0 +1,53 @@
+package org.medlardrum.cli.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+import org.medlardrum.decisions.ReplayReport;
+import org.medlardrum.decisions.TraceReplayer;
+
+/**
+ * Repeats recorded decisions.
+ */
+@Parameters(commandDescription = "Repeat the decisions of a recorded trace and compare their outcomes")
+final class ReplayCommand extends Command {
+
+	@Parameter(description = "<trace file>")
+	List<String> files = List.of();
+
+	@Override
+	CommandResult run(Session session) {
+		Path file = Path.of(only(this.files, "trace file"));
+		List<String> lines;
+		try {
+			lines = Files.readAllLines(file);
+		}
+		catch (IOException ex) {
+			return CommandResult.failure(ExitCode.FAILED, "file " + file + " cannot be read: " + ex);
+		}
+		ReplayReport report = new TraceReplayer().replay(lines);
+		JsonObject json = new JsonObject();
+		json.addProperty("decisions", report.decisions());
+		json.add("mismatches", new Gson().toJsonTree(report.mismatches()));
+		List<String> text = new ArrayList<>();
+		text.add(report.decisions() + " decisions, " + report.mismatches().size() + " mismatches");
+		report.mismatches()
+			.forEach((mismatch) -> text.add("  line " + mismatch.line() + "\n    recorded " + mismatch.expected()
+					+ "\n    now      " + mismatch.actual()));
+		return CommandResult.of(report.mismatches().isEmpty() ? ExitCode.OK : ExitCode.FAILED, json,
+				String.join("\n", text));
+	}
+
+	@Override
+	String example() {
+		return "replay trace.jsonl";
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/Session.java
@@ -0,0 +1,88 @@
+package org.medlardrum.cli.internal;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.LongConsumer;
+
+import org.medlardrum.coordination.PlatformStore;
+import org.medlardrum.transport.HttpPlatformStore;
+
+/**
+ * What a command reaches the outside with: store, entry hosts, clock.
+ */
+public final class Session implements AutoCloseable {
+
+	private final BiFunction<String, Long, PlatformStore> stores;
+
+	private final AdminClient admin;
+
+	private final InstantSource clock;
+
+	private final LongConsumer sleepMs;
+
+	private final List<AutoCloseable> open = new ArrayList<>();
+
+	Session(BiFunction<String, Long, PlatformStore> stores, AdminClient admin, InstantSource clock,
+			LongConsumer sleepMs) {
+		this.stores = stores;
+		this.admin = admin;
+		this.clock = clock;
+		this.sleepMs = sleepMs;
+	}
+
+	/**
+	 * Creates a session that uses HTTP and the system's clock.
+	 * @return the session
+	 */
+	public static Session overHttp() {
+		HttpAdminClient admin = new HttpAdminClient();
+		Session session = new Session(HttpPlatformStore::new, admin, InstantSource.system(), Session::sleep);
+		session.open.add(admin);
+		return session;
+	}
+
+	PlatformStore store(String address, long timeoutMs) {
+		PlatformStore store = this.stores.apply(address, timeoutMs);
+		if (store instanceof AutoCloseable closeable) {
+			this.open.add(closeable);
+		}
+		return store;
+	}
+
+	AdminClient admin() {
+		return this.admin;
+	}
+
+	InstantSource clock() {
+		return this.clock;
+	}
+
+	void sleepMs(long durationMs) {
+		this.sleepMs.accept(durationMs);
+	}
+
+	@Override
+	public void close() {
+		for (AutoCloseable closeable : this.open) {
+			try {
+				closeable.close();
+			}
+			catch (Exception ex) {
+				// The process ends; an unclosed connection ends with it.
+				continue;
+			}
+		}
+	}
+
+	private static void sleep(long durationMs) {
+		try {
+			Thread.sleep(durationMs);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/Texts.java
@@ -0,0 +1,85 @@
+package org.medlardrum.cli.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import org.medlardrum.state.config.ConfigCodec;
+import org.medlardrum.state.config.ConfigEdit;
+import org.medlardrum.state.config.ConfigFault;
+import org.medlardrum.state.config.ConfigMerge;
+
+/**
+ * Text and JSON forms that several commands print.
+ */
+final class Texts {
+
+	private Texts() {
+	}
+
+	static CommandResult faults(List<ConfigFault> faults) {
+		JsonObject json = new JsonObject();
+		json.addProperty("outcome", "rejected");
+		json.add("faults", new Gson().toJsonTree(faults));
+		List<String> lines = new ArrayList<>(List.of("refused, " + faults.size() + " fault(s), nothing was written:"));
+		faults.forEach((fault) -> lines.add("  " + fault.describe()));
+		return CommandResult.of(ExitCode.FAILED, json, String.join("\n", lines));
+	}
+
+	static String edits(List<ConfigEdit> edits) {
+		List<String> lines = new ArrayList<>();
+		for (ConfigEdit edit : edits) {
+			lines.add(edit.document() + ":" + edit.path());
+			if (edit.oldValue() != null) {
+				lines.add("  - " + ConfigMerge.canonical(edit.oldValue()));
+			}
+			if (edit.newValue() != null) {
+				lines.add("  + " + ConfigMerge.canonical(edit.newValue()));
+			}
+		}
+		return String.join("\n", lines);
+	}
+
+	static JsonArray editsJson(List<ConfigEdit> edits) {
+		return ConfigCodec.writeEdits(edits);
+	}
+
+	/**
+	 * Aligns columns.
+	 * @param rows rows of equally many cells
+	 * @return the lines
+	 */
+	static String table(List<List<String>> rows) {
+		int columns = rows.get(0).size();
+		List<String> lines = new ArrayList<>();
+		for (List<String> row : rows) {
+			StringBuilder line = new StringBuilder();
+			for (int column = 0; column < columns; column++) {
+				int at = column;
+				int width = rows.stream().mapToInt((other) -> other.get(at).length()).max().orElse(0);
+				line.append(row.get(column)).append(" ".repeat(width - row.get(column).length() + 2));
+			}
+			lines.add(line.toString().stripTrailing());
+		}
+		return String.join("\n", lines);
+	}
+
+	/**
+	 * Writes the members of an object in one line.
+	 * @param json the object
+	 * @return {@code name=value} pairs
+	 */
+	static String flat(JsonObject json) {
+		List<String> parts = new ArrayList<>();
+		json.entrySet().forEach((entry) -> parts.add(entry.getKey() + "=" + plain(entry.getValue())));
+		return String.join(" ", parts);
+	}
+
+	private static String plain(JsonElement value) {
+		return value.isJsonPrimitive() ? value.getAsString() : value.toString();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands of the operators' command line.
+ */
+package org.medlardrum.cli.internal;
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/package-info.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Placeholder.
+ * The operators' command line.
  */
 package org.medlardrum.cli;
