Wire the entry host process

Cause: the parts of the entry host are not connected. Before: no process. Conclusion: partial, untested.

--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -0,0 +1,247 @@
+package org.medlardrum.entry.internal.host;
+
+import java.time.InstantSource;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+
+import com.google.gson.Gson;
+import org.medlardrum.coordination.claims.ClaimLedger;
+import org.medlardrum.coordination.claims.ClaimOptions;
+import org.medlardrum.coordination.config.ConfigAgent;
+import org.medlardrum.coordination.config.ConfigAgentSettings;
+import org.medlardrum.coordination.gossip.Gossip;
+import org.medlardrum.coordination.gossip.GossipOptions;
+import org.medlardrum.coordination.membership.Membership;
+import org.medlardrum.coordination.membership.MembershipOptions;
+import org.medlardrum.entry.internal.admission.Admission;
+import org.medlardrum.entry.internal.fleet.CrashDetector;
+import org.medlardrum.entry.internal.fleet.Fleet;
+import org.medlardrum.entry.internal.fleet.FleetOptions;
+import org.medlardrum.entry.internal.http.AdminHandler;
+import org.medlardrum.entry.internal.http.CallerHandler;
+import org.medlardrum.entry.internal.model.AttemptTimeouts;
+import org.medlardrum.entry.internal.model.ModelServices;
+import org.medlardrum.entry.internal.route.RouteTable;
+import org.medlardrum.entry.internal.service.CallTimes;
+import org.medlardrum.entry.internal.service.ServiceRun;
+import org.medlardrum.entry.internal.settings.Settings;
+import org.medlardrum.state.Host;
+import org.medlardrum.state.HostState;
+import org.medlardrum.state.config.ConfigDocuments;
+import org.medlardrum.state.config.ConfigParser;
+import org.medlardrum.state.config.ConfigResult;
+import org.medlardrum.transport.EngineClient;
+import org.medlardrum.transport.HttpPlatformStore;
+import org.medlardrum.transport.ServiceClient;
+import org.medlardrum.transport.internal.Addresses;
+import org.medlardrum.transport.peer.PeerServer;
+import org.medlardrum.transport.peer.ThriftPeerNetwork;
+import org.medlardrum.transport.server.HttpListener;
+import org.medlardrum.transport.server.ServerLimits;
+import org.tinylog.Logger;
+
+/**
+ * An entry host with all its threads and listeners.
+ */
+public final class EntryHost implements AutoCloseable {
+
+	private static final ServerLimits ADMIN_LIMITS = new ServerLimits(64, 8192, 60_000, 5_000, 10_000);
+
+	private static final int MAX_SERVICE_RESPONSE_BYTES = 4 * 1024 * 1024;
+
+	private static final long POLL_TIMEOUT_MS = 1000;
+
+	private static final long CRASH_PROBE_TIMEOUT_MS = 300;
+
+	private static final Gson GSON = new Gson();
+
+	private final Settings settings;
+
+	private final HttpPlatformStore store;
+
+	private final ThriftPeerNetwork peers;
+
+	private final Membership membership;
+
+	private final Gossip gossip;
+
+	private final ConfigAgent config;
+
+	private final ClaimLedger claims;
+
+	private final EngineClient engineClient;
+
+	private final ServiceClient serviceClient;
+
+	private final Fleet fleet;
+
+	private final Admission admission;
+
+	private final PoolTuner tuner;
+
+	private final Retries retries;
+
+	private final Lifecycle lifecycle;
+
+	private final Metrics metrics = new Metrics();
+
+	private final PeerServer peerServer;
+
+	private final HttpListener callers;
+
+	private final HttpListener admin;
+
+	private final CountDownLatch stopped = new CountDownLatch(1);
+
+	private volatile RouteTable table;
+
+	/**
+	 * Creates and starts a host.
+	 * @param settings the settings
+	 * @throws Exception if an address cannot be used
+	 */
+	public EntryHost(Settings settings) throws Exception {
+		InstantSource clock = InstantSource.system();
+		this.settings = settings;
+		this.store = new HttpPlatformStore(settings.platformAddress(), settings.platformTimeoutMs());
+		this.peers = new ThriftPeerNetwork(settings.peerOptions());
+		this.membership = new Membership(this.store, settings.hostId(), clock, MembershipOptions.DEFAULT);
+		this.gossip = new Gossip(this.peers, this.membership, self(settings), clock, new SplittableRandom(),
+				GossipOptions.DEFAULT);
+		this.config = new ConfigAgent(this.store, this.peers,
+				ConfigAgentSettings.of(settings.hostId(), settings.availabilityZone()), this.membership::livePeers,
+				clock, new SplittableRandom());
+		this.claims = new ClaimLedger(this.store, this.peers, this.membership, settings.hostId(), clock,
+				ClaimOptions.DEFAULT);
+		this.engineClient = new EngineClient(settings.connectTimeoutMs());
+		this.serviceClient = new ServiceClient(settings.connectTimeoutMs(), MAX_SERVICE_RESPONSE_BYTES);
+		this.fleet = new Fleet(
+				this.membership, this.engineClient, clock, new FleetOptions(settings.hostId(),
+						settings.availabilityZone(), settings.pollIntervalMs(), POLL_TIMEOUT_MS),
+				this.gossip::isSuspect);
+		this.admission = new Admission(clock, settings.admissionRingSize());
+		CallTimes callTimes = new CallTimes();
+		this.tuner = new PoolTuner(settings.hostId(), this.membership, this.gossip, this.fleet, this.admission,
+				callTimes);
+		this.retries = new Retries(clock);
+		this.lifecycle = new Lifecycle(settings.drainDelayMs(), settings.drainTimeoutMs(), this.gossip::setDraining);
+		Traces traces = new Traces();
+		CrashDetector crashes = new CrashDetector(this.engineClient, (server, bootId, fingerprints) -> {
+			this.metrics.crash();
+			this.gossip.crashed(server, bootId, fingerprints);
+		}, CRASH_PROBE_TIMEOUT_MS);
+		ModelServices services = new ModelServices(this.engineClient, this.fleet, crashes, this.gossip, this.retries,
+				traces, this.metrics, clock,
+				new AttemptTimeouts(settings.firstFrameTimeoutMs(), settings.stallTimeoutMs()));
+		this.metrics.gauges(this.fleet::view, this.admission::status, this.lifecycle::inFlight, this::configVersion);
+		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()),
+				new EntryPeerHandler(this.gossip, this.config, this.claims), settings.peerOptions());
+		ServiceRun runner = new ServiceRun(this.serviceClient, this.fleet, this.retries, callTimes, traces,
+				this.metrics, clock);
+		StatusPage status = new StatusPage(settings.hostId(), settings.availabilityZone(), this.lifecycle, this.config,
+				this.membership, this.gossip, this.claims, this.fleet, this.admission);
+		start();
+		this.callers = HttpListener.start(settings.callerAddress(), settings.callerLimits(), new CallerHandler(
+				settings.hostId(), () -> this.table, this.lifecycle, services, runner, this.claims, this.admission));
+		this.admin = HttpListener.start(settings.adminAddress(), ADMIN_LIMITS,
+				new AdminHandler(this.lifecycle, this.metrics, traces, () -> this.table != null, status::json,
+						() -> GSON.toJsonTree(this.gossip.crashFacts()), this::drainInBackground));
+		Logger.info("http: host {} listens on port {} for callers and {} for operators", settings.hostId(),
+				this.callers.port(), this.admin.port());
+	}
+
+	/**
+	 * Returns the port for callers.
+	 * @return the port
+	 */
+	public int callerPort() {
+		return this.callers.port();
+	}
+
+	/**
+	 * Returns the port for operators.
+	 * @return the port
+	 */
+	public int adminPort() {
+		return this.admin.port();
+	}
+
+	/**
+	 * Drains the host and waits for the end of the drain.
+	 */
+	public void drain() {
+		if (this.lifecycle.drain()) {
+			this.stopped.countDown();
+		}
+	}
+
+	/**
+	 * Waits until a drain has ended.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void awaitStopped() throws InterruptedException {
+		this.stopped.await();
+	}
+
+	@Override
+	public void close() {
+		this.callers.close();
+		this.admin.close();
+		this.peerServer.close();
+		this.tuner.close();
+		this.admission.close();
+		this.fleet.close();
+		this.config.close();
+		this.gossip.close();
+		this.claims.close();
+		this.membership.close();
+		this.peers.close();
+		this.engineClient.close();
+		this.serviceClient.close();
+		this.store.close();
+	}
+
+	private void start() {
+		this.gossip.onPeerVersion(this.config::heardVersion);
+		this.config.onChange(this::configure);
+		this.admission.start();
+		this.fleet.start();
+		this.tuner.start();
+		this.membership.start();
+		this.gossip.start();
+		this.claims.start();
+		this.config.start();
+		this.peerServer.start();
+	}
+
+	private void configure(ConfigDocuments documents) {
+		switch (ConfigParser.forSite(documents, this.settings.availabilityZone())) {
+			case ConfigResult.Valid valid -> {
+				RouteTable next = new RouteTable(documents.version(), valid.configuration());
+				this.retries.configure(valid.configuration().limits());
+				this.fleet.configure(valid.configuration());
+				this.table = next;
+				this.tuner.configure(next);
+				this.gossip.publishVersion(documents.version());
+				Logger.info("config: version {} is in force", documents.version());
+			}
+			case ConfigResult.Invalid invalid -> Logger.error("config: version {} is not usable here: {}",
+					documents.version(), invalid.faults().get(0).describe());
+		}
+	}
+
+	private long configVersion() {
+		RouteTable current = this.table;
+		return (current != null) ? current.version() : 0;
+	}
+
+	private void drainInBackground() {
+		Thread.ofPlatform().name("drain").start(this::drain);
+	}
+
+	private static Host self(Settings settings) {
+		return new Host(settings.hostId(), settings.availabilityZone(), settings.callerAddress(),
+				settings.peerAddress(), settings.adminAddress(), HostState.LIVE);
+	}
+
+}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/CallerContext.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/CallerContext.java
@@ -30,6 +30,8 @@
 
 	private String organisation;
 
+	private boolean ended;
+
 	CallerContext(String id, HttpServerExchange exchange, Metrics metrics, Traces traces) {
 		this.id = id;
 		this.exchange = exchange;
@@ -92,11 +94,15 @@
 	}
 
 	/**
-	 * Counts the outcome of the request.
+	 * Counts the outcome of the request. Only the first call counts.
 	 * @param outcome {@code completed}, {@code refused}, {@code failed} or {@code cut}
 	 * @param detail technical detail without content of the caller
 	 */
 	public void ended(String outcome, String detail) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
 		this.metrics.request(this.rank, this.organisation, outcome);
 		this.traces.event(this.id, outcome, detail);
 		Logger.info("http: request {} {} after {} ms: {}", this.id, outcome, Math.round(elapsedMs()), detail);
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/Claims.java
@@ -0,0 +1,109 @@
+package org.medlardrum.entry.internal.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+
+import org.medlardrum.coordination.claims.ClaimLedger;
+import org.medlardrum.entry.internal.service.ServiceJob;
+import org.medlardrum.peer.gen.ClaimAnswer;
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+import org.medlardrum.protocol.problem.Problem;
+import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.Outcome;
+import org.medlardrum.transport.ServiceResponse;
+import org.tinylog.Logger;
+
+/**
+ * Claims of non-idempotent calls with a key, before they run, and their outcomes.
+ */
+final class Claims {
+
+	private static final int MAX_BODY_BYTES = 2048;
+
+	private final ClaimLedger ledger;
+
+	private final String hostId;
+
+	Claims(ClaimLedger ledger, String hostId) {
+		this.ledger = ledger;
+		this.hostId = hostId;
+	}
+
+	Claim claim(ServiceJob job) {
+		String attemptId = UUID.randomUUID().toString();
+		ClaimAnswer answer = this.ledger.claim(new ClaimRequest(job.organisation(), job.route(), job.idempotencyKey(),
+				job.fingerprint(), this.hostId, attemptId, job.timeoutMs()));
+		long retryAfterMs = Math.max(1000, answer.getRetryAfterMs());
+		return switch (answer.getVerdict()) {
+			case GRANTED -> new Claim(attemptId, null, null);
+			case COMPLETED -> new Claim(attemptId, response(answer.getOutcome()), null);
+			// The earlier request with the key may run, so "no" would invite a new key.
+			case IN_PROGRESS -> refused(new Problem(ProblemType.IN_PROGRESS,
+					"a request with this idempotency key is running", job.rank(), "unknown", retryAfterMs));
+			case OUTCOME_UNKNOWN -> refused(Problem.mayHaveRun(ProblemType.OUTCOME_UNKNOWN,
+					"the outcome of the earlier request with this idempotency key is unknown", job.rank()));
+			case DIFFERENT_REQUEST -> refused(Problem.notRun(ProblemType.KEY_REUSED,
+					"the idempotency key was used with another request", job.rank(), 0));
+			case STORE_UNAVAILABLE -> refused(Problem.notRun(ProblemType.CLAIMS_UNAVAILABLE,
+					"the claim could not be recorded", job.rank(), retryAfterMs));
+		};
+	}
+
+	void record(ServiceJob job, Claim claim, Outcome<ServiceResponse> outcome) {
+		ClaimOutcome record = new ClaimOutcome();
+		record.setOrganisation(job.organisation());
+		record.setRoute(job.route());
+		record.setIdempotencyKey(job.idempotencyKey());
+		record.setAttemptId(claim.attemptId());
+		switch (outcome) {
+			case Outcome.Completed<ServiceResponse> completed -> completed(record, completed.value());
+			case Outcome.NotRun<ServiceResponse> notRun -> record.setReleased(true);
+			case Outcome.MayHaveRun<ServiceResponse> unclear -> {
+				// The claim stays, so that a repeat gets "outcome unknown".
+				return;
+			}
+		}
+		if (!this.ledger.recordOutcome(record)) {
+			Logger.warn("claims: outcome of request {} not recorded yet", job.request());
+		}
+	}
+
+	private static void completed(ClaimOutcome record, ServiceResponse response) {
+		boolean fits = response.body().length <= MAX_BODY_BYTES;
+		record.setStatus(response.status());
+		record.setBody((fits) ? response.body() : new byte[0]);
+		record.setBodyComplete(fits);
+		for (int i = 0; i + 1 < response.headers().size(); i += 2) {
+			if (response.headers().get(i).equalsIgnoreCase("Content-Type")) {
+				record.setContentType(response.headers().get(i + 1));
+			}
+		}
+	}
+
+	private static ServiceResponse response(ClaimOutcome outcome) {
+		List<String> headers = new ArrayList<>();
+		if (outcome.getContentType() != null && outcome.isBodyComplete()) {
+			headers.addAll(List.of("Content-Type", outcome.getContentType()));
+		}
+		return new ServiceResponse(outcome.getStatus(), headers,
+				(outcome.isSetBody()) ? outcome.getBody() : new byte[0]);
+	}
+
+	private static Claim refused(Problem problem) {
+		return new Claim(null, null, problem);
+	}
+
+	/**
+	 * Result of a claim. The call may run if there is neither an earlier response nor a
+	 * problem.
+	 *
+	 * @param attemptId identifier of the claim
+	 * @param earlierResponse response of the first request with the key
+	 * @param problem why the call may not run
+	 */
+	record Claim(String attemptId, ServiceResponse earlierResponse, Problem problem) {
+	}
+
+}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/service/ServiceRun.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/service/ServiceRun.java
@@ -33,6 +33,8 @@
 
 	private final Retries retries;
 
+	private final CallTimes callTimes;
+
 	private final Traces traces;
 
 	private final Metrics metrics;
@@ -44,15 +46,17 @@
 	 * @param client client of the services
 	 * @param fleet knowledge about the servers
 	 * @param retries retry budget
+	 * @param callTimes measured times of calls
 	 * @param traces history of requests
 	 * @param metrics metrics
 	 * @param clock the clock
 	 */
-	public ServiceRun(ServiceClient client, Fleet fleet, Retries retries, Traces traces, Metrics metrics,
-			InstantSource clock) {
+	public ServiceRun(ServiceClient client, Fleet fleet, Retries retries, CallTimes callTimes, Traces traces,
+			Metrics metrics, InstantSource clock) {
 		this.client = client;
 		this.fleet = fleet;
 		this.retries = retries;
+		this.callTimes = callTimes;
 		this.traces = traces;
 		this.metrics = metrics;
 		this.clock = clock;
@@ -98,12 +102,14 @@
 		String server = chosen.server().id();
 		long id = this.fleet.started(List.of(server), job.fingerprint());
 		Outcome<ServiceResponse> outcome;
+		long startNs = System.nanoTime();
 		try {
 			outcome = this.client.call(chosen.server().address(), job.call(), leftMs);
 		}
 		finally {
 			this.fleet.ended(List.of(server), id);
 		}
+		this.callTimes.record(job.pool(), (System.nanoTime() - startNs) / 1e6);
 		record(job, server, number, outcome);
 		if (!(outcome instanceof Outcome.Completed<ServiceResponse>)) {
 			excluded.add(server);
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpListener.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpListener.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
@@ -33,6 +35,8 @@
 
 	private static final long SWEEP_INTERVAL_MS = 250;
 
+	private static final long CLOSE_TIMEOUT_MS = 1000;
+
 	private final Map<Object, TrackedConnection> connections = new ConcurrentHashMap<>();
 
 	private final ServerLimits limits;
@@ -89,13 +93,21 @@
 		return this.connections.size();
 	}
 
+	/**
+	 * Stops listening, lets responses that are being sent end, and closes all
+	 * connections.
+	 */
 	@Override
 	public void close() {
 		try {
-			this.server.close();
+			this.server.closeAsyncGracefully().toFuture().get(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			this.server.closeAsync().subscribe();
 		}
-		catch (Exception ex) {
-			throw new IllegalStateException("Server could not be closed", ex);
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			this.server.closeAsync().subscribe();
 		}
 		this.threads.shutdown();
 	}
