--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/DemandMeter.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/DemandMeter.java
@@ -49,8 +49,8 @@
 
 	List<OrganisationDemand> organisations(String pool) {
 		List<OrganisationDemand> result = new ArrayList<>();
-		this.organisations.forEach((name, rates) -> result.add(new OrganisationDemand(pool, name,
-				Math.round(rates.offeredPerS), Math.round(rates.servedPerS))));
+		this.organisations.forEach((name, rates) -> result
+			.add(new OrganisationDemand(pool, name, Math.round(rates.offeredPerS), Math.round(rates.servedPerS))));
 		return result;
 	}
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
@@ -24,6 +24,7 @@
 import org.medlardrum.state.FleetSnapshot;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostDirectory;
+import org.medlardrum.state.HostState;
 import org.medlardrum.state.Outcome;
 import org.medlardrum.state.Stage;
 import org.medlardrum.state.config.Configuration;
@@ -47,7 +48,9 @@
 
 	private static final int MAX_CONCURRENT_POLLS = 32;
 
-	/** Servers outside this host's share are reported by traffic; this is the fallback. */
+	/**
+	 * Servers outside this host's share are reported by traffic; this is the fallback.
+	 */
 	private static final int OTHERS_POLL_FACTOR = 12;
 
 	private static final long FAILED_POLL_RETRY_MS = 500;
@@ -263,7 +266,7 @@
 		int messages = this.ring.drain(Runnable::run);
 		long nowMs = this.clock.millis();
 		HostDirectory newest = this.membership.directory();
-		if (newest != this.directory) {
+		if (newest.revision() != this.directory.revision()) {
 			accept(newest, nowMs);
 		}
 		poll(nowMs);
@@ -299,15 +302,10 @@
 	}
 
 	private void poll(long nowMs) {
-		Set<String> hosts = new HashSet<>();
-		hosts.add(this.options.hostId());
-		for (Host peer : this.membership.livePeers()) {
-			if (peer.availabilityZone().equals(this.options.availabilityZone())) {
-				hosts.add(peer.id());
-			}
-		}
+		Set<String> hosts = null;
 		for (ServerState state : this.servers.values()) {
 			if (state.isPollDue(nowMs) && this.polls.tryAcquire()) {
+				hosts = (hosts != null) ? hosts : hostsOfZone();
 				state.pollStarted();
 				String address = state.server().address();
 				String id = state.server().id();
@@ -317,6 +315,17 @@
 		}
 	}
 
+	private Set<String> hostsOfZone() {
+		Set<String> hosts = new HashSet<>();
+		hosts.add(this.options.hostId());
+		for (Host peer : this.membership.livePeers()) {
+			if (peer.availabilityZone().equals(this.options.availabilityZone())) {
+				hosts.add(peer.id());
+			}
+		}
+		return hosts;
+	}
+
 	private boolean isOwnShare(ServerState state, Set<String> hosts) {
 		return state.server().availabilityZone().equals(this.options.availabilityZone())
 				&& Rendezvous.owner(state.server().id(), hosts)
@@ -347,9 +356,15 @@
 	private FleetView buildView(long nowMs) {
 		Map<String, List<EngineState>> engines = new HashMap<>();
 		Map<String, List<ServiceState>> services = new HashMap<>();
+		Set<String> leavingIds = new HashSet<>();
+		for (BackendServer server : this.membership.directory().backendServers()) {
+			if (server.state() == HostState.LEAVING) {
+				leavingIds.add(server.id());
+			}
+		}
 		for (ServerState state : this.servers.values()) {
 			BackendServer server = state.server();
-			boolean leaving = this.membership.isLeaving(server.id());
+			boolean leaving = leavingIds.contains(server.id());
 			if (server.kind() == BackendServerKind.ENGINE) {
 				engines.computeIfAbsent(server.pool(), (pool) -> new ArrayList<>())
 					.add(state.engineState(this.slowStart, this.isSuspect, leaving, nowMs));
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/route/RouteTable.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/route/RouteTable.java
@@ -41,8 +41,7 @@
 				this.serviceRoutes.add(new Route(name, route));
 			}
 		});
-		this.serviceRoutes.sort(Comparator
-			.<Route>comparingInt((route) -> -route.config().pathPrefix().length())
+		this.serviceRoutes.sort(Comparator.<Route>comparingInt((route) -> -route.config().pathPrefix().length())
 			.thenComparing((route) -> "*".equals(route.config().method()))
 			.thenComparing(Route::name));
 	}
@@ -86,7 +85,7 @@
 
 	/**
 	 * Finds the service route with the longest matching path prefix.
-	 * @param method HTTP method
+	 * @param method method of the request
 	 * @param path path of the request
 	 * @return the route
 	 */
