Make host shares fair and crash attribution exact

Cause: a host flooded by one organisation took the windows of the others, neighbours of a crashing request stayed suspects, and circuits ignored error rates. Before: merging the same facts in two orders gave two results (found by CrashLedgerTests.mergesToTheSameFactsInAnyOrder). After: HostSharesTests, CrashLedgerTests and OverloadProtectionTests pass. Conclusion: when peers count separate crashes at the same time, the merged count can be one too low, which delays a quarantine by one crash.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CircuitBreaker.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CircuitBreaker.java
@@ -1,63 +1,114 @@
 package org.medlardrum.decisions;
 
+import java.util.random.RandomGenerator;
+
 import org.medlardrum.state.CircuitState;
 
 /**
  * Circuit breaker of one backend server. It opens on consecutive failures or on a high
- * error rate, and closes after a successful probe.
+ * error rate, lets one probe through after a wait that doubles with each failed probe,
+ * and closes when a probe succeeds. <pre>{@code
+ * if (circuit.tryAcquire(nowMs)) {
+ *     send(request, (ok) -> circuit.onResult(ok, clock.millis()));
+ * }
+ * }</pre>
  */
 public final class CircuitBreaker {
 
+	private static final int MAX_DOUBLINGS = 20;
+
 	private final CircuitBreakerSettings settings;
 
-	private CircuitState state = CircuitState.CLOSED;
+	private final RandomGenerator random;
+
+	private final ResultWindow window;
+
+	private boolean closed = true;
+
+	private boolean probing;
 
 	private int consecutiveFailures;
 
-	private long openUntilMs;
+	private int failedProbes;
 
-	private long probeUntilMs;
+	private long probeAtMs;
 
 	/**
-	 * Creates a closed circuit breaker.
+	 * Creates a closed circuit breaker whose waits are not spread.
 	 * @param settings thresholds
 	 */
 	public CircuitBreaker(CircuitBreakerSettings settings) {
+		this(settings, null);
+	}
+
+	/**
+	 * Creates a closed circuit breaker.
+	 * @param settings thresholds
+	 * @param random spreads the probes of many hosts over time
+	 */
+	public CircuitBreaker(CircuitBreakerSettings settings, RandomGenerator random) {
 		this.settings = settings;
+		this.random = random;
+		this.window = new ResultWindow(settings.windowMs());
 	}
 
 	/**
-	 * Records the result of a request.
+	 * Records the result of a request. While the circuit is open and no probe is due,
+	 * results are those of requests sent before it opened, and are ignored.
 	 * @param ok whether the backend server answered without a fault of its own
 	 * @param nowMs clock reading, in milliseconds
 	 */
 	public void onResult(boolean ok, long nowMs) {
-		if (ok) {
-			this.consecutiveFailures = 0;
-			if (state(nowMs) != CircuitState.OPEN || this.probeUntilMs > 0) {
-				this.state = CircuitState.CLOSED;
-				this.probeUntilMs = 0;
+		if (this.closed) {
+			onResultWhileClosed(ok, nowMs);
+		}
+		else if (this.probing || nowMs >= this.probeAtMs) {
+			this.failedProbes = (ok) ? 0 : this.failedProbes + 1;
+			if (ok) {
+				close();
+			}
+			else {
+				open(nowMs);
 			}
-			return;
 		}
-		this.consecutiveFailures++;
-		if (this.state != CircuitState.CLOSED || this.consecutiveFailures >= this.settings.consecutiveFailures()) {
-			this.state = CircuitState.OPEN;
-			this.openUntilMs = nowMs + this.settings.openMs();
-			this.probeUntilMs = 0;
+	}
+
+	private void onResultWhileClosed(boolean ok, long nowMs) {
+		this.window.add(ok, nowMs);
+		this.consecutiveFailures = (ok) ? 0 : this.consecutiveFailures + 1;
+		boolean tooManyInARow = this.consecutiveFailures >= this.settings.consecutiveFailures();
+		if (!ok && (tooManyInARow
+				|| this.window.exceeds(this.settings.errorRate(), this.settings.minimumResults(), nowMs))) {
+			open(nowMs);
 		}
 	}
 
+	private void close() {
+		this.closed = true;
+		this.probing = false;
+		this.consecutiveFailures = 0;
+		this.window.clear();
+	}
+
+	private void open(long nowMs) {
+		this.closed = false;
+		this.probing = false;
+		int doublings = Math.min(MAX_DOUBLINGS, this.failedProbes);
+		double waitMs = Math.min(this.settings.maxOpenMs(), (double) this.settings.openMs() * (1L << doublings));
+		double spread = (this.random != null) ? 0.5 + this.random.nextDouble() / 2 : 1;
+		this.probeAtMs = nowMs + (long) (waitMs * spread);
+	}
+
 	/**
 	 * Returns the state. While a probe is in flight the circuit reads as open.
 	 * @param nowMs clock reading, in milliseconds
 	 * @return the state
 	 */
 	public CircuitState state(long nowMs) {
-		if (this.state == CircuitState.CLOSED) {
+		if (this.closed) {
 			return CircuitState.CLOSED;
 		}
-		return (nowMs >= Math.max(this.openUntilMs, this.probeUntilMs)) ? CircuitState.HALF_OPEN : CircuitState.OPEN;
+		return (nowMs >= this.probeAtMs) ? CircuitState.HALF_OPEN : CircuitState.OPEN;
 	}
 
 	/**
@@ -69,7 +120,8 @@
 	public boolean tryAcquire(long nowMs) {
 		CircuitState current = state(nowMs);
 		if (current == CircuitState.HALF_OPEN) {
-			this.probeUntilMs = nowMs + this.settings.probeTimeoutMs();
+			this.probing = true;
+			this.probeAtMs = nowMs + this.settings.probeTimeoutMs();
 		}
 		return current != CircuitState.OPEN;
 	}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CircuitBreakerSettings.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CircuitBreakerSettings.java
@@ -20,4 +20,12 @@
 	public static final CircuitBreakerSettings DEFAULT = new CircuitBreakerSettings(5, 0.5, 10, 10_000, 1_000, 30_000,
 			10_000);
 
+	public CircuitBreakerSettings {
+		if (consecutiveFailures < 1 || !(errorRate > 0) || windowMs < 1 || openMs < 1 || maxOpenMs < openMs) {
+			throw new IllegalArgumentException(
+					"Circuit breaker thresholds are out of range: " + consecutiveFailures + " failures, error rate "
+							+ errorRate + ", window " + windowMs + " ms, open " + openMs + " to " + maxOpenMs + " ms");
+		}
+	}
+
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CrashLedger.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CrashLedger.java
@@ -1,15 +1,18 @@
 package org.medlardrum.decisions;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * Finds the requests that crash the engines that run them.
+ * Finds the requests that crash the engines that run them. Each request in the batch of a
+ * crashed engine becomes a suspect until it completes. A fingerprint that was the only
+ * former suspect at its second crash, or is present at three crashes, is quarantined. The
+ * crashes of a quarantined fingerprint no longer count against the requests beside it.
  */
 public final class CrashLedger {
 
@@ -17,11 +20,18 @@
 
 	private static final int CRASHES_IN_COMPANY = 3;
 
+	// A total order makes hosts agree in whatever order they hear the facts.
+	private static final Comparator<CrashFact> MERGE_ORDER = Comparator
+		.comparing((CrashFact fact) -> fact.kind() == CrashFact.Kind.QUARANTINED)
+		.thenComparing(CrashFact::untilMs)
+		.thenComparing((fact) -> fact.kind() == CrashFact.Kind.CLEARED)
+		.thenComparing(CrashFact::crashes);
+
 	private final long quarantineMs;
 
 	private final Map<String, CrashFact> facts = new HashMap<>();
 
-	private final Set<String> countedCrashes = new HashSet<>();
+	private final Map<String, Crash> crashes = new HashMap<>();
 
 	/**
 	 * Creates an empty ledger.
@@ -37,61 +47,98 @@
 	/**
 	 * Records the crash of an engine. Reports of the same crash after the first are
 	 * ignored. The fingerprints are those whose current attempt ran on the engine; an
-	 * attempt ends with the first crash on its chain.
+	 * attempt ends with the first crash on its chain, so that one failure that stops
+	 * several engines of a chain counts once.
 	 * @param server id of the engine
 	 * @param bootId boot id of the engine that crashed
 	 * @param fingerprints requests in the engine's batch
 	 * @param nowMs clock reading, in milliseconds
-	 * @return facts that are new to peers
+	 * @return changed facts, for peers
 	 */
 	public List<CrashFact> crashed(String server, String bootId, Set<String> fingerprints, long nowMs) {
-		if (!this.countedCrashes.add(server + '/' + bootId)) {
+		expire(nowMs);
+		Crash crash = new Crash(new HashSet<>(fingerprints), nowMs);
+		if (this.crashes.putIfAbsent(server + '/' + bootId, crash) != null) {
+			return List.of();
+		}
+		if (fingerprints.stream().anyMatch((fingerprint) -> is(CrashFact.Kind.QUARANTINED, fingerprint))) {
+			crash.explained = true;
 			return List.of();
 		}
-		Set<String> formerSuspects = new HashSet<>(fingerprints);
-		formerSuspects.removeIf((fingerprint) -> !isSuspect(fingerprint));
-		List<CrashFact> changed = new ArrayList<>();
+		List<String> formerSuspects = fingerprints.stream().filter(this::isSuspect).toList();
+		Set<String> changed = new HashSet<>(fingerprints);
+		Set<String> quarantined = new HashSet<>();
 		for (String fingerprint : fingerprints) {
-			CrashFact former = this.facts.get(fingerprint);
-			int crashes = ((former != null) ? former.crashes() : 0) + 1;
-			boolean onlySuspect = formerSuspects.size() == 1 && formerSuspects.contains(fingerprint);
-			boolean guilty = crashes >= CRASHES_IN_COMPANY || (onlySuspect && crashes >= CRASHES_AS_ONLY_SUSPECT);
-			CrashFact fact = new CrashFact((guilty) ? CrashFact.Kind.QUARANTINED : CrashFact.Kind.SUSPECT, fingerprint,
-					crashes, nowMs + this.quarantineMs);
-			this.facts.put(fingerprint, fact);
-			changed.add(fact);
+			int count = count(fingerprint) + 1;
+			boolean onlySuspect = formerSuspects.equals(List.of(fingerprint));
+			boolean guilty = count >= CRASHES_IN_COMPANY || (onlySuspect && count >= CRASHES_AS_ONLY_SUSPECT);
+			if (guilty) {
+				quarantined.add(fingerprint);
+			}
+			put((guilty) ? CrashFact.Kind.QUARANTINED : CrashFact.Kind.SUSPECT, fingerprint, count,
+					nowMs + this.quarantineMs);
+		}
+		quarantined.forEach((fingerprint) -> changed.addAll(exonerateNeighbours(fingerprint)));
+		return changed.stream().map(this.facts::get).toList();
+	}
+
+	private Set<String> exonerateNeighbours(String quarantined) {
+		Set<String> changed = new HashSet<>();
+		for (Crash crash : this.crashes.values()) {
+			if (crash.explained || !crash.fingerprints.contains(quarantined)) {
+				continue;
+			}
+			crash.explained = true;
+			for (String neighbour : crash.fingerprints) {
+				CrashFact fact = this.facts.get(neighbour);
+				if (is(CrashFact.Kind.SUSPECT, neighbour)) {
+					int count = fact.crashes() - 1;
+					put((count > 0) ? CrashFact.Kind.SUSPECT : CrashFact.Kind.CLEARED, neighbour, count,
+							fact.untilMs());
+					changed.add(neighbour);
+				}
+			}
 		}
 		return changed;
 	}
 
 	/**
-	 * Clears a suspect that completed.
+	 * Clears a suspect that completed. A quarantine stays, because other copies of the
+	 * request crashed engines.
 	 * @param fingerprint fingerprint of the request
+	 * @return the changed fact, for peers; empty when the request was no suspect
 	 */
-	public void completed(String fingerprint) {
+	public Optional<CrashFact> completed(String fingerprint) {
 		CrashFact fact = this.facts.get(fingerprint);
-		if (fact != null && fact.kind() == CrashFact.Kind.SUSPECT) {
-			this.facts.remove(fingerprint);
+		if (!is(CrashFact.Kind.SUSPECT, fingerprint)) {
+			return Optional.empty();
 		}
+		put(CrashFact.Kind.CLEARED, fingerprint, 0, fact.untilMs());
+		this.crashes.values().forEach((crash) -> crash.fingerprints.remove(fingerprint));
+		return Optional.of(this.facts.get(fingerprint));
 	}
 
 	/**
-	 * Merges a fact from a peer. Facts may arrive late, twice and in any order.
+	 * Merges a fact from a peer. Facts may arrive late, twice and in any order: a
+	 * quarantine wins, then the later end, then clearing over suspicion, then the higher
+	 * count.
 	 * @param fact the peer's fact
 	 * @param nowMs clock reading, in milliseconds
 	 */
 	public void merge(CrashFact fact, long nowMs) {
-		if (fact.kind() == CrashFact.Kind.CLEARED) {
-			completed(fact.fingerprint());
-			return;
-		}
+		expire(nowMs);
 		if (fact.untilMs() <= nowMs) {
 			return;
 		}
+		// A peer's fast clock must not prolong a quarantine.
+		CrashFact capped = new CrashFact(fact.kind(), fact.fingerprint(), fact.crashes(),
+				Math.min(fact.untilMs(), nowMs + this.quarantineMs));
 		CrashFact own = this.facts.get(fact.fingerprint());
-		if (own == null || fact.kind().ordinal() > own.kind().ordinal()
-				|| (fact.kind() == own.kind() && (fact.crashes() > own.crashes() || fact.untilMs() > own.untilMs()))) {
-			this.facts.put(fact.fingerprint(), fact);
+		if (own == null || MERGE_ORDER.compare(capped, own) > 0) {
+			this.facts.put(fact.fingerprint(), capped);
+			if (capped.kind() == CrashFact.Kind.QUARANTINED) {
+				exonerateNeighbours(fact.fingerprint());
+			}
 		}
 	}
 
@@ -101,7 +148,7 @@
 	 * @return {@code true} for a suspect, quarantined or not
 	 */
 	public boolean isSuspect(String fingerprint) {
-		return this.facts.containsKey(fingerprint);
+		return is(CrashFact.Kind.SUSPECT, fingerprint) || is(CrashFact.Kind.QUARANTINED, fingerprint);
 	}
 
 	/**
@@ -112,28 +159,54 @@
 	 */
 	public long quarantinedUntilMs(String fingerprint, long nowMs) {
 		CrashFact fact = this.facts.get(fingerprint);
-		boolean quarantined = fact != null && fact.kind() == CrashFact.Kind.QUARANTINED && fact.untilMs() > nowMs;
+		boolean quarantined = is(CrashFact.Kind.QUARANTINED, fingerprint) && fact.untilMs() > nowMs;
 		return (quarantined) ? fact.untilMs() : 0;
 	}
 
 	/**
-	 * Forgets suspicions and quarantines that have ended.
+	 * Forgets facts that have ended. Recording and merging do this, too.
 	 * @param nowMs clock reading, in milliseconds
 	 */
 	public void expire(long nowMs) {
-		for (Iterator<CrashFact> facts = this.facts.values().iterator(); facts.hasNext();) {
-			if (facts.next().untilMs() <= nowMs) {
-				facts.remove();
-			}
-		}
+		this.facts.values().removeIf((fact) -> fact.untilMs() <= nowMs);
+		this.crashes.values().removeIf((crash) -> crash.atMs + this.quarantineMs <= nowMs);
 	}
 
 	/**
 	 * Returns all that is known, for peers and for the quarantine page.
-	 * @return suspects and quarantined requests
+	 * @return suspects, quarantined requests and recently cleared suspects
 	 */
 	public List<CrashFact> entries() {
 		return List.copyOf(this.facts.values());
 	}
 
+	private boolean is(CrashFact.Kind kind, String fingerprint) {
+		CrashFact fact = this.facts.get(fingerprint);
+		return fact != null && fact.kind() == kind;
+	}
+
+	private int count(String fingerprint) {
+		CrashFact fact = this.facts.get(fingerprint);
+		return (fact != null) ? fact.crashes() : 0;
+	}
+
+	private void put(CrashFact.Kind kind, String fingerprint, int crashes, long untilMs) {
+		this.facts.put(fingerprint, new CrashFact(kind, fingerprint, crashes, untilMs));
+	}
+
+	private static final class Crash {
+
+		private final Set<String> fingerprints;
+
+		private final long atMs;
+
+		private boolean explained;
+
+		Crash(Set<String> fingerprints, long atMs) {
+			this.fingerprints = fingerprints;
+			this.atMs = atMs;
+		}
+
+	}
+
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/HostShares.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/HostShares.java
@@ -1,54 +1,130 @@
 package org.medlardrum.decisions;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
- * This host's part of a pool, from a sample of the entry hosts' demands. The ratios need
- * no complete table: the fleet's demand is the mean demand of the sample times the number
- * of live hosts.
+ * This host's part of a pool, from a sample of the entry hosts' demands. The fleet's
+ * demand is the mean of the sample times the number of live hosts, so no complete table
+ * is needed. The pool is first divided among organisations by weighted max-min fairness;
+ * a host's part is what its organisations' requests get, so that a host flooded by one
+ * organisation does not take the windows of the others. <pre>{@code
+ * HostShares shares = HostShares.of(ownId, gossip.demands(pool), liveHosts, weights, poolCostPerS);
+ * int windowSlots = (int) Math.max(1, poolSlots * shares.windowShare());
+ * }</pre>
  */
 public final class HostShares {
 
-	private final double windowShare;
+	// Stands for all organisations that hosts do not list; no organisation has this name.
+	private static final String UNLISTED = "";
+
+	private final int hosts;
+
+	private final Map<String, Double> weights;
+
+	private final Map<String, Double> fleetDemand;
 
-	private final Map<String, Double> organisationCostPerS;
+	private final Map<String, Double> ownDemand;
 
-	private final double unlistedCostPerS;
+	private final FairShare fair;
 
-	private HostShares(double windowShare, Map<String, Double> organisationCostPerS, double unlistedCostPerS) {
-		this.windowShare = windowShare;
-		this.organisationCostPerS = organisationCostPerS;
-		this.unlistedCostPerS = unlistedCostPerS;
+	private final double windowShare;
+
+	private HostShares(String ownHostId, Collection<HostDemand> demands, int hosts, Map<String, Double> weights,
+			double poolCostPerS) {
+		this.hosts = hosts;
+		this.weights = weights;
+		this.fleetDemand = fleetDemand(demands, hosts);
+		this.fair = FairShare.of(weighted(this.fleetDemand, weights), poolCostPerS);
+		double fairSum = 0;
+		double ownFair = 0;
+		Map<String, Double> own = Map.of();
+		for (HostDemand demand : demands) {
+			Map<String, Double> byOrganisation = byOrganisation(demand);
+			double hostFair = fairPart(byOrganisation);
+			fairSum += hostFair;
+			if (demand.hostId().equals(ownHostId)) {
+				own = byOrganisation;
+				ownFair = hostFair;
+			}
+		}
+		this.ownDemand = own;
+		double share = (fairSum > 0) ? ownFair * demands.size() / (fairSum * hosts) : 1.0 / hosts;
+		this.windowShare = clamp(share);
 	}
 
 	/**
 	 * Computes the shares.
 	 * @param ownHostId id of this host
-	 * @param demands sample of demands, with or without this host's own
+	 * @param demands sample of demands, with this host's own
 	 * @param liveHosts number of live entry hosts in the directory
-	 * @param organisationWeights share weights; a missing organisation has weight 1
+	 * @param organisationWeights share weights of the configured organisations; a missing
+	 * one has weight 1
 	 * @param poolCostPerS cost that the whole pool completes in a second
 	 * @return the shares
 	 */
 	public static HostShares of(String ownHostId, Collection<HostDemand> demands, int liveHosts,
 			Map<String, Double> organisationWeights, double poolCostPerS) {
-		int hosts = Math.max(1, liveHosts);
-		long own = 0;
-		double sum = 0;
+		if (!(poolCostPerS > 0)) {
+			throw new IllegalArgumentException("Pool completes cost " + poolCostPerS + " per second; not positive");
+		}
+		return new HostShares(ownHostId, demands, Math.max(1, liveHosts), Map.copyOf(organisationWeights),
+				poolCostPerS);
+	}
+
+	private static Map<String, Double> byOrganisation(HostDemand demand) {
+		Map<String, Double> result = new HashMap<>();
+		double unlisted = demand.totalCostPerS();
+		for (Map.Entry<String, Long> entry : demand.organisationDemandCostPerS().entrySet()) {
+			result.put(entry.getKey(), (double) entry.getValue());
+			unlisted -= entry.getValue();
+		}
+		result.put(UNLISTED, Math.max(0, unlisted));
+		return result;
+	}
+
+	private static Map<String, Double> fleetDemand(Collection<HostDemand> demands, int hosts) {
+		Map<String, Double> sums = new HashMap<>();
 		for (HostDemand demand : demands) {
-			sum += demand.totalCostPerS();
-			if (demand.hostId().equals(ownHostId)) {
-				own = demand.totalCostPerS();
-			}
+			byOrganisation(demand).forEach((organisation, cost) -> sums.merge(organisation, cost, Double::sum));
+		}
+		sums.replaceAll((organisation, cost) -> cost * hosts / demands.size());
+		return sums;
+	}
+
+	private static List<FairShare.Demand> weighted(Map<String, Double> demand, Map<String, Double> weights) {
+		double unlistedWeight = 0;
+		for (Map.Entry<String, Double> entry : weights.entrySet()) {
+			unlistedWeight += (demand.containsKey(entry.getKey())) ? 0 : weight(entry.getKey(), weights);
+		}
+		List<FairShare.Demand> result = new ArrayList<>();
+		for (Map.Entry<String, Double> entry : demand.entrySet()) {
+			double weight = (entry.getKey().equals(UNLISTED)) ? Math.max(1, unlistedWeight)
+					: weight(entry.getKey(), weights);
+			result.add(new FairShare.Demand(entry.getKey(), weight, entry.getValue()));
 		}
-		double share = 1.0 / hosts;
-		if (sum > 0) {
-			share = own / (sum / demands.size() * hosts);
+		return result;
+	}
+
+	private static double weight(String organisation, Map<String, Double> weights) {
+		double weight = weights.getOrDefault(organisation, 1.0);
+		return (weight > 0) ? weight : 1.0;
+	}
+
+	private double fairPart(Map<String, Double> hostDemand) {
+		double part = 0;
+		for (Map.Entry<String, Double> entry : hostDemand.entrySet()) {
+			double fleet = this.fleetDemand.get(entry.getKey());
+			part += (fleet > 0) ? entry.getValue() * this.fair.allocation(entry.getKey()) / fleet : 0;
 		}
-		share = Math.min(1, Math.max(share, 0.5 / hosts));
-		return new HostShares(share, new HashMap<>(), share * poolCostPerS);
+		return part;
+	}
+
+	private double clamp(double share) {
+		return Math.min(1, Math.max(share, 0.5 / this.hosts));
 	}
 
 	/**
@@ -60,12 +136,19 @@
 	}
 
 	/**
-	 * Returns the cost per second that an organisation is allowed on this host.
+	 * Returns the cost per second that an organisation is allowed on this host: its fair
+	 * share of the pool, divided among hosts by where its requests arrive. The values are
+	 * meant as weights of the host's admission queue.
 	 * @param organisation name of the organisation
-	 * @return the allowance
+	 * @return the allowance, positive
 	 */
 	public double organisationCostPerS(String organisation) {
-		return this.organisationCostPerS.getOrDefault(organisation, this.unlistedCostPerS);
+		double fleet = this.fleetDemand.getOrDefault(organisation, 0.0);
+		double part = 1.0 / this.hosts;
+		if (fleet > 0) {
+			part = clamp(this.ownDemand.getOrDefault(organisation, 0.0) / fleet);
+		}
+		return this.fair.level() * weight(organisation, this.weights) * part;
 	}
 
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RetryBudget.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RetryBudget.java
@@ -7,8 +7,8 @@
  */
 public final class RetryBudget {
 
-	// One retry a second is below 0.5% of a host's 50 requests/s at design size even at
-	// the largest bucket, and lets a host with one request a minute retry it.
+	// One retry a second is 2% of a host's 50 requests/s at design size, and lets a host
+	// with one request a minute retry it.
 	private static final double REFILL_PER_MS = 0.001;
 
 	private final double share;
