Prove the engine and service stand-ins by tests

Cause: a wrong stand-in makes every proof built on it worthless. The scheduler took its time origin after the first clock reading, so that the first step of a process counted as expired; the origin is now taken first. Before: the first request of an engine process ended with an expired error.

--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
@@ -18,6 +18,9 @@
 	/** Largest time by which a late start is made up for. */
 	private static final long MAX_CATCH_UP_NS = TimeUnit.MILLISECONDS.toNanos(50);
 
+	/** Origin of the scheduler's times, so that they are never negative. */
+	private static final long ORIGIN_NS = System.nanoTime();
+
 	private final ReentrantLock lock = new ReentrantLock();
 
 	private final PriorityQueue<Waiter> waiting = new PriorityQueue<>(Comparator.comparing(Waiter::rank)
@@ -158,14 +161,7 @@
 	}
 
 	private static long elapsedNs() {
-		return System.nanoTime() - Origin.NS;
-	}
-
-	/** Origin of the scheduler's times, so that they are never negative. */
-	private static final class Origin {
-
-		static final long NS = System.nanoTime();
-
+		return System.nanoTime() - ORIGIN_NS;
 	}
 
 	private static final class Waiter {
--- /dev/null
+++ b/medlardrum-standins/src/test/java/org/medlardrum/standins/EngineChain.java
@@ -0,0 +1,87 @@
+package org.medlardrum.standins;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.gson.Gson;
+import org.medlardrum.protocol.engine.EngineFrame;
+import org.medlardrum.protocol.engine.EngineFrames;
+import org.medlardrum.protocol.engine.GenerateRequest;
+import org.medlardrum.state.Rank;
+import org.medlardrum.state.Stage;
+
+/**
+ * Engines that hold equal parts of a model, and a client of their head.
+ */
+class EngineChain implements AutoCloseable {
+
+	static final int LAYERS = 6;
+
+	private static final HttpClient CLIENT = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final List<EngineStandIn> engines = new ArrayList<>();
+
+	EngineChain(int stages, int slots, long layerTimeUs) {
+		for (int i = 0; i < stages; i++) {
+			this.engines.add(new EngineStandIn(
+					EngineSettings.of("e" + i, "tally", LAYERS * i / stages, LAYERS * (i + 1) / stages)
+						.withSpeed(slots, layerTimeUs)));
+		}
+	}
+
+	EngineStandIn engine(int index) {
+		return this.engines.get(index);
+	}
+
+	GenerateRequest request(String id, int attempt, String prompt, List<String> emitted, int maxTokens, Rank rank) {
+		List<Stage> chain = this.engines.stream()
+			.map((engine) -> new Stage(engine.settings().id(), engine.address(), engine.settings().fromLayer(),
+					engine.settings().toLayer()))
+			.toList();
+		return new GenerateRequest(id, attempt, "tally", "", "", prompt, emitted, maxTokens, rank, 60_000, LAYERS,
+				chain);
+	}
+
+	List<EngineFrame> generate(GenerateRequest request) throws InterruptedException {
+		List<EngineFrame> frames = new ArrayList<>();
+		try (InputStream body = open(request); BufferedReader lines = new BufferedReader(new InputStreamReader(body))) {
+			String line;
+			while ((line = lines.readLine()) != null) {
+				frames.add(EngineFrames.decode(line));
+			}
+		}
+		catch (IOException ex) {
+			// The frames before the break are the result; the missing end shows it.
+		}
+		return frames;
+	}
+
+	InputStream open(GenerateRequest request) throws IOException, InterruptedException {
+		HttpRequest post = HttpRequest
+			.newBuilder(URI.create("http://" + this.engines.get(0).address() + "/v1/generate"))
+			.POST(HttpRequest.BodyPublishers.ofString(new Gson().toJson(request)))
+			.build();
+		return CLIENT.send(post, HttpResponse.BodyHandlers.ofInputStream()).body();
+	}
+
+	static List<String> texts(List<EngineFrame> frames) {
+		return frames.stream()
+			.filter(EngineFrame.Token.class::isInstance)
+			.map((frame) -> ((EngineFrame.Token) frame).text())
+			.toList();
+	}
+
+	@Override
+	public void close() {
+		this.engines.forEach(EngineStandIn::close);
+	}
+
+}
--- a/medlardrum-standins/src/test/java/org/medlardrum/standins/PlatformStandInTests.java
+++ b/medlardrum-standins/src/test/java/org/medlardrum/standins/PlatformStandInTests.java
@@ -9,6 +9,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.state.HostState;
@@ -19,6 +20,7 @@
  * Guards against a platform that accepts stale writes, loses or repeats writes, or keeps
  * keys of an ended lease: proofs of claims and configuration would then mean nothing.
  */
+@Timeout(120)
 class PlatformStandInTests {
 
 	private final AtomicLong nowMs = new AtomicLong(1_000_000);
