--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/Outcome.java
@@ -0,0 +1,23 @@
+package org.medlardrum.standins.internal.load;
+
+/**
+ * How a request ended for its caller.
+ */
+enum Outcome {
+
+	/** The complete and correct response arrived. */
+	WHOLE,
+
+	/** A problem document arrived instead of a response. */
+	REFUSED,
+
+	/** The response started and ended early, with or without an error event. */
+	CUT_OFF,
+
+	/** A complete response with the wrong content arrived. */
+	WRONG,
+
+	/** No response arrived. */
+	FAILED
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/Schedule.java
@@ -0,0 +1,68 @@
+package org.medlardrum.standins.internal.load;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Poisson arrivals over the phases of a mix. The multipliers of a phase raise or lower
+ * its total rate. The same seed gives the same arrivals. Not thread-safe.
+ */
+final class Schedule {
+
+	private final List<MixRoute> routes;
+
+	private final List<Phase> phases;
+
+	private final Random random;
+
+	private final double totalWeight;
+
+	private int phase;
+
+	private double atNs;
+
+	private double phaseEndNs;
+
+	private long number;
+
+	Schedule(Mix mix, long seed) {
+		this.routes = mix.routes();
+		this.phases = mix.phases();
+		this.random = new Random(seed);
+		this.totalWeight = this.routes.stream().mapToDouble(MixRoute::weight).sum();
+		this.phaseEndNs = TimeUnit.MILLISECONDS.toNanos(this.phases.get(0).durationMs());
+	}
+
+	// Returns the next arrival, or null after the last phase.
+	Arrival next() {
+		while (this.phase < this.phases.size()) {
+			Phase current = this.phases.get(this.phase);
+			double weight = this.routes.stream().mapToDouble(current::weight).sum();
+			double perS = current.ratePerS() * weight / this.totalWeight;
+			this.atNs += (perS > 0) ? -Math.log(1 - this.random.nextDouble()) * 1e9 / perS : this.phaseEndNs;
+			if (this.atNs < this.phaseEndNs) {
+				return new Arrival(++this.number, (long) this.atNs, current, pick(current, weight));
+			}
+			// Poisson arrivals have no memory, so the next phase starts afresh.
+			this.atNs = this.phaseEndNs;
+			this.phase++;
+			if (this.phase < this.phases.size()) {
+				this.phaseEndNs += TimeUnit.MILLISECONDS.toNanos(this.phases.get(this.phase).durationMs());
+			}
+		}
+		return null;
+	}
+
+	private MixRoute pick(Phase current, double weight) {
+		double rest = this.random.nextDouble() * weight;
+		for (MixRoute route : this.routes) {
+			rest -= current.weight(route);
+			if (rest < 0) {
+				return route;
+			}
+		}
+		return this.routes.get(this.routes.size() - 1);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parts of the load command.
+ */
+package org.medlardrum.standins.internal.load;
