Name the members of /status as the command line reads them

Cause: the command line showed no host, readiness or requests in flight. Before: three empty columns in the status command. After: the members exist.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/StatusPage.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/StatusPage.java
@@ -55,10 +55,11 @@
 
 	JsonElement json() {
 		JsonObject json = new JsonObject();
-		json.addProperty("host", this.hostId);
+		json.addProperty("hostId", this.hostId);
 		json.addProperty("availabilityZone", this.availabilityZone);
 		json.addProperty("draining", this.lifecycle.isDraining());
-		json.addProperty("requestsInFlight", this.lifecycle.inFlight());
+		json.addProperty("ready", !this.lifecycle.isDraining() && this.config.current().isPresent());
+		json.addProperty("inFlight", this.lifecycle.inFlight());
 		this.config.current().ifPresent((documents) -> {
 			json.addProperty("configVersion", documents.version());
 			json.addProperty("configHash", documents.hash());
