Test failures of engines and wrong frames

Cause: stalls named the head as the faulty engine, so a frozen tail was chosen again until no chain was left; refusals for lack of servers were 'overloaded'. Change: after a stall probe every engine of the chain; name missing servers no-capacity; flush the log before the process ends. Before: a frozen tail before the first token failed the request. After: 26 failure tests pass (heads, tails, frozen, failing, leaving engines, quarantine, disconnects, outage, wrong frames). Conclusion: answers stay equal to the expected tokens.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/Main.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/Main.java
@@ -5,6 +5,7 @@
 import org.medlardrum.entry.internal.settings.SettingsParser;
 import org.medlardrum.entry.internal.settings.SettingsResult;
 import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * Main class of the entry host process.
@@ -35,17 +36,25 @@
 
 	private static void run(Settings settings) throws Exception {
 		EntryHost host = new EntryHost(settings);
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(host), "shutdown"));
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			host.drain();
+			stop(host);
+		}, "shutdown"));
 		host.awaitStopped();
-		Logger.info("http: host stops");
-		host.close();
-		Runtime.getRuntime().halt(0);
+		stop(host);
 	}
 
-	// A graceful shutdown ends with status 0, not with the status of the signal.
-	private static void stop(EntryHost host) {
-		host.drain();
+	// A graceful shutdown ends with status 0, not with the status of the signal. The log
+	// is written by a thread of its own, which must end first.
+	private static synchronized void stop(EntryHost host) {
 		host.close();
+		Logger.info("http: host stopped");
+		try {
+			ProviderRegistry.getLoggingProvider().shutdown();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		Runtime.getRuntime().halt(0);
 	}
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
@@ -144,7 +144,7 @@
 	private void accept(Ticket ticket) {
 		PoolQueue queue = this.pools.get(ticket.pool());
 		if (queue == null) {
-			ticket.complete(new AdmissionResult.Refused("pool has no backend servers", RING_FULL_RETRY_MS));
+			ticket.complete(new AdmissionResult.NoServers());
 			return;
 		}
 		queue.offer(ticket, this.clock.millis());
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/AdmissionResult.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/AdmissionResult.java
@@ -20,6 +20,12 @@
 	record Refused(String reason, long retryAfterMs) implements AdmissionResult {
 	}
 
+	/**
+	 * The pool has no usable backend servers. The request did not run.
+	 */
+	record NoServers() implements AdmissionResult {
+	}
+
 	/**
 	 * The request's timeout passed in the queue. It did not run.
 	 */
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/CrashDetector.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/CrashDetector.java
@@ -60,37 +60,45 @@
 	}
 
 	/**
-	 * Returns whether an engine answers a load request.
-	 * @param engine the engine
-	 * @return {@code false} if it does not answer in time
-	 */
-	public boolean responds(EngineState engine) {
-		return this.client.load(engine.server().address(),
-				this.probeTimeoutMs) instanceof Outcome.Completed<EngineReport>;
-	}
-
-	/**
-	 * Checks whether an engine crashed, and reports the requests that ran on it.
+	 * Asks an engine for its load, and reports the requests that ran on it when it has
+	 * crashed.
 	 * @param engine the engine as known when the attempt started, may be {@code null}
-	 * @return {@code true} for a crash
+	 * @return the state of the engine
 	 */
-	public boolean check(EngineState engine) {
+	public Health check(EngineState engine) {
 		if (engine == null || engine.report() == null) {
-			return false;
+			return Health.SILENT;
 		}
-		String bootId = engine.report().bootId();
-		boolean crashed = switch (this.client.load(engine.server().address(), this.probeTimeoutMs)) {
-			case Outcome.NotRun<EngineReport> refused -> true;
-			case Outcome.MayHaveRun<EngineReport> unclear -> false;
-			case Outcome.Completed<EngineReport> report -> !String.valueOf(bootId).equals(report.value().bootId());
+		String bootId = String.valueOf(engine.report().bootId());
+		Health health = switch (this.client.load(engine.server().address(), this.probeTimeoutMs)) {
+			case Outcome.NotRun<EngineReport> refused -> Health.CRASHED;
+			case Outcome.MayHaveRun<EngineReport> unclear -> Health.SILENT;
+			case Outcome.Completed<EngineReport> report ->
+				(bootId.equals(report.value().bootId())) ? Health.ALIVE : Health.CRASHED;
 		};
-		if (crashed) {
+		if (health == Health.CRASHED) {
 			String server = engine.server().id();
 			Set<String> fingerprints = new HashSet<>(this.runningByServer.getOrDefault(server, Map.of()).values());
 			Logger.warn("chain: engine {} crashed with {} different requests", server, fingerprints.size());
-			this.listener.crashed(server, String.valueOf(bootId), fingerprints);
+			this.listener.crashed(server, bootId, fingerprints);
 		}
-		return crashed;
+		return health;
+	}
+
+	/**
+	 * State of an engine after a failed attempt.
+	 */
+	public enum Health {
+
+		/** The engine answers and has not restarted. */
+		ALIVE,
+
+		/** The engine does not answer in time. */
+		SILENT,
+
+		/** The engine refuses connections or has restarted. */
+		CRASHED
+
 	}
 
 	/**
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdmissionProblems.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdmissionProblems.java
@@ -19,6 +19,8 @@
 		return switch (result) {
 			case AdmissionResult.Refused refused -> Problem.notRun(ProblemType.OVERLOADED, refused.reason(), rank,
 					Math.max(refused.retryAfterMs(), DEFAULT_RETRY_MS));
+			case AdmissionResult.NoServers none -> Problem.notRun(ProblemType.NO_CAPACITY,
+					"the pool has no usable backend servers", rank, DEFAULT_RETRY_MS);
 			case AdmissionResult.Expired expired -> Problem.notRun(ProblemType.TIMED_OUT,
 					"the timeout of the route passed in the queue", rank, DEFAULT_RETRY_MS);
 			case AdmissionResult.Started started -> throw new IllegalArgumentException("The request was admitted");
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
@@ -75,7 +75,7 @@
 		return switch (outcome) {
 			case Outcome.NotRun<EngineStream> notRun -> refused(head, notRun.reason());
 			case Outcome.MayHaveRun<EngineStream> unclear ->
-				new AttemptResult.Failed(head, unclear.reason(), true, true, true);
+				new AttemptResult.Failed("", unclear.reason(), true, true, true);
 			case Outcome.Completed<EngineStream> completed -> {
 				try (EngineStream stream = completed.value()) {
 					yield read(stream);
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
@@ -3,18 +3,20 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 import org.medlardrum.decisions.ChainDecision;
 import org.medlardrum.decisions.ChainPlanner;
 import org.medlardrum.decisions.ChainQuery;
+import org.medlardrum.entry.internal.fleet.CrashDetector;
 import org.medlardrum.entry.internal.fleet.FleetView;
 import org.medlardrum.protocol.problem.Problem;
 import org.medlardrum.protocol.problem.ProblemType;
 import org.medlardrum.state.Chain;
-import org.medlardrum.state.EngineState;
 import org.medlardrum.state.FleetSnapshot;
 import org.medlardrum.state.Stage;
 import org.tinylog.Logger;
@@ -198,25 +200,49 @@
 			this.services.fleet().result(failed.server(), false);
 		}
 		if (failed.crashSuspected()) {
-			checkCrash(view.engine(failed.server()));
+			this.suspect |= this.services.crashes().check(view.engine(failed.server())) == CrashDetector.Health.CRASHED;
 		}
 	}
 
-	// A stalled chain does not tell which engine failed; each one is asked.
+	// A stalled chain does not tell which engine failed, so each one is asked. When all
+	// answer, a link may have failed, and the next attempt avoids the whole chain.
 	private void stalled(Chain chain, FleetView view) {
-		for (Stage stage : chain.stages()) {
-			EngineState engine = view.engine(stage.server());
-			if (engine == null || !this.services.crashes().responds(engine)) {
-				this.excluded.add(stage.server());
-				this.services.fleet().result(stage.server(), false);
-				checkCrash(engine);
+		List<String> servers = chain.stages().stream().map(Stage::server).distinct().toList();
+		Map<String, CrashDetector.Health> healths = new ConcurrentHashMap<>();
+		List<Thread> probes = new ArrayList<>();
+		for (String server : servers) {
+			probes.add(Thread.ofVirtual()
+				.name("probe")
+				.start(() -> healths.put(server, this.services.crashes().check(view.engine(server)))));
+		}
+		for (Thread probe : probes) {
+			joinUninterruptibly(probe);
+		}
+		boolean allAlive = healths.values().stream().allMatch((health) -> health == CrashDetector.Health.ALIVE);
+		for (String server : servers) {
+			boolean alive = healths.get(server) == CrashDetector.Health.ALIVE;
+			if (!alive || allAlive) {
+				this.excluded.add(server);
 			}
+			if (!alive) {
+				this.services.fleet().result(server, false);
+			}
+			this.suspect |= healths.get(server) == CrashDetector.Health.CRASHED;
 		}
 	}
 
-	private void checkCrash(EngineState engine) {
-		if (this.services.crashes().check(engine)) {
-			this.suspect = true;
+	private static void joinUninterruptibly(Thread thread) {
+		boolean interrupted = false;
+		while (thread.isAlive()) {
+			try {
+				thread.join();
+			}
+			catch (InterruptedException ex) {
+				interrupted = true;
+			}
+		}
+		if (interrupted) {
+			Thread.currentThread().interrupt();
 		}
 	}
 
--- /dev/null
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/ChainFailureTests.java
@@ -0,0 +1,182 @@
+package org.medlardrum.entry;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.medlardrum.standins.EngineStandIn;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against answers that lose, repeat or change tokens when engines fail, and
+ * against work that engines do for nobody.
+ */
+class ChainFailureTests {
+
+	private final EntryFixture fixture = new EntryFixture();
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	private void startChains() throws Exception {
+		this.fixture.flag("--stall-timeout-ms", 400)
+			.flag("--first-frame-timeout-ms", 400)
+			.engine("head-1", 0, 4, (json) -> json.addProperty("layerTimeUs", 3000))
+			.engine("tail-1", 4, 8, (json) -> json.addProperty("layerTimeUs", 3000))
+			.engine("head-2", 0, 4, (json) -> json.addProperty("layerTimeUs", 3000))
+			.engine("tail-2", 4, 8, (json) -> json.addProperty("layerTimeUs", 3000))
+			.start();
+	}
+
+	// Streams an answer and runs the action after some tokens.
+	private String stream(String prompt, int maxTokens, int afterTokens, Runnable action) throws Exception {
+		HttpRequest request = this.fixture.request("/v1/chat/completions", EntryFixture.KEY)
+			.POST(HttpRequest.BodyPublishers.ofString(EntryFixture.chatBody("report", prompt, maxTokens, true)))
+			.build();
+		HttpResponse<java.io.InputStream> response = this.fixture.client.send(request,
+				HttpResponse.BodyHandlers.ofInputStream());
+		StringBuilder events = new StringBuilder();
+		try (BufferedReader reader = new BufferedReader(
+				new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
+			int tokens = 0;
+			for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+				events.append(line).append('\n');
+				if (line.startsWith("data: ") && ++tokens == afterTokens) {
+					action.run();
+				}
+			}
+		}
+		return EntryFixture.streamed(events.toString());
+	}
+
+	private void onRunning(String prefix, Consumer<EngineStandIn> fault) {
+		this.fixture.engines.stream()
+			.filter((engine) -> engine.settings().id().startsWith(prefix) && !engine.ledger("").isEmpty())
+			.forEach(fault);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "head, crash", "tail, crash", "head, freeze", "tail, freeze", "tail, fail" })
+	void streamContinuesOnAnotherChain(String prefix, String fault) throws Exception {
+		startChains();
+		String text = stream("continue", 30, 5, () -> onRunning(prefix, (engine) -> apply(engine, fault)));
+		assertThat(text).isEqualTo(EntryFixture.expected("continue", 30) + "[DONE]");
+		assertThat(this.fixture.metric("medlardrum_resumes_total")).isAtLeast(1.0);
+		this.fixture.engines.forEach((engine) -> engine.setFrozen(false));
+	}
+
+	private static void apply(EngineStandIn engine, String fault) {
+		switch (fault) {
+			case "crash" -> engine.crash();
+			case "freeze" -> engine.setFrozen(true);
+			default -> engine.setFailFast(true);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "head-1, crash", "tail-1, crash", "head-1, freeze", "tail-1, freeze", "head-1, fail", "tail-1, fail" })
+	void requestsBeforeTheFirstTokenRunElsewhere(String server, String fault) throws Exception {
+		startChains();
+		this.fixture.engines.stream()
+			.filter((engine) -> engine.settings().id().equals(server))
+			.forEach((engine) -> apply(engine, fault));
+		for (int i = 0; i < 6; i++) {
+			HttpResponse<String> response = this.fixture.chat("before " + i, 5, false);
+			assertThat(response.statusCode()).isEqualTo(200);
+			assertThat(EntryFixture.content(response)).isEqualTo(EntryFixture.expected("before " + i, 5));
+		}
+		this.fixture.engines.forEach((engine) -> engine.setFrozen(false));
+	}
+
+	@Test
+	void leavingEngineGetsNoWork() throws Exception {
+		startChains();
+		EngineStandIn leaving = this.fixture.engines.get(0);
+		leaving.setLeaving(true);
+		for (int i = 0; i < 4; i++) {
+			assertThat(this.fixture.chat("leaving " + i, 3, false).statusCode()).isEqualTo(200);
+		}
+		assertThat(leaving.report().running()).isEqualTo(0);
+	}
+
+	@Test
+	void errorStormOpensTheCircuit() throws Exception {
+		startChains();
+		this.fixture.engines.get(0).setFailFast(true);
+		for (int i = 0; i < 20; i++) {
+			assertThat(this.fixture.chat("storm " + i, 2, false).statusCode()).isEqualTo(200);
+		}
+		EntryFixture.await("circuit open", () -> this.fixture.metric("medlardrum_circuits{state=\"open\"}")
+				+ this.fixture.metric("medlardrum_circuits{state=\"half_open\"}") >= 1);
+	}
+
+	@Test
+	void failureOfAllEnginesEndsAStartedStreamWithAnError() throws Exception {
+		startChains();
+		String text = stream("all", 60, 3, () -> this.fixture.engines.forEach(EngineStandIn::crash));
+		assertThat(text).endsWith("[ERROR]");
+		assertThat(text).doesNotContain("[DONE]");
+		assertThat(EntryFixture.expected("all", 60)).startsWith(text.substring(0, text.indexOf('[')));
+	}
+
+	@Test
+	void requestThatCrashesEnginesIsQuarantined() throws Exception {
+		startChains();
+		this.fixture.engines.forEach((engine) -> engine.crashOnPrompt("poison", 50));
+		HttpResponse<String> first = this.fixture.chat("poison", 5, false);
+		assertThat(first.statusCode()).isAtLeast(500);
+		EntryFixture.await("quarantined", () -> this.fixture.get("/quarantine").body().contains("QUARANTINED"));
+		HttpResponse<String> second = this.fixture.chat("poison", 5, false);
+		assertThat(second.statusCode()).isEqualTo(503);
+		assertThat(second.body()).contains("problem:quarantined");
+		assertThat(second.body()).contains("\"ran\":\"no\"");
+		assertThat(second.headers().firstValue("Retry-After")).isPresent();
+		EntryFixture.await("others are served", () -> this.fixture.chat("harmless", 5, false).statusCode() == 200);
+	}
+
+	@Test
+	void clientDisconnectFreesTheEngines() throws Exception {
+		startChains();
+		try (RawClient client = new RawClient(this.fixture.host.callerPort())) {
+			client.post("/v1/chat/completions", EntryFixture.chatBody("report", "a", 200, true));
+			client.readUntil("data: ");
+		}
+		EntryFixture.await("engines idle", this::isIdle);
+		EntryFixture.await("counted as cut", () -> this.fixture
+			.metric("medlardrum_requests_total{organisation=\"coop\",outcome=\"cut\",rank=\"urgent\"}") == 1);
+	}
+
+	@Test
+	void disconnectOfAWholeAnswerFreesTheEngines() throws Exception {
+		startChains();
+		try (RawClient client = new RawClient(this.fixture.host.callerPort())) {
+			client.post("/v1/chat/completions", EntryFixture.chatBody("report", "a", 200, false));
+			EntryFixture.await("running", () -> !isIdle());
+		}
+		EntryFixture.await("engines idle", this::isIdle);
+	}
+
+	private boolean isIdle() {
+		return this.fixture.engines.stream().allMatch((engine) -> engine.report().running() == 0);
+	}
+
+	@Test
+	void modelRequestsContinueDuringAnOutageOfThePlatform() throws IOException, Exception {
+		startChains();
+		this.fixture.platform.setOutage(true);
+		assertThat(EntryFixture.content(this.fixture.chat("outage", 5, false)))
+			.isEqualTo(EntryFixture.expected("outage", 5));
+	}
+
+}
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/EntryFixture.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/EntryFixture.java
@@ -151,7 +151,8 @@
 			known += (engine.getAsJsonObject().has("reportAgeMs")) ? 1 : 0;
 		}
 		JsonArray pools = status.getAsJsonArray("pools");
-		int kinds = ((this.engines.isEmpty()) ? 0 : 1) + ((this.services.isEmpty()) ? 0 : 1);
+		int kinds = ((status.getAsJsonArray("engines").isEmpty()) ? 0 : 1)
+				+ ((status.getAsJsonArray("services").isEmpty()) ? 0 : 1);
 		return (pools.size() >= kinds) ? known : -1;
 	}
 
--- /dev/null
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/FakeEngine.java
@@ -0,0 +1,101 @@
+package org.medlardrum.entry;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.google.gson.Gson;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.medlardrum.protocol.engine.EngineFrame;
+import org.medlardrum.protocol.engine.EngineFrames;
+import org.medlardrum.protocol.engine.GenerateRequest;
+import org.medlardrum.state.EngineReport;
+import org.medlardrum.state.LayerRange;
+
+/**
+ * Engine that holds all layers and sends the frames of a script, right or wrong.
+ */
+final class FakeEngine implements AutoCloseable {
+
+	private static final Gson GSON = new Gson();
+
+	private final String id;
+
+	private final HttpServer server;
+
+	private final AtomicInteger generations = new AtomicInteger();
+
+	FakeEngine(String id, Script script) throws IOException {
+		this.id = id;
+		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		this.server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+		this.server.createContext("/v1/load", (exchange) -> send(exchange, GSON.toJson(report())));
+		this.server.createContext("/v1/cancel", (exchange) -> send(exchange, "{}"));
+		this.server.createContext("/v1/generate", (exchange) -> generate(exchange, script));
+		this.server.start();
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.server.getAddress().getPort();
+	}
+
+	int generations() {
+		return this.generations.get();
+	}
+
+	private EngineReport report() {
+		return new EngineReport(this.id, "boot", "tally", "1", List.of(), "both", 0, EntryFixture.LAYERS, 8, 0, 0, 1,
+				false, false, System.currentTimeMillis());
+	}
+
+	private void generate(HttpExchange exchange, Script script) throws IOException {
+		this.generations.incrementAndGet();
+		GenerateRequest request = GSON.fromJson(
+				new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8), GenerateRequest.class);
+		exchange.sendResponseHeaders(200, 0);
+		try (OutputStream out = exchange.getResponseBody()) {
+			for (EngineFrame frame : script.frames(request)) {
+				out.write((EngineFrames.encode(frame) + "\n").getBytes(StandardCharsets.UTF_8));
+			}
+		}
+	}
+
+	private static void send(HttpExchange exchange, String body) throws IOException {
+		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		exchange.sendResponseHeaders(200, bytes.length);
+		try (OutputStream out = exchange.getResponseBody()) {
+			out.write(bytes);
+		}
+	}
+
+	static EngineFrame token(GenerateRequest request, int attempt, int position, String text) {
+		return new EngineFrame.Token(request.request(), attempt, position, text,
+				List.of(new LayerRange(0, 3), new LayerRange(3, EntryFixture.LAYERS)));
+	}
+
+	static EngineFrame end(GenerateRequest request, int tokens) {
+		return new EngineFrame.End(request.request(), request.attempt(), tokens, "stop", List.of(), List.of());
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+	}
+
+	/**
+	 * Frames that an engine sends for a request.
+	 */
+	@FunctionalInterface
+	interface Script {
+
+		List<EngineFrame> frames(GenerateRequest request);
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/FrameFailureTests.java
@@ -0,0 +1,78 @@
+package org.medlardrum.entry;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.medlardrum.protocol.engine.EngineFrame;
+import org.medlardrum.protocol.engine.GenerateRequest;
+import org.medlardrum.state.BackendServerKind;
+import org.medlardrum.state.LayerRange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against tokens of another request or attempt, repeated, skipped or wrongly
+ * computed tokens reaching a caller.
+ */
+class FrameFailureTests {
+
+	private static EngineFrame wrong(GenerateRequest request, String kind) {
+		return switch (kind) {
+			case "other-request" -> new EngineFrame.Token("someone-else", request.attempt(), 1, "x",
+					List.of(new LayerRange(0, EntryFixture.LAYERS)));
+			case "other-attempt" -> FakeEngine.token(request, request.attempt() + 1, 1, "x");
+			case "repeated-position" -> FakeEngine.token(request, request.attempt(), 0, "x");
+			case "skipped-position" -> FakeEngine.token(request, request.attempt(), 2, "x");
+			case "missing-layers" -> new EngineFrame.Token(request.request(), request.attempt(), 1, "x",
+					List.of(new LayerRange(0, EntryFixture.LAYERS - 1)));
+			case "repeated-layers" -> new EngineFrame.Token(request.request(), request.attempt(), 1, "x",
+					List.of(new LayerRange(0, 5), new LayerRange(4, EntryFixture.LAYERS)));
+			case "late-end" ->
+				new EngineFrame.End(request.request(), request.attempt() + 1, 1, "stop", List.of(), List.of());
+			case "early-end" ->
+				new EngineFrame.End(request.request(), request.attempt(), 9, "stop", List.of(), List.of());
+			default -> throw new IllegalArgumentException(kind);
+		};
+	}
+
+	private static List<EngineFrame> frames(GenerateRequest request, String kind) {
+		// A resumed attempt sends the rest only, as an engine does.
+		if (request.emitted().size() == 1) {
+			return List.of(FakeEngine.token(request, request.attempt(), 1, "b"), FakeEngine.end(request, 2));
+		}
+		return List.of(FakeEngine.token(request, request.attempt(), 0, "a"), wrong(request, kind),
+				FakeEngine.token(request, request.attempt(), 1, "b"), FakeEngine.end(request, 2));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "other-request, other-request, 1", "other-attempt, other-attempt, 1",
+			"repeated-position, repeated-position, 1", "late-end, other-attempt, 1",
+			"skipped-position, skipped-position, 2", "missing-layers, wrong-layers, 2",
+			"repeated-layers, wrong-layers, 2" })
+	void wrongFramesAreDroppedAndCounted(String kind, String reason, int attempts) throws Exception {
+		try (FakeEngine first = new FakeEngine("f1", (request) -> frames(request, kind));
+				FakeEngine second = new FakeEngine("f2", (request) -> frames(request, kind));
+				EntryFixture fixture = new EntryFixture()
+					.listed("f1", first.address(), BackendServerKind.ENGINE, "engines")
+					.listed("f2", second.address(), BackendServerKind.ENGINE, "engines")
+					.start()) {
+			assertThat(EntryFixture.content(fixture.chat("frames", 5, false))).isEqualTo("ab");
+			assertThat(fixture.metric("medlardrum_dropped_frames_total{reason=\"" + reason + "\"}")).isEqualTo(1.0);
+			assertThat(first.generations() + second.generations()).isEqualTo(attempts);
+		}
+	}
+
+	@Test
+	void endWithAnotherTokenCountDoesNotCompleteTheAnswer() throws Exception {
+		try (FakeEngine engine = new FakeEngine("f1", (request) -> frames(request, "early-end"));
+				EntryFixture fixture = new EntryFixture()
+					.listed("f1", engine.address(), BackendServerKind.ENGINE, "engines")
+					.start()) {
+			assertThat(EntryFixture.content(fixture.chat("frames", 5, false))).isEqualTo("ab");
+			assertThat(engine.generations()).isAtLeast(2);
+		}
+	}
+
+}
