--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
@@ -55,6 +55,8 @@
 
 	private static final long FAILED_POLL_RETRY_MS = 500;
 
+	private static final int MAX_POLLS_AFTER_FAILURE = 64;
+
 	private final Membership membership;
 
 	private final EngineClient client;
@@ -188,6 +190,33 @@
 		});
 	}
 
+	/**
+	 * Records that an engine refuses connections. It gets no work until it answers a
+	 * poll. Engines often fail together, so others of this zone are polled at once.
+	 * @param serverId the engine
+	 */
+	public void unreachable(String serverId) {
+		tell(() -> {
+			long nowMs = this.clock.millis();
+			down(serverId, nowMs);
+			int left = MAX_POLLS_AFTER_FAILURE;
+			for (ServerState state : this.servers.values()) {
+				boolean near = state.server().availabilityZone().equals(this.options.availabilityZone());
+				if (near && state.report() != null && left-- > 0) {
+					state.pollSoon(nowMs);
+				}
+			}
+		});
+	}
+
+	private void down(String serverId, long nowMs) {
+		ServerState state = this.servers.get(serverId);
+		if (state != null && state.report() != null) {
+			Logger.info("chain: engine {} refuses connections", serverId);
+			state.unreachable(nowMs);
+		}
+	}
+
 	/**
 	 * Takes the report of a server.
 	 * @param report the report
@@ -342,7 +371,13 @@
 			return;
 		}
 		Logger.debug("http: load of {} not read: {}", id, outcome);
-		tell(() -> pollEnded(id, this.clock.millis() + Math.min(againMs, this.options.pollIntervalMs())));
+		tell(() -> {
+			long nowMs = this.clock.millis();
+			pollEnded(id, nowMs + Math.min(againMs, this.options.pollIntervalMs()));
+			if (outcome instanceof Outcome.NotRun<EngineReport>) {
+				down(id, nowMs);
+			}
+		});
 	}
 
 	private void pollEnded(String id, long nextAtMs) {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/ServerState.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/ServerState.java
@@ -44,6 +44,8 @@
 
 	private boolean polling;
 
+	private boolean down;
+
 	ServerState(BackendServer server, long joinedAtMs) {
 		this.server = server;
 		this.joinedAtMs = joinedAtMs;
@@ -66,7 +68,12 @@
 	}
 
 	void reported(EngineReport value, long nowMs) {
-		if (this.report != null && this.report.bootId() != null && !this.report.bootId().equals(value.bootId())) {
+		if (this.down) {
+			this.down = false;
+			this.joinedAtMs = nowMs;
+			this.slowdown = 1;
+		}
+		else if (this.report != null && this.report.bootId() != null && !this.report.bootId().equals(value.bootId())) {
 			this.joinedAtMs = nowMs;
 			this.slowdown = 1;
 		}
@@ -77,6 +84,13 @@
 		this.reportedAtMs = nowMs;
 	}
 
+	// Without a report an engine gets no work; the next answered poll brings it back.
+	void unreachable(long nowMs) {
+		this.report = null;
+		this.down = true;
+		this.nextPollAtMs = Math.min(this.nextPollAtMs, nowMs);
+	}
+
 	void started(long attempt, String fingerprint, long nowMs) {
 		this.running.put(attempt, new Running(fingerprint, nowMs));
 		this.circuit.tryAcquire(nowMs);
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -129,6 +129,7 @@
 		CrashDetector crashes = new CrashDetector(this.engineClient, (server, bootId, fingerprints) -> {
 			this.metrics.crash();
 			this.gossip.crashed(server, bootId, fingerprints);
+			this.fleet.unreachable(server);
 		}, CRASH_PROBE_TIMEOUT_MS);
 		ModelServices services = new ModelServices(this.engineClient, this.fleet, crashes, this.gossip, this.retries,
 				traces, this.metrics, clock,
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/PoolTuner.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/PoolTuner.java
@@ -123,9 +123,12 @@
 			if (capacity.slots() > 0) {
 				HostShares shares = HostShares.of(this.hostId, this.gossip.demands(name), liveHosts, weights,
 						capacity.costPerS());
+				Map<String, Double> allowances = new HashMap<>();
+				weights.keySet()
+					.forEach((organisation) -> allowances.put(organisation, shares.organisationCostPerS(organisation)));
 				limits.put(name,
 						new AdmissionLimits((int) Math.max(1, Math.ceil(shares.windowShare() * capacity.slots())),
-								shares.windowShare() * capacity.costPerS(), ranks, weights));
+								shares.windowShare() * capacity.costPerS(), ranks, allowances));
 			}
 		});
 		return limits;
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
@@ -22,6 +22,9 @@
 	/** Time to read the end of a response whose last frame has arrived. */
 	private static final long FINISH_TIMEOUT_MS = 100;
 
+	/** Prefix of the code of a failure in which the head took no connection. */
+	static final String UNREACHABLE = "unreachable: ";
+
 	private final EngineClient client;
 
 	private final Fleet fleet;
@@ -92,7 +95,7 @@
 			case "bad-request" -> new AttemptResult.Rejected("an engine refused the request as malformed");
 			case "leaving", "overloaded", "wrong-model", "expired", "cancelled" ->
 				new AttemptResult.Failed(head, reason, false, false, false);
-			default -> new AttemptResult.Failed(head, reason, false, true, true);
+			default -> new AttemptResult.Failed(head, UNREACHABLE + reason, false, true, false);
 		};
 	}
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
@@ -199,6 +199,10 @@
 		if (failed.serverFault()) {
 			this.services.fleet().result(failed.server(), false);
 		}
+		if (failed.code().startsWith(Attempt.UNREACHABLE)) {
+			// The head was down before, so the request was not present at a crash.
+			this.services.fleet().unreachable(failed.server());
+		}
 		if (failed.crashSuspected()) {
 			this.suspect |= this.services.crashes().check(view.engine(failed.server())) == CrashDetector.Health.CRASHED;
 		}
--- /dev/null
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/CallerFailureTests.java
@@ -0,0 +1,120 @@
+package org.medlardrum.entry;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.medlardrum.state.BackendServerKind;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against callers that hold resources of the host, and against planned stops that
+ * cut requests.
+ */
+class CallerFailureTests {
+
+	private final EntryFixture fixture = new EntryFixture();
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	private void startSlowChain() throws Exception {
+		this.fixture.engine("e1", 0, 8, (json) -> json.addProperty("layerTimeUs", 2000)).start();
+	}
+
+	@Test
+	void truncatedBodyIsRefusedAsNotRun() throws Exception {
+		this.fixture.flag("--body-timeout-ms", 300);
+		startSlowChain();
+		try (RawClient client = new RawClient(this.fixture.host.callerPort())) {
+			client.send("POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + EntryFixture.KEY
+					+ "\r\nContent-Length: 100\r\n\r\n{\"model\":");
+			String response = client.readUntil("\"ran\":\"no\"");
+			assertThat(response).startsWith("HTTP/1.1 408");
+		}
+		assertThat(this.fixture.engines.get(0).ledger("")).isEmpty();
+	}
+
+	@Test
+	void callerThatDoesNotReadIsCutAndFreesTheEngine() throws Exception {
+		// 60 MB exceed all buffers between the engine and the caller.
+		try (FakeEngine engine = new FakeEngine("f1",
+				(request) -> IntStream.range(0, 600)
+					.mapToObj((position) -> FakeEngine.token(request, 1, position, "x".repeat(100_000)))
+					.toList())) {
+			this.fixture.flag("--write-timeout-ms", 300)
+				.listed("f1", engine.address(), BackendServerKind.ENGINE, "engines")
+				.start();
+			try (RawClient client = new RawClient(this.fixture.host.callerPort())) {
+				client.post("/v1/chat/completions", EntryFixture.chatBody("report", "a", 200, true));
+				EntryFixture.await("engine freed", () -> engine.brokenStreams() == 1);
+			}
+			EntryFixture.await("counted as cut", () -> this.fixture
+				.metric("medlardrum_requests_total{organisation=\"coop\",outcome=\"cut\",rank=\"urgent\"}") == 1);
+		}
+	}
+
+	@Test
+	void drainCompletesTheRequestInProgressAndRefusesOthers() throws Exception {
+		startSlowChain();
+		try (RawClient client = new RawClient(this.fixture.host.callerPort())) {
+			client.post("/v1/chat/completions", EntryFixture.chatBody("report", "drain", 60, true));
+			client.readUntil("data: ");
+			assertThat(this.fixture.postAdmin("/drain").statusCode()).isEqualTo(202);
+			EntryFixture.await("not ready", () -> this.fixture.get("/readyz").statusCode() == 503);
+			EntryFixture.await("refusing", () -> this.fixture.chat("x", 1, false).body().contains("draining"));
+			String answer = client.readUntil("0\r\n\r\n");
+			assertThat(EntryFixture.streamed(answer)).isEqualTo(EntryFixture.expected("drain", 60) + "[DONE]");
+		}
+		this.fixture.host.awaitStopped();
+	}
+
+	@Test
+	void undrainTakesNewRequestsAgain() throws Exception {
+		this.fixture.flag("--drain-delay-ms", 60_000);
+		startSlowChain();
+		this.fixture.postAdmin("/drain");
+		EntryFixture.await("not ready", () -> this.fixture.get("/readyz").statusCode() == 503);
+		this.fixture.postAdmin("/undrain");
+		assertThat(this.fixture.get("/readyz").statusCode()).isEqualTo(200);
+		assertThat(this.fixture.chat("x", 1, false).statusCode()).isEqualTo(200);
+	}
+
+	@Test
+	void floodIsRefusedAtOnceAndAcceptedRequestsComplete() throws Exception {
+		this.fixture.engine("e1", 0, 8, (json) -> {
+			json.addProperty("layerTimeUs", 3000);
+			json.addProperty("slots", 2);
+		}).start();
+		int requests = 100;
+		CompletableFuture<?>[] callers = new CompletableFuture<?>[requests];
+		AtomicInteger completed = new AtomicInteger();
+		AtomicInteger refused = new AtomicInteger();
+		for (int i = 0; i < requests; i++) {
+			String prompt = "flood " + i;
+			callers[i] = CompletableFuture.runAsync(() -> {
+				HttpResponse<String> response = this.fixture.chat(prompt, 10, false);
+				if (response.statusCode() == 200) {
+					assertThat(EntryFixture.content(response)).isEqualTo(EntryFixture.expected(prompt, 10));
+					completed.incrementAndGet();
+				}
+				else {
+					assertThat(response.body()).contains("problem:overloaded");
+					assertThat(response.headers().firstValue("Retry-After")).isPresent();
+					refused.incrementAndGet();
+				}
+			}, (task) -> Thread.ofVirtual().start(task));
+		}
+		CompletableFuture.allOf(callers).join();
+		assertThat(completed.get()).isAtLeast(1);
+		assertThat(refused.get()).isAtLeast(1);
+		assertThat(completed.get() + refused.get()).isEqualTo(requests);
+	}
+
+}
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/EntryFixture.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/EntryFixture.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -77,11 +78,10 @@
 
 	EntryHost host;
 
-	private final List<String> flags = new ArrayList<>();
+	private final Map<String, String> flags = new LinkedHashMap<>();
 
 	EntryFixture flag(String name, Object value) {
-		this.flags.add(name);
-		this.flags.add(value.toString());
+		this.flags.put(name, value.toString());
 		return this;
 	}
 
@@ -131,10 +131,12 @@
 	}
 
 	private Settings settings() throws IOException {
-		List<String> args = new ArrayList<>(List.of("--host-id", "entry-1", "--availability-zone", "zone-1",
+		Map<String, String> all = new LinkedHashMap<>(Map.of("--host-id", "entry-1", "--availability-zone", "zone-1",
 				"--listen-port", "0", "--admin-port", "0", "--peer-port", Integer.toString(freePort()),
 				"--platform-address", this.platform.address(), "--drain-delay-ms", "0", "--poll-interval-ms", "100"));
-		args.addAll(this.flags);
+		all.putAll(this.flags);
+		List<String> args = new ArrayList<>();
+		all.forEach((name, value) -> args.addAll(List.of(name, value)));
 		return ((SettingsResult.Valid) SettingsParser.parse(args.toArray(String[]::new), Map.of())).settings();
 	}
 
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/FakeEngine.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/FakeEngine.java
@@ -31,6 +31,8 @@
 
 	private final AtomicInteger generations = new AtomicInteger();
 
+	private final AtomicInteger brokenStreams = new AtomicInteger();
+
 	FakeEngine(String id, Script script) throws IOException {
 		this.id = id;
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
@@ -49,6 +51,10 @@
 		return this.generations.get();
 	}
 
+	int brokenStreams() {
+		return this.brokenStreams.get();
+	}
+
 	private EngineReport report() {
 		return new EngineReport(this.id, "boot", "tally", "1", List.of(), "both", 0, EntryFixture.LAYERS, 8, 0, 0, 1,
 				false, false, System.currentTimeMillis());
@@ -64,6 +70,10 @@
 				out.write((EngineFrames.encode(frame) + "\n").getBytes(StandardCharsets.UTF_8));
 			}
 		}
+		catch (IOException ex) {
+			this.brokenStreams.incrementAndGet();
+			throw ex;
+		}
 	}
 
 	private static void send(HttpExchange exchange, String body) throws IOException {
