--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/ChainPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/ChainPlanner.java
@@ -110,7 +110,7 @@
 			int zone = links.zone(engine.server().availabilityZone());
 			ranges.add(engine, zone, cost.layerUs(engine, random), cost.stageUs(engine, zone != 0));
 		}
-		double staleness = 1 - Math.exp(-ageSumMs / count / STALE_MS);
+		double staleness = 1 - StrictMath.exp(-ageSumMs / count / STALE_MS);
 		return ranges.sample(FRESH_TEMPERATURE + (STALE_TEMPERATURE - FRESH_TEMPERATURE) * staleness);
 	}
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/DecayingRate.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/DecayingRate.java
@@ -27,7 +27,7 @@
 
 	private void decay(long nowMs) {
 		if (nowMs > this.updatedAtMs) {
-			this.costPerMs *= Math.exp((this.updatedAtMs - nowMs) / this.timeConstantMs);
+			this.costPerMs *= StrictMath.exp((this.updatedAtMs - nowMs) / this.timeConstantMs);
 			this.updatedAtMs = nowMs;
 		}
 	}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/EngineCost.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/EngineCost.java
@@ -57,7 +57,7 @@
 	// that was idle a while ago has been found by the other hosts since.
 	private double load(EngineState engine) {
 		EngineReport report = engine.report();
-		double trust = Math.exp(-Math.max(0, engine.reportAgeMs()) / REPORT_TRUST_MS);
+		double trust = StrictMath.exp(-Math.max(0, engine.reportAgeMs()) / REPORT_TRUST_MS);
 		double others = this.meanLoad + (reportedLoad(report) - this.meanLoad) * trust;
 		double own = engine.ownInFlight() / (double) Math.max(1, report.slots());
 		return (others + own) / Math.min(1, Math.max(0.01, engine.rampShare()));
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RangeCandidates.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RangeCandidates.java
@@ -52,8 +52,8 @@
 		double meanSlots = this.slots / Math.max(1, this.ranges.size());
 		for (Range range : this.ranges.values()) {
 			double uniform = Math.max(Double.MIN_NORMAL, this.random.nextDouble());
-			double gumbel = -Math.log(-Math.log(uniform));
-			double noise = Math.exp(-temperature * (gumbel + Math.log(range.slots / meanSlots)));
+			double gumbel = -StrictMath.log(-StrictMath.log(uniform));
+			double noise = StrictMath.exp(-temperature * (gumbel + StrictMath.log(range.slots / meanSlots)));
 			sampled.add(range.better().withNoise(noise));
 		}
 		return sampled;
