Test the command line and add two example deployments

Cause: the command line was untested, and there was no complete example configuration. Before: positional arguments failed with an exception; a restart of a host was only recognised for counters that fell, so requests of counters that did not fall were missed.

--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/AdminClient.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/AdminClient.java
@@ -9,7 +9,7 @@
 	/**
 	 * Calls an entry host.
 	 * @param address {@code ip:port}
-	 * @param method HTTP method
+	 * @param method method of the request
 	 * @param target path and query
 	 * @param timeoutMs longest duration of the call
 	 * @return the response or why there is none
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnHistory.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnHistory.java
@@ -63,11 +63,15 @@
 	}
 
 	private static Map<Series, BurnCount> increase(BurnSample before, BurnSample after) {
+		// One counter that fell shows a restart, which also reset those that did not
+		// fall.
+		boolean restarted = before.counters()
+			.entrySet()
+			.stream()
+			.anyMatch((entry) -> after.counters().getOrDefault(entry.getKey(), 0.0) < entry.getValue());
 		Map<Series, BurnCount> counts = new HashMap<>();
 		after.counters().forEach((key, value) -> {
-			double old = before.counters().getOrDefault(key, 0.0);
-			// A counter that fell belongs to a process that was restarted in between.
-			double grown = (value >= old) ? value - old : value;
+			double grown = restarted ? value : value - before.counters().getOrDefault(key, 0.0);
 			BurnCount count = key.outcome().equals(BurnSample.WITHIN_TARGET) ? new BurnCount(0, grown)
 					: new BurnCount(grown, 0);
 			counts.merge(new Series(key.rank(), key.organisation()), count, BurnCount::plus);
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/CommandLine.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/CommandLine.java
@@ -116,7 +116,8 @@
 			out.println(new GsonBuilder().serializeNulls().disableHtmlEscaping().create().toJson(result.json()));
 		}
 		else {
-			((result.exitCode() == ExitCode.OK) ? out : err).println(result.text());
+			// A partial result, such as the hosts that answered, is still a result.
+			(result.json().has("error") ? err : out).println(result.text());
 		}
 	}
 
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/DrainCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/DrainCommand.java
@@ -1,5 +1,6 @@
 package org.medlardrum.cli.internal;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import com.beust.jcommander.Parameter;
@@ -12,7 +13,7 @@
 final class DrainCommand extends StoreCommand {
 
 	@Parameter(description = "<admin address or host id>...")
-	List<String> hosts = List.of();
+	List<String> hosts = new ArrayList<>();
 
 	@Parameter(names = "--wait-ms", description = "Longest wait until no request is in flight, 0 for none")
 	String waitMs = "0";
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ExplainCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ExplainCommand.java
@@ -2,6 +2,7 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -18,7 +19,7 @@
 final class ExplainCommand extends StoreCommand {
 
 	@Parameter(description = "<request id>")
-	List<String> requestIds = List.of();
+	List<String> requestIds = new ArrayList<>();
 
 	@Override
 	CommandResult run(Session session) {
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
@@ -20,7 +20,7 @@
 final class ReplayCommand extends Command {
 
 	@Parameter(description = "<trace file>")
-	List<String> files = List.of();
+	List<String> files = new ArrayList<>();
 
 	@Override
 	CommandResult run(Session session) {
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/UndrainCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/UndrainCommand.java
@@ -1,5 +1,6 @@
 package org.medlardrum.cli.internal;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import com.beust.jcommander.Parameter;
@@ -12,7 +13,7 @@
 final class UndrainCommand extends StoreCommand {
 
 	@Parameter(description = "<admin address or host id>...")
-	List<String> hosts = List.of();
+	List<String> hosts = new ArrayList<>();
 
 	@Override
 	CommandResult run(Session session) {
--- /dev/null
+++ b/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/ApplyCommandTests.java
@@ -0,0 +1,157 @@
+package org.medlardrum.cli.internal;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.medlardrum.coordination.StoreEntry;
+import org.medlardrum.coordination.StoreResult;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against changes that are written although they are faulty, in conflict or on top
+ * of a log that lost changes, and against reporting them in force too early.
+ */
+class ApplyCommandTests {
+
+	private static final String HOST = "127.0.0.1:9001";
+
+	private final CliHarness cli = new CliHarness();
+
+	@TempDir
+	private Path directory;
+
+	private Path base;
+
+	private long hostVersion;
+
+	@BeforeEach
+	void applyTheFirstVersion() throws Exception {
+		this.base = this.directory.resolve("base.json");
+		write(3);
+		assertThat(this.cli.run("apply", "--base", this.base.toString())).isEqualTo(0);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "herd-tally", "arrieria-sur" })
+	void exampleDeploymentsAreValidAndCanBeApplied(String name) {
+		String deployment = "../deploy/" + name;
+		assertThat(this.cli.run("check", "--base", deployment + "/base.json", "--overlays", deployment)).isEqualTo(0);
+		assertThat(this.cli.out).contains("3 overlay(s)");
+		assertThat(this.cli.run("apply", "--base", deployment + "/base.json", "--overlays", deployment)).isEqualTo(0);
+		assertThat(this.cli.run("diff", "--base", deployment + "/base.json", "--overlays", deployment)).isEqualTo(0);
+		assertThat(this.cli.out).contains("no difference");
+	}
+
+	@Test
+	void waitsUntilTheChangeIsInForceAndNamesHostsWhereItIsNot() throws Exception {
+		this.cli.listHosts(HOST);
+		this.hostVersion = 1;
+		AtomicInteger asked = new AtomicInteger();
+		this.cli.hosts.put(HOST, (target) -> status((asked.incrementAndGet() < 10) ? 1 : 2));
+		write(4);
+		assertThat(apply()).isEqualTo(0);
+		assertThat(this.cli.out).contains("accepted, version 2, in force at 1 of 1 entry hosts");
+		write(5);
+		this.cli.hosts.put(HOST, (target) -> status(2));
+		assertThat(apply()).isEqualTo(1);
+		assertThat(this.cli.out).contains("in force at 0 of 1 entry hosts, not at:\n  127.0.0.1:9001  version 2");
+	}
+
+	@Test
+	void faultyOverlayIsRefusedWholeBeforeAnyWrite() throws Exception {
+		int writes = this.cli.store.calls("compareAndSet");
+		write(4);
+		Path overlay = this.directory.resolve("hr-central-1.json");
+		Files.writeString(overlay, "{\"limits\":{\"maxAttempts\":0,\"retries\":1}}");
+		assertThat(this.cli.run("apply", "--base", this.base.toString(), "--overlays", overlay.toString()))
+			.isEqualTo(1);
+		assertThat(this.cli.out).contains("overlay:hr-central-1:/limits/maxAttempts: is 0 (accepted: a whole number");
+		assertThat(this.cli.out).contains("overlay:hr-central-1:/limits/retries: is not a known member");
+		assertThat(this.cli.store.calls("compareAndSet")).isEqualTo(writes);
+	}
+
+	@Test
+	void conflictingChangeShowsTheOtherOperatorsEdit() throws Exception {
+		write(4);
+		assertThat(apply()).isEqualTo(0);
+		write(5);
+		assertThat(this.cli.run("apply", "--base", this.base.toString(), "--based-on", "1")).isEqualTo(4);
+		assertThat(this.cli.out).contains("base:/limits/maxAttempts\n  - 3\n  + 4");
+	}
+
+	@Test
+	void overlaysOfOtherSitesAreKeptUntilTheyAreRemoved() throws Exception {
+		Path overlay = this.directory.resolve("z-1.json");
+		Files.writeString(overlay, "{\"limits\":{\"maxAttempts\":2}}");
+		assertThat(this.cli.run("apply", "--overlays", overlay.toString())).isEqualTo(0);
+		write(4);
+		assertThat(apply()).isEqualTo(0);
+		assertThat(this.cli.run("diff", "--from-version", "2", "--to-version", "3")).isEqualTo(0);
+		assertThat(this.cli.out.lines().toList()).isEqualTo(List.of("base:/limits/maxAttempts", "  - 3", "  + 4"));
+		assertThat(this.cli.run("apply", "--remove-overlays", "z-1")).isEqualTo(0);
+		assertThat(this.cli.run("diff", "--overlays", overlay.toString())).isEqualTo(0);
+		assertThat(this.cli.out).contains("overlay:z-1:\n  + {\"limits\"");
+	}
+
+	@Test
+	void lostAnswersWithoutReadBackAreReportedAsUnknown() throws Exception {
+		write(4);
+		this.cli.store.dropWrites(1_000);
+		assertThat(apply()).isEqualTo(5);
+		assertThat(this.cli.out).contains("outcome unknown");
+	}
+
+	@Test
+	void changesThatTheStoreLostAreRestoredBeforeTheNextOne() throws Exception {
+		write(4);
+		apply();
+		this.cli.listHosts(HOST);
+		String lost = ((StoreResult.Ok<StoreEntry>) this.cli.store.get("config/change/2")).value().value();
+		this.hostVersion = 2;
+		this.cli.hosts.put(HOST, (target) -> target.equals("/config?after=1")
+				? CliHarness.ok("{\"version\":2,\"changes\":[" + lost + "]}") : status(this.hostVersion));
+		this.cli.store.lose("config/change/2");
+		write(5);
+		this.cli.store.beforeWrite((key) -> this.hostVersion = key.equals("config/change/3") ? 3 : this.hostVersion);
+		assertThat(apply()).isEqualTo(0);
+		assertThat(this.cli.out).contains("accepted, version 3");
+		assertThat(((StoreResult.Ok<StoreEntry>) this.cli.store.get("config/change/2")).value().value())
+			.isEqualTo(lost);
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void nothingIsWrittenWhenLostChangesCannotBeRuledOut(boolean hostAnswers) throws Exception {
+		this.cli.listHosts(HOST);
+		if (hostAnswers) {
+			this.cli.hosts.put(HOST,
+					(target) -> target.startsWith("/config") ? new AdminResponse(404, "", "") : status(7));
+		}
+		write(4);
+		int writes = this.cli.store.calls("compareAndSet");
+		assertThat(apply()).isEqualTo(3);
+		assertThat(this.cli.err).contains("nothing was written");
+		assertThat(this.cli.store.calls("compareAndSet")).isEqualTo(writes);
+	}
+
+	private int apply() {
+		return this.cli.run("apply", "--base", this.base.toString(), "--wait-ms", "5000");
+	}
+
+	private void write(int maxAttempts) throws Exception {
+		Files.writeString(this.base, "{\"schema\":1,\"limits\":{\"maxAttempts\":" + maxAttempts + "}}");
+	}
+
+	private static AdminResponse status(long version) {
+		return CliHarness.ok("{\"hostId\":\"h1\",\"configVersion\":" + version + "}");
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/BurnCommandTests.java
@@ -0,0 +1,83 @@
+package org.medlardrum.cli.internal;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against burn rates that are wrong after a restart, a gap or for one
+ * organisation.
+ */
+class BurnCommandTests {
+
+	private static final String HOST = "127.0.0.1:9001";
+
+	private final CliHarness cli = new CliHarness();
+
+	@TempDir
+	private Path directory;
+
+	@Test
+	void countsMissedTargetsAcrossARestartAndSkipsBrokenLines() throws Exception {
+		// 100 requests, 2 missed.
+		sample(1_000, 900);
+		sample(1_100, 998);
+		// The host restarts and serves 100 requests, 10 missed.
+		this.cli.clock.advance(600_000);
+		sample(100, 90);
+		Files.writeString(samples(), "{\"atMs\":17", StandardOpenOption.APPEND);
+		Path page = this.directory.resolve("burn.html");
+		assertThat(this.cli.run("burn", "--json", "--samples-file", samples().toString(), "--windows-min", "5,60",
+				"--html-file", page.toString()))
+			.isEqualTo(0);
+		JsonObject all = row("(all)");
+		assertThat(all.get("total").getAsDouble()).isEqualTo(200);
+		assertThat(all.getAsJsonObject("burnRates").get("60").getAsDouble()).isWithin(1e-9).of(6);
+		assertThat(all.getAsJsonObject("burnRates").get("5").getAsDouble()).isWithin(1e-9).of(10);
+		assertThat(all.get("budgetLeft").getAsDouble()).isWithin(1e-9).of(-5);
+		assertThat(row("a<b\"c").get("total").getAsDouble()).isEqualTo(200);
+		assertThat(this.cli.json().get("unreadableLines").getAsInt()).isEqualTo(1);
+		assertThat(Files.readString(page)).contains("a&lt;b&quot;c");
+		assertThat(Files.readString(page)).doesNotContain("http");
+	}
+
+	@Test
+	void hostThatDoesNotAnswerIsNamed() {
+		assertThat(this.cli.run("burn", "--sample", "--samples-file", samples().toString(), "--admin-addresses", HOST))
+			.isEqualTo(3);
+		assertThat(this.cli.out).contains("sampled 0 of 1 entry hosts, not: 127.0.0.1:9001 (connection refused)");
+	}
+
+	private void sample(int requests, int within) {
+		this.cli.clock.advance(1_000);
+		String labels = "{rank=\"urgent\",organisation=\"a<b\\\"c\"";
+		this.cli.hosts.put(HOST,
+				(target) -> CliHarness.ok("# TYPE medlardrum_requests counter\nmedlardrum_requests_total" + labels
+						+ ",outcome=\"completed\"} " + (requests - 5) + ".0\nmedlardrum_requests_total" + labels
+						+ ",outcome=\"refused\",} 5\nmedlardrum_requests_within_target_total" + labels + "} " + within
+						+ " 1700000000000\n"));
+		assertThat(this.cli.run("burn", "--sample", "--samples-file", samples().toString(), "--admin-addresses", HOST))
+			.isEqualTo(0);
+	}
+
+	private Path samples() {
+		return this.directory.resolve("burn.jsonl");
+	}
+
+	private JsonObject row(String organisation) {
+		for (JsonElement row : this.cli.json().getAsJsonArray("rows")) {
+			if (row.getAsJsonObject().get("organisation").getAsString().equals(organisation)) {
+				return row.getAsJsonObject();
+			}
+		}
+		throw new AssertionError("No row for " + organisation + " in " + this.cli.out);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/CliHarness.java
@@ -0,0 +1,77 @@
+package org.medlardrum.cli.internal;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import org.medlardrum.coordination.FakePlatformStore;
+import org.medlardrum.state.Host;
+import org.medlardrum.state.HostDirectory;
+import org.medlardrum.state.HostState;
+import org.medlardrum.state.PausableClock;
+
+/**
+ * Runs commands against an in-memory store and scripted entry hosts.
+ */
+final class CliHarness {
+
+	static final String STORE = "127.0.0.1:7000";
+
+	final PausableClock clock = new PausableClock(1_700_000_000_000L);
+
+	final FakePlatformStore store = new FakePlatformStore(this.clock);
+
+	final Map<String, String> environment = new HashMap<>(Map.of("MEDLARDRUM_PLATFORM_ADDRESS", STORE));
+
+	/** Responses of entry hosts by address; a host without entry cannot be reached. */
+	final Map<String, Function<String, AdminResponse>> hosts = new LinkedHashMap<>();
+
+	final List<String> calls = new ArrayList<>();
+
+	String out = "";
+
+	String err = "";
+
+	int run(String... args) {
+		ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+		ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+		Session session = new Session((address, timeoutMs) -> this.store, this::call, this.clock, this.clock::advance);
+		int code = new CommandLine(this.environment, session).run(args, new PrintStream(outBytes),
+				new PrintStream(errBytes));
+		this.out = outBytes.toString(StandardCharsets.UTF_8);
+		this.err = errBytes.toString(StandardCharsets.UTF_8);
+		return code;
+	}
+
+	JsonObject json() {
+		return JsonParser.parseString(this.out).getAsJsonObject();
+	}
+
+	void listHosts(String... addresses) {
+		List<Host> listed = new ArrayList<>();
+		for (String address : addresses) {
+			listed.add(new Host("host-" + listed.size(), "hr-central-1", "127.0.0.1:1", "127.0.0.1:2", address,
+					HostState.LIVE));
+		}
+		this.store.setHosts(new HostDirectory(1, listed, List.of()));
+	}
+
+	private synchronized AdminResponse call(String address, String method, String target, long timeoutMs) {
+		this.calls.add(method + " " + address + target);
+		Function<String, AdminResponse> host = this.hosts.get(address);
+		return (host != null) ? host.apply(target) : AdminResponse.unreachable("connection refused");
+	}
+
+	static AdminResponse ok(String body) {
+		return new AdminResponse(200, body, "");
+	}
+
+}
