Refuse peer messages with trailing bytes or missing fields

Cause: a test with seeded random frames got an answer, because some random bytes decode as a short request followed by garbage. Conclusion: the peer port takes only whole messages.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerCodec.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerCodec.java
@@ -6,10 +6,14 @@
 import java.io.IOException;
 
 import org.apache.thrift.TBase;
-import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+import org.medlardrum.peer.gen.PeerRequest;
 
 /**
  * Thrift compact encoding and framing. A frame is a 4-byte big-endian length and that
@@ -21,6 +25,8 @@
 
 	private static final int MAX_ELEMENTS = 100_000;
 
+	private static final int MAX_DEPTH = 16;
+
 	private PeerCodec() {
 	}
 
@@ -28,9 +34,41 @@
 		return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
 	}
 
+	/**
+	 * Decodes a message that fills the given bytes. Bytes left over are refused: random
+	 * input often begins like a short message.
+	 * @param message receives the content
+	 * @param bytes the bytes
+	 * @param offset position of the first one
+	 * @param length number of bytes
+	 * @throws TException if the bytes are not exactly one message
+	 */
 	static void decode(TBase<?, ?> message, byte[] bytes, int offset, int length) throws TException {
-		new TDeserializer(new TCompactProtocol.Factory(PeerOptions.MAX_FRAME_BYTES, MAX_ELEMENTS)).deserialize(message,
-				bytes, offset, length);
+		TConfiguration limits = new TConfiguration(length, PeerOptions.MAX_FRAME_BYTES, MAX_DEPTH);
+		TMemoryInputTransport input = new TMemoryInputTransport(limits, bytes, offset, length);
+		message.read(new TCompactProtocol(input, PeerOptions.MAX_FRAME_BYTES, MAX_ELEMENTS));
+		if (input.getBytesRemainingInBuffer() != 0) {
+			throw new TException(input.getBytesRemainingInBuffer() + " bytes follow the message");
+		}
+	}
+
+	/**
+	 * Tells whether a request has the fields that its kind needs.
+	 * @param request the request
+	 * @return whether it can be processed
+	 */
+	static boolean isComplete(PeerRequest request) {
+		if (request.isSetClaim()) {
+			ClaimRequest claim = request.getClaim();
+			return claim.isSetOrganisation() && claim.isSetRoute() && claim.isSetIdempotencyKey()
+					&& claim.isSetRequestDigest() && claim.isSetHostId() && claim.isSetAttemptId();
+		}
+		if (request.isSetRecordOutcome()) {
+			ClaimOutcome outcome = request.getRecordOutcome();
+			return outcome.isSetOrganisation() && outcome.isSetRoute() && outcome.isSetIdempotencyKey()
+					&& outcome.isSetAttemptId();
+		}
+		return request.isSetPullConfigAfterVersion();
 	}
 
 	/**
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerConnection.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerConnection.java
@@ -75,8 +75,8 @@
 		catch (TException | RuntimeException ex) {
 			throw new MalformedFrameException("request does not parse");
 		}
-		if (request.getSetField() == null) {
-			throw new MalformedFrameException("request is of no known kind");
+		if (!PeerCodec.isComplete(request)) {
+			throw new MalformedFrameException("request is of no known kind or lacks a field");
 		}
 		return request;
 	}
