Make merging of rumours independent of their order

Before: hosts could disagree on a suspect's count. Conclusion: hosts agree whatever the order of digests.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/RumourTable.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/RumourTable.java
@@ -12,11 +12,12 @@
 
 /**
  * Rumours known to a host. Merging is commutative and repeatable, so hosts agree whatever
- * the order and number of digests: of two rumours of the same kind and subject the later
- * expiry and the larger count stay, and {@code CLEARED} displaces {@code SUSPECT} and
- * {@code LEAVING} of its subject unless their expiry is later. Rumours sent the fewest
- * times go first, newer ones before older ones; by age alone the oldest would never reach
- * the last hosts when more rumours exist than a digest holds.
+ * the order and number of digests: of two rumours of the same kind and subject the one
+ * with the later expiry stays, with equal expiry the one with the larger count, and
+ * {@code CLEARED} displaces {@code SUSPECT} and {@code LEAVING} of its subject unless
+ * their expiry is later. Rumours sent the fewest times go first, newer ones before older
+ * ones; by age alone the oldest would never reach the last hosts when more rumours exist
+ * than a digest holds.
  */
 final class RumourTable {
 
@@ -53,12 +54,8 @@
 		}
 		Key key = new Key(added.getKind(), added.getSubject());
 		Known before = this.known.get(key);
-		if (before != null) {
-			added.setUntilMs(Math.max(before.rumour.getUntilMs(), added.getUntilMs()));
-			added.setCount(Math.max(before.rumour.getCount(), added.getCount()));
-			if (added.equals(before.rumour)) {
-				return null;
-			}
+		if (before != null && !isLater(added, before.rumour)) {
+			return null;
 		}
 		if (added.getKind() == RumourKind.CLEARED) {
 			removeUntil(new Key(RumourKind.SUSPECT, added.getSubject()), added.getUntilMs());
@@ -69,6 +66,11 @@
 		return added;
 	}
 
+	private static boolean isLater(Rumour rumour, Rumour other) {
+		return rumour.getUntilMs() > other.getUntilMs()
+				|| (rumour.getUntilMs() == other.getUntilMs() && rumour.getCount() > other.getCount());
+	}
+
 	boolean holds(RumourKind kind, String subject) {
 		return this.known.containsKey(new Key(kind, subject));
 	}
