Leave cleared suspects out of the crash ledger's entries

Cause: SharedCrashLedger of the gossip thread takes each entry for a suspect, so a cleared request stayed one after cleared facts were listed. Change: entries() lists suspects and quarantined requests only; cleared facts are returned by crashed() and completed(). After: CrashLedgerTests checks that a cleared request is not listed.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CrashLedger.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CrashLedger.java
@@ -173,11 +173,13 @@
 	}
 
 	/**
-	 * Returns all that is known, for peers and for the quarantine page.
-	 * @return suspects, quarantined requests and recently cleared suspects
+	 * Returns the requests under suspicion or in quarantine, for peers and for the
+	 * quarantine page. Cleared ones are returned only by {@link #crashed} and
+	 * {@link #completed}.
+	 * @return suspects and quarantined requests
 	 */
 	public List<CrashFact> entries() {
-		return List.copyOf(this.facts.values());
+		return this.facts.values().stream().filter((fact) -> fact.kind() != CrashFact.Kind.CLEARED).toList();
 	}
 
 	private boolean is(CrashFact.Kind kind, String fingerprint) {
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/CrashLedgerTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/CrashLedgerTests.java
@@ -87,6 +87,7 @@
 		this.ledger.completed("innocent");
 		this.ledger.merge(late, 10);
 		assertThat(this.ledger.isSuspect("innocent")).isFalse();
+		assertThat(this.ledger.entries()).isEmpty();
 		this.ledger.merge(new CrashFact(CrashFact.Kind.SUSPECT, "innocent", 1, QUARANTINE_MS + 5), 10);
 		assertThat(this.ledger.isSuspect("innocent")).isTrue();
 	}
