--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
@@ -24,6 +24,8 @@
 		commands.put("platform", new PlatformCommand());
 		commands.put("engine", new EngineCommand());
 		commands.put("service", new ServiceCommand());
+		commands.put("load", new LoadCommand());
+		commands.put("bound", new BoundCommand());
 		JCommander.Builder builder = JCommander.newBuilder().programName("medlardrum-standins");
 		commands.forEach(builder::addCommand);
 		JCommander parser = builder.build();
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/Targets.java
@@ -0,0 +1,65 @@
+package org.medlardrum.standins.internal.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.servicetalk.http.api.BlockingStreamingHttpClient;
+import io.servicetalk.http.api.BlockingStreamingHttpRequest;
+import io.servicetalk.http.api.BlockingStreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import org.medlardrum.standins.internal.http.HttpCaller;
+
+/**
+ * Entry hosts, taken in turn as the platform's balancer would. Thread-safe.
+ */
+final class Targets implements AutoCloseable {
+
+	private final List<BlockingStreamingHttpClient> clients = new ArrayList<>();
+
+	private final AtomicInteger next = new AtomicInteger();
+
+	Targets(List<String> addresses) {
+		if (addresses.isEmpty()) {
+			throw new IllegalArgumentException("At least one target is required");
+		}
+		for (String address : addresses) {
+			this.clients.add(HttpCaller.newClient(address).asBlockingStreamingClient());
+		}
+	}
+
+	int pick() {
+		return Math.floorMod(this.next.getAndIncrement(), this.clients.size());
+	}
+
+	int other(int target) {
+		return (target + 1) % this.clients.size();
+	}
+
+	BlockingStreamingHttpClient client(int target) {
+		return this.clients.get(target);
+	}
+
+	BlockingStreamingHttpResponse send(int target, BlockingStreamingHttpRequest request, long endNs) throws Exception {
+		StreamingHttpClient client = this.clients.get(target).asStreamingClient();
+		Future<StreamingHttpResponse> response = client.request(request.toStreamingRequest()).toFuture();
+		try {
+			return response.get(endNs - System.nanoTime(), TimeUnit.NANOSECONDS).toBlockingStreamingResponse();
+		}
+		catch (Exception ex) {
+			response.cancel(true);
+			throw ex;
+		}
+	}
+
+	@Override
+	public void close() {
+		for (BlockingStreamingHttpClient client : this.clients) {
+			client.asClient().closeAsync().subscribe();
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/TokenTimes.java
@@ -0,0 +1,52 @@
+package org.medlardrum.standins.internal.load;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Times of the tokens of one streamed answer. Confined to one thread.
+ */
+final class TokenTimes implements TokenListener {
+
+	private final Arrival arrival;
+
+	private final LoadStats stats;
+
+	private final long startNs;
+
+	private long firstNs = -1;
+
+	private long lastNs = -1;
+
+	private int tokens;
+
+	TokenTimes(Arrival arrival, LoadStats stats, long startNs) {
+		this.arrival = arrival;
+		this.stats = stats;
+		this.startNs = startNs;
+	}
+
+	@Override
+	public void token() {
+		long nowNs = System.nanoTime() - this.startNs;
+		if (this.firstNs < 0) {
+			this.firstNs = nowNs;
+		}
+		else {
+			long betweenUs = TimeUnit.NANOSECONDS.toMicros(nowNs - this.lastNs);
+			this.stats.each(this.arrival, (group) -> group.between(betweenUs));
+		}
+		this.lastNs = nowNs;
+		this.tokens++;
+		this.stats.delivered(this.arrival.route(), nowNs, this.arrival.route().layers());
+	}
+
+	// Returns the time of the first token after the start of the run, -1 for none.
+	long firstNs() {
+		return this.firstNs;
+	}
+
+	long meanBetweenUs() {
+		return (this.tokens > 1) ? TimeUnit.NANOSECONDS.toMicros(this.lastNs - this.firstNs) / (this.tokens - 1) : 0;
+	}
+
+}
