--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/BoundCommand.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/BoundCommand.java
@@ -1,5 +1,7 @@
 package org.medlardrum.standins;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.TreeMap;
 
@@ -18,18 +20,22 @@
 	@Override
 	public int run() throws Exception {
 		EnginesFile file = Json.read(this.enginesFile, EnginesFile.class);
-		TreeMap<String, java.util.List<EngineSettings>> models = new TreeMap<>();
+		TreeMap<String, List<EngineSettings>> models = new TreeMap<>();
 		for (EngineSettings engine : file.engines()) {
-			models.computeIfAbsent(engine.model(), (key) -> new java.util.ArrayList<>()).add(engine);
+			models.computeIfAbsent(engine.model(), (key) -> new ArrayList<>()).add(engine);
 		}
 		models.forEach((model, engines) -> {
 			int layers = engines.stream().mapToInt(EngineSettings::toLayer).max().orElseThrow();
-			double tokensPerS = FleetBound.tokensPerS(engines, layers);
-			System.out.println(String.format(Locale.ROOT,
-					"model %s: %d engines, %d layers, bound %.1f tokens/s, %.1f tokens x layers/s", model,
-					engines.size(), layers, tokensPerS, tokensPerS * layers));
+			print(model, engines.size(), layers, "whole ranges", FleetBound.wholeRanges(engines, layers));
+			print(model, engines.size(), layers, "split ranges", FleetBound.splitRanges(engines, layers));
 		});
 		return 0;
 	}
 
+	private static void print(String model, int engines, int layers, String kind, double tokensPerS) {
+		System.out.println(
+				String.format(Locale.ROOT, "model %s, %d engines, %d layers, %s: %.1f tokens/s, %.1f tokens x layers/s",
+						model, engines, layers, kind, tokensPerS, tokensPerS * layers));
+	}
+
 }
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/FleetBound.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/FleetBound.java
@@ -5,34 +5,37 @@
 import java.util.TreeSet;
 
 /**
- * Upper bound of a fleet's throughput. Every token passes each layer once, so that the
- * engines that hold layer {@code l} together run at most the sum of their rates:
+ * Upper bounds of a fleet's throughput in tokens per second. Prefill, links and
+ * scheduling are left out.
  *
- * <pre>
- * bound = min over layers l of ( sum over engines e that hold l of
- *         slots(e) * 1,000,000 / (layerTimeUs(e) * layers(e)) )
- * </pre>
+ * <p>
+ * With whole ranges, each engine runs all its layers for each of its tokens, at
+ * {@code slots * 1,000,000 / (layerTimeUs * layers held)} tokens per second. The bound is
+ * the minimum over all layers of the summed rates of the engines that hold the layer.
  *
- * in tokens per second. Prefill, links and scheduling are left out. The bound assumes
- * that an engine runs its whole range for each token; an engine that runs a part of its
- * range for a token takes less time, so a planner that splits ranges can exceed it.
+ * <p>
+ * With split ranges, an engine may run any part of its layers and so help where others
+ * are short. The bound is then the largest rate {@code T} for which no set of layers
+ * needs more layer steps ({@code T} for each layer) than the engines that hold any of it
+ * can run ({@code slots * 1,000,000 / layerTimeUs} each). Both bounds are equal when any
+ * two ranges are either equal or disjoint.
  */
 public final class FleetBound {
 
+	private static final int BISECTION_STEPS = 60;
+
 	private FleetBound() {
 	}
 
 	/**
-	 * Returns the bound of engines that hold parts of one model.
-	 * @param engines settings of the engines
+	 * Returns the bound with whole ranges.
+	 * @param engines settings of the engines of one model
 	 * @param layerCount number of layers of the model
 	 * @return tokens per second, 0 if a layer is held by no engine
 	 */
-	public static double tokensPerS(Collection<EngineSettings> engines, int layerCount) {
-		TreeSet<Integer> cuts = new TreeSet<>(List.of(0));
-		engines.forEach((engine) -> cuts.addAll(List.of(engine.fromLayer(), engine.toLayer())));
+	public static double wholeRanges(Collection<EngineSettings> engines, int layerCount) {
 		double bound = Double.POSITIVE_INFINITY;
-		for (int layer : cuts.headSet(layerCount)) {
+		for (int layer : cuts(engines, layerCount).headSet(layerCount)) {
 			bound = Math.min(bound,
 					engines.stream()
 						.filter((engine) -> engine.fromLayer() <= layer && layer < engine.toLayer())
@@ -42,4 +45,57 @@
 		return bound;
 	}
 
+	/**
+	 * Returns the bound with split ranges.
+	 * @param engines settings of the engines of one model
+	 * @param layerCount number of layers of the model
+	 * @return tokens per second, 0 if a layer is held by no engine
+	 */
+	public static double splitRanges(Collection<EngineSettings> engines, int layerCount) {
+		List<Integer> cuts = List.copyOf(cuts(engines, layerCount));
+		double total = engines.stream().mapToDouble(FleetBound::layersPerS).sum();
+		double low = 0;
+		double high = total / layerCount;
+		for (int step = 0; step < BISECTION_STEPS; step++) {
+			double middle = (low + high) / 2;
+			if (largestSurplus(engines, cuts, middle) <= total - middle * layerCount + total * 1e-12) {
+				low = middle;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+	// A set of layers S is short if the engines that touch it are. These are all engines
+	// but those within the gaps between S, so that the worst S leaves out the gaps whose
+	// own engines have the largest surplus over their need.
+	private static double largestSurplus(Collection<EngineSettings> engines, List<Integer> cuts, double tokensPerS) {
+		double[] best = new double[cuts.size()];
+		for (int end = 1; end < cuts.size(); end++) {
+			best[end] = best[end - 1];
+			for (int start = 0; start < end; start++) {
+				int fromLayer = cuts.get(start);
+				int toLayer = cuts.get(end);
+				double within = engines.stream()
+					.filter((engine) -> engine.fromLayer() >= fromLayer && engine.toLayer() <= toLayer)
+					.mapToDouble(FleetBound::layersPerS)
+					.sum();
+				best[end] = Math.max(best[end], best[start] + within - tokensPerS * (toLayer - fromLayer));
+			}
+		}
+		return best[cuts.size() - 1];
+	}
+
+	private static TreeSet<Integer> cuts(Collection<EngineSettings> engines, int layerCount) {
+		TreeSet<Integer> cuts = new TreeSet<>(List.of(0, layerCount));
+		engines.forEach((engine) -> cuts.addAll(List.of(engine.fromLayer(), engine.toLayer())));
+		return cuts;
+	}
+
+	private static double layersPerS(EngineSettings engine) {
+		return engine.slots() * 1e6 / engine.layerTimeUs();
+	}
+
 }
