--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/BoundCommand.java
@@ -0,0 +1,41 @@
+package org.medlardrum.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeMap;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+
+/**
+ * Prints the throughput bound of an engines file for each model.
+ */
+@Parameters(commandDescription = "Print the throughput bound of a fleet of engines")
+final class BoundCommand implements Command {
+
+	@Parameter(names = "--engines", required = true, description = "engines file")
+	private String enginesFile;
+
+	@Override
+	public int run() throws Exception {
+		EnginesFile file = Json.read(this.enginesFile, EnginesFile.class);
+		TreeMap<String, List<EngineSettings>> models = new TreeMap<>();
+		for (EngineSettings engine : file.engines()) {
+			models.computeIfAbsent(engine.model(), (key) -> new ArrayList<>()).add(engine);
+		}
+		models.forEach((model, engines) -> {
+			int layers = engines.stream().mapToInt(EngineSettings::toLayer).max().orElseThrow();
+			print(model, engines.size(), layers, "whole ranges", FleetBound.wholeRanges(engines, layers));
+			print(model, engines.size(), layers, "split ranges", FleetBound.splitRanges(engines, layers));
+		});
+		return 0;
+	}
+
+	private static void print(String model, int engines, int layers, String kind, double tokensPerS) {
+		System.out.println(
+				String.format(Locale.ROOT, "model %s, %d engines, %d layers, %s: %.1f tokens/s, %.1f tokens x layers/s",
+						model, engines, layers, kind, tokensPerS, tokensPerS * layers));
+	}
+
+}
