--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ApplyCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ApplyCommand.java
@@ -37,8 +37,8 @@
 					+ "kept unless they touch the same entries")
 	String basedOn = "";
 
-	@Parameter(names = "--author", description = "Operator named in the history")
-	String author = System.getProperty("user.name", "unknown");
+	@Parameter(names = "--author", description = "Operator named in the history; the user of the process by default")
+	String author = "";
 
 	@Parameter(names = "--wait-ms", description = "Longest wait until all hosts use the change, 0 for none")
 	String waitMs = "30000";
@@ -81,7 +81,8 @@
 		Map<String, JsonObject> wanted = new TreeMap<>(start.overlays());
 		wanted.putAll(files.overlays());
 		this.removeOverlays.forEach(wanted::remove);
-		return log.apply(start, (files.base() != null) ? files.base() : start.base(), wanted, this.author);
+		return log.apply(start, (files.base() != null) ? files.base() : start.base(), wanted,
+				!this.author.isEmpty() ? this.author : System.getProperty("user.name", "unknown"));
 	}
 
 	private CommandResult report(Session session, Fleet fleet, ApplyResult result, long wait) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
@@ -217,14 +217,21 @@
 	}
 
 	private long watch() {
+		long startMs = this.clock.millis();
 		StoreResult<StoreEntry> found = this.store.watch(nextKey(), this.damagedRevision, this.settings.watchMs());
 		readNext(found);
-		boolean answered = found instanceof StoreResult.Ok<StoreEntry>
-				|| found instanceof StoreResult.NotFound<StoreEntry>;
-		if (!answered && this.state.active() == null) {
+		if (found instanceof StoreResult.Ok<StoreEntry>) {
+			return 0;
+		}
+		if (found instanceof StoreResult.NotFound<StoreEntry>) {
+			// A store that answers before the wait is over must not be asked without
+			// pause.
+			return Math.max(0, this.settings.watchMs() / 2 - (this.clock.millis() - startMs));
+		}
+		if (this.state.active() == null) {
 			pullFromAny();
 		}
-		return answered ? 0 : jittered(this.settings.retryMs());
+		return jittered(this.settings.retryMs());
 	}
 
 	private String nextKey() {
