--- /dev/null
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/FakeEngine.java
@@ -0,0 +1,53 @@
+package org.medlardrum.coordination.orders;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.medlardrum.protocol.engine.EngineOrder;
+import org.medlardrum.state.BackendServer;
+import org.medlardrum.state.EngineReport;
+
+/**
+ * One engine that carries out orders at once. A fencing engine refuses old tokens.
+ */
+final class FakeEngine implements EngineOrders {
+
+	final List<EngineOrder> taken = new ArrayList<>();
+
+	final boolean fencing;
+
+	/** Runs between the send and the arrival of an order. */
+	Consumer<EngineOrder> onTheWay = (order) -> {
+	};
+
+	String version = "v1";
+
+	boolean loseAnswer;
+
+	private long highestToken;
+
+	FakeEngine(boolean fencing) {
+		this.fencing = fencing;
+	}
+
+	@Override
+	public OrderResult send(BackendServer engine, EngineOrder order, long timeoutMs) {
+		this.onTheWay.accept(order);
+		if (this.fencing && order.fencingToken() < this.highestToken) {
+			return new OrderResult.Fenced(this.highestToken);
+		}
+		this.highestToken = Math.max(this.highestToken, order.fencingToken());
+		this.taken.add(order);
+		this.version = order.version();
+		return (this.loseAnswer) ? new OrderResult.Unknown("answer lost") : new OrderResult.Accepted();
+	}
+
+	@Override
+	public Optional<EngineReport> report(BackendServer engine, long timeoutMs) {
+		return Optional.of(new EngineReport(engine.id(), "boot", "tally", this.version, List.of(), "both", 0, 16, 8, 0,
+				0, 100, false, this.fencing, 0));
+	}
+
+}
