Use the cleared facts of the crash ledger

Cause: the ledger now keeps cleared suspects and returns the fact to spread. Change: gossip spreads that fact and leaves cleared ones out of its answers. Conclusion: quarantine facts and rumours agree.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
@@ -216,7 +216,7 @@
 	 */
 	public void completed(String fingerprint) {
 		if (this.crashes.isSuspect(fingerprint)) {
-			tell(() -> this.crashes.completed(fingerprint, this.clock.millis()).ifPresent(this::merge));
+			tell(() -> this.crashes.completed(fingerprint).ifPresent(this::merge));
 		}
 	}
 
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/SharedCrashLedger.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/SharedCrashLedger.java
@@ -20,15 +20,12 @@
 
 	private final CrashLedger ledger;
 
-	private final long quarantineMs;
-
 	private volatile Map<String, CrashFact> published = Map.of();
 
 	private boolean changed;
 
 	SharedCrashLedger(long quarantineMs) {
 		this.ledger = new CrashLedger(quarantineMs);
-		this.quarantineMs = quarantineMs;
 	}
 
 	List<Rumour> crashed(String server, String bootId, Set<String> fingerprints, long nowMs) {
@@ -39,14 +36,9 @@
 			.toList();
 	}
 
-	Optional<Rumour> completed(String fingerprint, long nowMs) {
-		if (!this.ledger.isSuspect(fingerprint) || this.ledger.quarantinedUntilMs(fingerprint, nowMs) != 0) {
-			return Optional.empty();
-		}
-		this.ledger.completed(fingerprint);
+	Optional<Rumour> completed(String fingerprint) {
 		this.changed = true;
-		// The suspicion ends at most this late, so the rumour outlives it.
-		return Optional.of(new Rumour(RumourKind.CLEARED, fingerprint, nowMs + this.quarantineMs, 0));
+		return this.ledger.completed(fingerprint).map(SharedCrashLedger::rumour);
 	}
 
 	void merge(Rumour rumour, long nowMs) {
@@ -77,7 +69,11 @@
 		if (this.changed) {
 			this.changed = false;
 			Map<String, CrashFact> facts = new HashMap<>();
-			this.ledger.entries().forEach((fact) -> facts.put(fact.fingerprint(), fact));
+			for (CrashFact fact : this.ledger.entries()) {
+				if (fact.kind() != CrashFact.Kind.CLEARED) {
+					facts.put(fact.fingerprint(), fact);
+				}
+			}
 			this.published = Map.copyOf(facts);
 		}
 	}
