Keep a tenth of the trust in old load reports

Cause: with trust decaying to nothing, a lasting imbalance between kinds of engines was invisible in reports older than a second. Change: a tenth of the trust lasts; noise needs one logarithm less.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/EngineCost.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/EngineCost.java
@@ -21,6 +21,14 @@
 	// 1 s left; with reports every 200 ms the two were equal.
 	private static final double REPORT_TRUST_MS = 250;
 
+	// An old report still shows imbalances that last, such as a fast kind that everyone
+	// prefers. In trials with two kinds of engines, reports every 5 s and 85% load, 0.1
+	// lowered the mean latency by 13% against 0 and by 16% against 0.2.
+	private static final double LASTING_TRUST = 0.1;
+
+	// Less than a thousandth of the trust is left; the exponential is not worth its time.
+	private static final double NO_TRUST_AGE = 7;
+
 	private static final double QUEUEING_FACTOR = 8;
 
 	private static final double STAGE_OVERHEAD_US = 100;
@@ -57,7 +65,11 @@
 	// that was idle a while ago has been found by the other hosts since.
 	private double load(EngineState engine) {
 		EngineReport report = engine.report();
-		double trust = StrictMath.exp(-Math.max(0, engine.reportAgeMs()) / REPORT_TRUST_MS);
+		double age = Math.max(0, engine.reportAgeMs()) / REPORT_TRUST_MS;
+		double trust = LASTING_TRUST;
+		if (age < NO_TRUST_AGE) {
+			trust += (1 - LASTING_TRUST) * StrictMath.exp(-age);
+		}
 		double others = this.meanLoad + (reportedLoad(report) - this.meanLoad) * trust;
 		double own = engine.ownInFlight() / (double) Math.max(1, report.slots());
 		return (others + own) / Math.min(1, Math.max(0.01, engine.rampShare()));
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RangeCandidates.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RangeCandidates.java
@@ -43,17 +43,17 @@
 
 	// Returns one candidate for each range and zone. Ranges and zones compete by cost,
 	// too.
-	// Gumbel noise on the logarithm of the cost makes the cheapest one a weighted sample:
-	// its probability is proportional to slots × cost^(-1/temperature). Without the
-	// slots, a
-	// range that few engines hold would draw as many decisions as one that many hold.
+	// The noise makes the cheapest one a weighted sample, the Gumbel-max method on the
+	// logarithm of the cost: its probability is proportional to
+	// slots × cost^(-1/temperature). Without the slots, a range that few engines hold
+	// would
+	// draw as many decisions as one that many hold.
 	List<RangeCandidate> sample(double temperature) {
 		List<RangeCandidate> sampled = new ArrayList<>(this.ranges.size());
 		double meanSlots = this.slots / Math.max(1, this.ranges.size());
 		for (Range range : this.ranges.values()) {
-			double uniform = Math.max(Double.MIN_NORMAL, this.random.nextDouble());
-			double gumbel = -StrictMath.log(-StrictMath.log(uniform));
-			double noise = StrictMath.exp(-temperature * (gumbel + StrictMath.log(range.slots / meanSlots)));
+			double exponential = -StrictMath.log(1 - this.random.nextDouble()) + Double.MIN_NORMAL;
+			double noise = StrictMath.exp(temperature * StrictMath.log(exponential * meanSlots / range.slots));
 			sampled.add(range.better().withNoise(noise));
 		}
 		return sampled;
