Estimate waits from the rates at which others are accepted

Change: accepted rates by rank and organisation over 5 s, corrected for the start; an organisation's own queue drains at its share or at what others leave.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
@@ -40,7 +40,7 @@
 
 	private final RankFloors floors = new RankFloors();
 
-	private final WaitEstimate waits = new WaitEstimate(this.queues, this.floors);
+	private final WaitEstimate waits = new WaitEstimate(this.queues, this.floors, this::weight);
 
 	private double runningCost;
 
@@ -52,7 +52,7 @@
 	 */
 	public AdmissionQueue(AdmissionLimits limits) {
 		for (Rank rank : RANKS) {
-			this.queues.put(rank, new RankQueue((organisation) -> this.limits.weight(organisation)));
+			this.queues.put(rank, new RankQueue(this::weight));
 		}
 		update(limits);
 	}
@@ -90,6 +90,10 @@
 		return new AdmissionDecision.Accepted(waitMs);
 	}
 
+	private double weight(String organisation) {
+		return this.limits.weight(organisation);
+	}
+
 	private long expectedWaitMs(Work work, long nowMs) {
 		int freeSlots = this.limits.windowSlots() - this.running.size();
 		if (this.queued.size() < freeSlots) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RankQueue.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/RankQueue.java
@@ -42,6 +42,11 @@
 		return this.queuedCost;
 	}
 
+	double queuedCost(String organisation) {
+		OrganisationQueue queue = this.organisations.get(organisation);
+		return (queue != null) ? queue.queuedCost() : 0;
+	}
+
 	void add(Work work) {
 		OrganisationQueue queue = this.organisations.computeIfAbsent(work.organisation(),
 				(organisation) -> new OrganisationQueue(organisation, this.weights.applyAsDouble(organisation)));
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/WaitEstimate.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/WaitEstimate.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 
 import org.medlardrum.state.Rank;
 
@@ -12,23 +13,19 @@
 
 	private static final Rank[] RANKS = Rank.values();
 
-	// Two seconds are long enough to smooth single requests and short enough to follow
-	// the start of a flood.
-	private static final double ACCEPTED_RATE_MS = 2000;
-
 	private static final long MINIMUM_RETRY_AFTER_MS = 100;
 
 	private final Map<Rank, RankQueue> queues;
 
 	private final RankFloors floors;
 
-	private final Map<Rank, DecayingRate> accepted = new EnumMap<>(Rank.class);
+	private final Map<Rank, AcceptedRates> accepted = new EnumMap<>(Rank.class);
 
-	WaitEstimate(Map<Rank, RankQueue> queues, RankFloors floors) {
+	WaitEstimate(Map<Rank, RankQueue> queues, RankFloors floors, ToDoubleFunction<String> weights) {
 		this.queues = queues;
 		this.floors = floors;
 		for (Rank rank : RANKS) {
-			this.accepted.put(rank, new DecayingRate(ACCEPTED_RATE_MS));
+			this.accepted.put(rank, new AcceptedRates(weights));
 		}
 	}
 
@@ -37,30 +34,39 @@
 	}
 
 	void accepted(Work work, long nowMs) {
-		this.accepted.get(work.rank()).add(work.cost(), nowMs);
+		this.accepted.get(work.rank()).add(work, nowMs);
 	}
 
 	// Returns the expected wait with a full window. The rank is served at least at the
 	// rate of its floor, and otherwise at what more urgent ranks leave.
 	long expectedWaitMs(Work work, double meanRunningCost, double costPerS, long nowMs) {
 		Rank rank = work.rank();
-		double ahead = this.queues.get(rank).costAhead(work);
-		double byFloorS = Math.max(0, ahead - this.floors.owedCost(rank)) / (this.floors.share(rank) * costPerS);
+		double floorPerS = this.floors.share(rank) * costPerS;
+		double byFloorS = waitS(work, floorPerS, -this.floors.owedCost(rank), nowMs);
 		double leftPerS = costPerS;
-		double queuedBefore = ahead;
+		double moreUrgent = 0;
 		for (Rank other : RANKS) {
 			RankQueue queue = this.queues.get(other);
 			if (other.compareTo(rank) < 0) {
 				leftPerS -= this.accepted.get(other).costPerS(nowMs);
-				queuedBefore += queue.queuedCost();
+				moreUrgent += queue.queuedCost();
 			}
 			else if (other != rank && !queue.isEmpty()) {
 				leftPerS -= this.floors.share(other) * costPerS;
 			}
 		}
-		double byUrgencyS = (leftPerS > 0) ? queuedBefore / leftPerS : Double.POSITIVE_INFINITY;
+		double byUrgencyS = (leftPerS > 0) ? waitS(work, leftPerS, moreUrgent, nowMs) : Double.POSITIVE_INFINITY;
 		double slotS = meanRunningCost / costPerS;
 		return (long) Math.ceil(1000 * (slotS + Math.min(byFloorS, byUrgencyS)));
 	}
 
+	// Work that arrives later from other organisations overtakes an organisation's long
+	// queue, so that queue also takes its cost over the organisation's own rate.
+	private double waitS(Work work, double rankPerS, double otherAhead, long nowMs) {
+		RankQueue queue = this.queues.get(work.rank());
+		double aheadS = Math.max(0, queue.costAhead(work) + otherAhead) / rankPerS;
+		double ownPerS = this.accepted.get(work.rank()).servedCostPerS(work.organisation(), rankPerS, nowMs);
+		return Math.max(aheadS, queue.queuedCost(work.organisation()) / ownPerS);
+	}
+
 }
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/AdmissionQueueTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/AdmissionQueueTests.java
@@ -97,6 +97,33 @@
 			.of(weight * 5000));
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 2, 8, 64 })
+	void keepsTheWaitOfAcceptedWorkNearItsLimitWhenAllRanksFlood(int slots) {
+		AdmissionSimulation simulation = new AdmissionSimulation(limits(slots), 3);
+		for (Rank rank : Rank.values()) {
+			simulation.source(rank.name(), rank, "flock", 4 * COST_PER_S, 10);
+		}
+		Map<String, AdmissionSimulation.Result> results = simulation.run(90_000);
+		for (Rank rank : Rank.values()) {
+			long limitMs = RANKS.get(rank).maxQueueMs();
+			assertWithMessage("%s", rank).that(results.get(rank.name()).maxWaitMs).isAtMost(limitMs + limitMs / 4);
+		}
+	}
+
+	@Test
+	void keepsTheWaitOfALargeOrganisationNearItsLimitBesideLaterSmallOnes() {
+		AdmissionSimulation simulation = new AdmissionSimulation(limits(8), 4).source("large", Rank.STANDARD, "large",
+				20 * COST_PER_S, 10);
+		for (int i = 0; i < 5; i++) {
+			simulation.source("small" + i, Rank.STANDARD, "small" + i, 0.1 * COST_PER_S, 10, 5000);
+		}
+		long limitMs = RANKS.get(Rank.STANDARD).maxQueueMs();
+		// What is queued before the small ones come was accepted at the full rate, which
+		// then halves.
+		assertThat(simulation.run(60_000).get("large").maxWaitMs).isAtMost(2 * limitMs + limitMs / 4);
+	}
+
 	@Test
 	void boundsTheWaitOfAcceptedWorkWhenMoreUrgentWorkFloodsLater() {
 		Map<String, AdmissionSimulation.Result> results = new AdmissionSimulation(limits(4), 6)
