--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StageRunner.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StageRunner.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.gson.Gson;
-import com.google.gson.JsonObject;
 import org.medlardrum.protocol.engine.EngineFrame;
 import org.medlardrum.protocol.engine.EngineFrames;
 import org.medlardrum.protocol.engine.StageRequest;
@@ -50,13 +49,13 @@
 	 * @throws Exception if the connection breaks
 	 */
 	public void handle(Exchange exchange) throws Exception {
-		JsonObject json = exchange.bodyJson();
-		StageRequest request = GSON.fromJson(json, StageRequest.class);
-		if (request.request() == null || request.chain() == null || request.chain().isEmpty()
-				|| request.priority() == null) {
+		StageCall call = GSON.fromJson(exchange.body(), StageCall.class);
+		if (call == null || call.request() == null || call.chain() == null || call.chain().isEmpty()
+				|| call.priority() == null) {
 			throw new IllegalArgumentException("request, priority and chain are required");
 		}
-		StageHints hints = json.has("hints") ? GSON.fromJson(json.get("hints"), StageHints.class) : NO_HINTS;
+		StageRequest request = call.stageRequest();
+		StageHints hints = (call.hints() != null) ? call.hints() : NO_HINTS;
 		this.core.running().run(exchange, request.request(), request.attempt(), () -> {
 			this.core.faults().awaitThawed();
 			exchange.sendJson(200, answer(request, hints));
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/SuccessorCaller.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/SuccessorCaller.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeoutException;
 
 import com.google.gson.Gson;
-import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import io.servicetalk.http.api.HttpResponse;
 import org.medlardrum.protocol.engine.EngineFrame;
@@ -37,9 +36,8 @@
 		if (linkDelayUs > 0) {
 			TimeUnit.MICROSECONDS.sleep(linkDelayUs);
 		}
-		JsonObject json = GSON.toJsonTree(request).getAsJsonObject();
-		json.add("hints", GSON.toJsonTree(hints));
-		StageResult result = decode(next, send(next, GSON.toJson(json), request.deadlineMs()));
+		String json = GSON.toJson(StageCall.of(request, hints));
+		StageResult result = decode(next, send(next, json, request.deadlineMs()));
 		List<Long> timesUs = new ArrayList<>(result.stageTimesUs());
 		long laterUs = timesUs.stream().skip(1).mapToLong(Long::longValue).sum();
 		timesUs.set(0, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNs) - laterUs);
@@ -65,13 +63,14 @@
 
 	private StageResult decode(Stage next, HttpResponse response) throws StageFailure {
 		try {
-			JsonObject json = GSON.fromJson(response.payloadBody().toString(StandardCharsets.UTF_8), JsonObject.class);
-			if (json != null && json.has("type")) {
-				EngineFrame.Error error = GSON.fromJson(json, EngineFrame.Error.class);
-				throw new StageFailure(error.server(), error.code(), error.detail());
+			String body = response.payloadBody().toString(StandardCharsets.UTF_8);
+			StageResult result = GSON.fromJson(body, StageResult.class);
+			if (result != null && result.layers() != null && response.status().code() == 200) {
+				return result;
 			}
-			if (json != null && response.status().code() == 200) {
-				return GSON.fromJson(json, StageResult.class);
+			EngineFrame.Error error = GSON.fromJson(body, EngineFrame.Error.class);
+			if (error != null && error.server() != null && error.code() != null) {
+				throw new StageFailure(error.server(), error.code(), error.detail());
 			}
 		}
 		catch (JsonParseException ex) {
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/HttpCaller.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/HttpCaller.java
@@ -1,6 +1,7 @@
 package org.medlardrum.standins.internal.http;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
@@ -44,7 +45,8 @@
 		HttpClient client = client(address).asClient();
 		HttpRequest request = client.post(path);
 		request.setHeader("Content-Type", "application/json");
-		request.payloadBody(client.executionContext().bufferAllocator().fromUtf8(json));
+		// Wrapping the bytes is several times cheaper than the allocator's own encoding.
+		request.payloadBody(client.executionContext().bufferAllocator().wrap(json.getBytes(StandardCharsets.UTF_8)));
 		Future<HttpResponse> response = client.request(request).toFuture();
 		try {
 			return response.get(timeoutMs, TimeUnit.MILLISECONDS);
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/LineWriter.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/LineWriter.java
@@ -1,6 +1,7 @@
 package org.medlardrum.standins.internal.http;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.api.BufferAllocator;
@@ -26,7 +27,7 @@
 	 * @throws IOException if the connection is closed
 	 */
 	public void write(String line) throws IOException {
-		this.writer.write(this.allocator.fromUtf8(line + "\n"));
+		this.writer.write(this.allocator.wrap((line + "\n").getBytes(StandardCharsets.UTF_8)));
 		this.writer.flush();
 	}
 
