--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
@@ -15,8 +15,8 @@
  */
 public final class StepScheduler {
 
-	/** Largest time by which a late start is made up for. */
-	private static final long MAX_CATCH_UP_NS = TimeUnit.MILLISECONDS.toNanos(50);
+	/** Largest time by which a late start is made up for; busy machines wake threads late. */
+	private static final long MAX_CATCH_UP_NS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** Origin of the scheduler's times, so that they are never negative. */
 	private static final long ORIGIN_NS = System.nanoTime();
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/HttpCaller.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/http/HttpCaller.java
@@ -8,10 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-import io.servicetalk.concurrent.api.Executor;
-import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.http.api.BlockingHttpClient;
 import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.netty.HttpClients;
@@ -23,9 +22,6 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
-	private static final Executor VIRTUAL_THREADS = Executors
-		.from(java.util.concurrent.Executors.newVirtualThreadPerTaskExecutor());
-
 	private final ConcurrentHashMap<String, BlockingHttpClient> clients = new ConcurrentHashMap<>();
 
 	/**
@@ -67,7 +63,9 @@
 	 */
 	public static BlockingHttpClient newClient(String address) {
 		return HttpClients.forResolvedAddress(HostAndPort.ofIpPort(address))
-			.executor(VIRTUAL_THREADS)
+			// Callers wait on their own virtual threads, so that no hop to another is
+			// needed.
+			.executionStrategy(HttpExecutionStrategies.offloadNone())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
 			.buildBlocking();
 	}
