--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
@@ -48,7 +48,8 @@
 		json.addProperty("inForceAt", total - behind.size());
 		json.addProperty("waitedMs", this.session.clock().millis() - startMs);
 		json.add("notInForceAt", describe(behind));
-		text += ", in force at " + (total - behind.size()) + " of " + total + " entry hosts";
+		text += (total > 0) ? ", in force at " + (total - behind.size()) + " of " + total + " entry hosts"
+				: ", no entry host is listed";
 		return behind.isEmpty() ? CommandResult.of(ExitCode.OK, json, text)
 				: CommandResult.of(exitCode(behind), json, text + ", not at:\n" + lines(behind));
 	}
