--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/StepScheduler.java
@@ -15,7 +15,9 @@
  */
 public final class StepScheduler {
 
-	/** Largest time by which a late start is made up for; busy machines wake threads late. */
+	/**
+	 * Largest time by which a late start is made up for; busy machines wake threads late.
+	 */
 	private static final long MAX_CATCH_UP_NS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** Origin of the scheduler's times, so that they are never negative. */
