Serve configuration changes at an entry host's admin address

Cause: the command line needs the changes that entry hosts hold to restore those that the store has lost. Change: GET /config?after=<version> returns ConfigAgent.pull as JSON. Before: apply refused to write with 'does not return the lost changes: HTTP status 404'.

--- a/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/DocumentationTests.java
+++ b/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/DocumentationTests.java
@@ -39,8 +39,8 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(strings = { "check", "apply", "diff", "history", "status", "drain", "undrain", "explain",
-			"quarantine", "replay", "burn" })
+	@ValueSource(strings = { "check", "apply", "diff", "history", "status", "drain", "undrain", "explain", "quarantine",
+			"replay", "burn" })
 	void commandPageShowsTheHelpOfEachCommand(String command) throws Exception {
 		CliHarness cli = new CliHarness();
 		cli.run(command, "--help");
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -9,6 +9,7 @@
 import org.medlardrum.coordination.claims.ClaimOptions;
 import org.medlardrum.coordination.config.ConfigAgent;
 import org.medlardrum.coordination.config.ConfigAgentSettings;
+import org.medlardrum.coordination.config.ConfigPullCodec;
 import org.medlardrum.coordination.gossip.Gossip;
 import org.medlardrum.coordination.gossip.GossipOptions;
 import org.medlardrum.coordination.membership.Membership;
@@ -145,7 +146,8 @@
 				settings.hostId(), () -> this.table, this.lifecycle, services, runner, this.claims, this.admission));
 		this.admin = HttpListener.start(settings.adminAddress(), ADMIN_LIMITS,
 				new AdminHandler(this.lifecycle, this.metrics, traces, () -> this.table != null, status::json,
-						() -> GSON.toJsonTree(this.gossip.crashFacts()), this::drainInBackground));
+						() -> GSON.toJsonTree(this.gossip.crashFacts()), this::drainInBackground,
+						(version) -> ConfigPullCodec.write(this.config.pull(version))));
 		Logger.info("http: host {} listens on port {} for callers and {} for operators", settings.hostId(),
 				this.callers.port(), this.admin.port());
 	}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdminHandler.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdminHandler.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.google.gson.JsonElement;
 import org.medlardrum.entry.internal.host.Lifecycle;
@@ -22,10 +25,14 @@
 
 	private static final String TEXT = "text/plain; charset=utf-8";
 
+	private static final Pattern AFTER = Pattern.compile("[?&]after=(\\d{1,18})(&|$)");
+
 	private static final int OK = 200;
 
 	private static final int ACCEPTED = 202;
 
+	private static final int BAD_REQUEST = 400;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int UNAVAILABLE = 503;
@@ -44,6 +51,8 @@
 
 	private final Runnable drain;
 
+	private final LongFunction<String> changesAfter;
+
 	/**
 	 * Creates a handler.
 	 * @param lifecycle graceful shutdown
@@ -53,9 +62,12 @@
 	 * @param status state of the host
 	 * @param quarantine suspects and quarantined requests
 	 * @param drain starts a drain that ends the process
+	 * @param changesAfter returns the configuration changes after a version, from which
+	 * the command line restores changes that the platform's store has lost
 	 */
 	public AdminHandler(Lifecycle lifecycle, Metrics metrics, Traces traces, Supplier<Boolean> configured,
-			Supplier<JsonElement> status, Supplier<JsonElement> quarantine, Runnable drain) {
+			Supplier<JsonElement> status, Supplier<JsonElement> quarantine, Runnable drain,
+			LongFunction<String> changesAfter) {
 		this.lifecycle = lifecycle;
 		this.metrics = metrics;
 		this.traces = traces;
@@ -63,6 +75,7 @@
 		this.status = status;
 		this.quarantine = quarantine;
 		this.drain = drain;
+		this.changesAfter = changesAfter;
 	}
 
 	@Override
@@ -80,6 +93,7 @@
 			case "GET /metrics" ->
 				exchange.respond(OK, "text/plain; version=0.0.4; charset=utf-8", this.metrics.text());
 			case "GET /status" -> send(exchange, OK, JSON, this.status.get().toString());
+			case "GET /config" -> config(exchange);
 			case "GET /quarantine" -> send(exchange, OK, JSON, this.quarantine.get().toString());
 			case "GET /trace" -> send(exchange, OK, "application/x-ndjson", this.traces.lines());
 			case "POST /drain" -> {
@@ -94,6 +108,16 @@
 		}
 	}
 
+	private void config(HttpServerExchange exchange) throws IOException {
+		Matcher after = AFTER.matcher(exchange.target());
+		if (after.find()) {
+			send(exchange, OK, JSON, this.changesAfter.apply(Long.parseLong(after.group(1))));
+		}
+		else {
+			send(exchange, BAD_REQUEST, TEXT, "after is missing or not a version\n");
+		}
+	}
+
 	private void ready(HttpServerExchange exchange) throws IOException {
 		if (this.lifecycle.isDraining()) {
 			send(exchange, UNAVAILABLE, TEXT, "draining\n");
