--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
@@ -73,8 +73,11 @@
 
 	private static String lines(List<HostStatus> behind) {
 		List<String> lines = new ArrayList<>();
-		behind.forEach((host) -> lines
-			.add("  " + host.address() + "  " + (host.reached() ? "version " + host.configVersion() : host.failure())));
+		for (HostStatus host : behind) {
+			String state = host.reached() ? "version " + host.configVersion() + " " + host.configProblem()
+					: host.failure();
+			lines.add("  " + host.address() + "  " + state.strip());
+		}
 		return String.join("\n", lines);
 	}
 
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/StatusCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/StatusCommand.java
@@ -24,6 +24,7 @@
 		JsonObject json = new JsonObject();
 		StringBuilder text = new StringBuilder();
 		boolean complete = describeLog(session, json, text);
+		StringBuilder problems = new StringBuilder();
 		JsonArray hosts = new JsonArray();
 		List<List<String>> rows = new ArrayList<>();
 		rows.add(List.of("HOST", "ZONE", "ADDRESS", "VERSION", "HASH", "READY", "DRAINING", "IN FLIGHT"));
@@ -31,9 +32,12 @@
 			hosts.add(host.toJson());
 			complete &= host.reached();
 			rows.add(row(host));
+			if (!host.configProblem().isEmpty()) {
+				problems.append('\n').append(host.address()).append("  config: ").append(host.configProblem());
+			}
 		}
 		json.add("hosts", hosts);
-		text.append(Texts.table(rows));
+		text.append(Texts.table(rows)).append(problems);
 		return CommandResult.of(complete ? ExitCode.OK : ExitCode.UNREACHABLE, json, text.toString());
 	}
 
