--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/HostAction.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/HostAction.java
@@ -69,13 +69,14 @@
 			this.session.sleepMs(POLL_MS);
 			busy = busy(fleet);
 		}
-		busy.forEach((host) -> lines.add(host.address() + "  "
-				+ (host.reached() ? host.number("inFlight") + " requests still in flight" : host.failure())));
+		busy.forEach(
+				(host) -> lines.add(host.address() + "  " + host.number("inFlight") + " requests still in flight"));
 		return busy.isEmpty() ? ExitCode.OK : ExitCode.FAILED;
 	}
 
 	private static List<HostStatus> busy(Fleet fleet) {
-		return fleet.statuses().stream().filter((host) -> !host.reached() || host.number("inFlight") > 0).toList();
+		// A host that took the order and no longer answers has ended its process.
+		return fleet.statuses().stream().filter((host) -> host.reached() && host.number("inFlight") > 0).toList();
 	}
 
 	private String addressOf(String hostId) {
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/HostStatus.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/HostStatus.java
@@ -27,6 +27,14 @@
 		return number ? value.getAsLong() : 0;
 	}
 
+	/**
+	 * Returns why the newest version is not in force at the host.
+	 * @return the reason, empty when there is none
+	 */
+	String configProblem() {
+		return this.status.has("configProblem") ? text("configProblem") : "";
+	}
+
 	long configVersion() {
 		return number("configVersion");
 	}
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/InForce.java
@@ -48,7 +48,8 @@
 		json.addProperty("inForceAt", total - behind.size());
 		json.addProperty("waitedMs", this.session.clock().millis() - startMs);
 		json.add("notInForceAt", describe(behind));
-		text += ", in force at " + (total - behind.size()) + " of " + total + " entry hosts";
+		text += (total > 0) ? ", in force at " + (total - behind.size()) + " of " + total + " entry hosts"
+				: ", no entry host is listed";
 		return behind.isEmpty() ? CommandResult.of(ExitCode.OK, json, text)
 				: CommandResult.of(exitCode(behind), json, text + ", not at:\n" + lines(behind));
 	}
@@ -72,8 +73,11 @@
 
 	private static String lines(List<HostStatus> behind) {
 		List<String> lines = new ArrayList<>();
-		behind.forEach((host) -> lines
-			.add("  " + host.address() + "  " + (host.reached() ? "version " + host.configVersion() : host.failure())));
+		for (HostStatus host : behind) {
+			String state = host.reached() ? "version " + host.configVersion() + " " + host.configProblem()
+					: host.failure();
+			lines.add("  " + host.address() + "  " + state.strip());
+		}
 		return String.join("\n", lines);
 	}
 
