Write canonical numbers without exponent

Cause: diff showed 2000 as 2E+3. Change: canonical numbers up to 20 digits of scale are plain; replay shortens long lines in text. Before: '- 2E+3'.

--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
@@ -19,6 +19,9 @@
 @Parameters(commandDescription = "Repeat the decisions of a recorded trace and compare their outcomes")
 final class ReplayCommand extends Command {
 
+	/** An unreadable line holds a whole fleet; JSON output shows it in full. */
+	private static final int MAX_SHOWN = 300;
+
 	@Parameter(description = "<trace file>")
 	List<String> files = new ArrayList<>();
 
@@ -39,12 +42,16 @@
 		List<String> text = new ArrayList<>();
 		text.add(report.decisions() + " decisions, " + report.mismatches().size() + " mismatches");
 		report.mismatches()
-			.forEach((mismatch) -> text.add("  line " + mismatch.line() + "\n    recorded " + mismatch.expected()
-					+ "\n    now      " + mismatch.actual()));
+			.forEach((mismatch) -> text.add("  line " + mismatch.line() + "\n    recorded " + shorten(mismatch.expected())
+					+ "\n    now      " + shorten(mismatch.actual())));
 		return CommandResult.of(report.mismatches().isEmpty() ? ExitCode.OK : ExitCode.FAILED, json,
 				String.join("\n", text));
 	}
 
+	private static String shorten(String text) {
+		return (text.length() > MAX_SHOWN) ? text.substring(0, MAX_SHOWN) + "..." : text;
+	}
+
 	@Override
 	String example() {
 		return "replay trace.jsonl";
--- a/medlardrum-state/src/main/java/org/medlardrum/state/config/CanonicalJson.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/CanonicalJson.java
@@ -13,6 +13,9 @@
  */
 final class CanonicalJson {
 
+	/** Numbers with larger exponents are written with an exponent, to bound their length. */
+	private static final int MAX_PLAIN_SCALE = 20;
+
 	private CanonicalJson() {
 	}
 
@@ -61,7 +64,11 @@
 	private static String number(String text) {
 		try {
 			BigDecimal value = new BigDecimal(text);
-			return (value.signum() != 0) ? value.stripTrailingZeros().toString() : "0";
+			BigDecimal stripped = value.stripTrailingZeros();
+			if (value.signum() == 0) {
+				return "0";
+			}
+			return (Math.abs(stripped.scale()) <= MAX_PLAIN_SCALE) ? stripped.toPlainString() : stripped.toString();
 		}
 		catch (NumberFormatException ex) {
 			// The exponent exceeds what BigDecimal holds; the text still names one value.
--- a/medlardrum-state/src/test/java/org/medlardrum/state/config/ConfigMergeTests.java
+++ b/medlardrum-state/src/test/java/org/medlardrum/state/config/ConfigMergeTests.java
@@ -47,6 +47,7 @@
 			{"b":1,"a":2}       | {"a":2.0,"b":1.00}  | true
 			{"a":0}             | {"a":-0.00}         | true
 			{"a":100}           | {"a":1e2}           | true
+			{"a":1e30}          | {"a":10e29}         | true
 			{"a":1}             | {"a":"1"}           | false
 			{"a":[1,2]}         | {"a":[2,1]}         | false
 			{"a":null}          | {}                  | false
