--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
@@ -1,6 +1,7 @@
 package org.medlardrum.standins;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import com.beust.jcommander.JCommander;
@@ -29,6 +30,10 @@
 		JCommander.Builder builder = JCommander.newBuilder().programName("medlardrum-standins");
 		commands.forEach(builder::addCommand);
 		JCommander parser = builder.build();
+		if (List.of(args).contains("--help")) {
+			help(parser, commands.containsKey(args[0]) ? args[0] : null);
+			return;
+		}
 		try {
 			parser.parse(args);
 		}
@@ -45,4 +50,13 @@
 		System.exit(command.run());
 	}
 
+	private static void help(JCommander parser, String command) {
+		if (command != null) {
+			parser.getUsageFormatter().usage(command);
+		}
+		else {
+			parser.usage();
+		}
+	}
+
 }
