--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
@@ -23,7 +23,7 @@
  * queue.poll(nowMs).ifPresent(this::start);
  * }</pre>
  */
-public final class AdmissionQueue {
+public final class AdmissionQueue implements AdmissionPolicy {
 
 	private static final Rank[] RANKS = Rank.values();
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/ChainPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/ChainPlanner.java
@@ -25,7 +25,7 @@
  * }
  * }</pre>
  */
-public final class ChainPlanner {
+public final class ChainPlanner implements ChainPolicy {
 
 	private static final long RETRY_AFTER_MS = 1000;
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 
 import org.jctools.queues.MpscArrayQueue;
 import org.medlardrum.coordination.internal.DutyThread;
 import org.medlardrum.decisions.AdmissionLimits;
+import org.medlardrum.decisions.AdmissionPolicy;
 import org.medlardrum.decisions.Work;
 import org.medlardrum.state.Rank;
 
@@ -37,6 +39,8 @@
 
 	private final MpscArrayQueue<Runnable> ring;
 
+	private final Function<AdmissionLimits, AdmissionPolicy> policy;
+
 	private final AtomicLong ids = new AtomicLong();
 
 	private final Map<String, PoolQueue> pools = new HashMap<>();
@@ -51,9 +55,11 @@
 	 * Creates the queues. {@link #start} starts the thread.
 	 * @param clock the clock
 	 * @param ringSize messages that may wait for the thread
+	 * @param policy creates the queue of a pool
 	 */
-	public Admission(InstantSource clock, int ringSize) {
+	public Admission(InstantSource clock, int ringSize, Function<AdmissionLimits, AdmissionPolicy> policy) {
 		this.clock = clock;
+		this.policy = policy;
 		this.ring = new MpscArrayQueue<>(ringSize);
 		this.tickedAtMs = clock.millis();
 	}
@@ -101,7 +107,7 @@
 				queue.update(limit);
 			}
 			else {
-				this.pools.put(pool, new PoolQueue(limit));
+				this.pools.put(pool, new PoolQueue(this.policy.apply(limit)));
 			}
 		}));
 	}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/PoolQueue.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/PoolQueue.java
@@ -6,7 +6,7 @@
 
 import org.medlardrum.decisions.AdmissionDecision;
 import org.medlardrum.decisions.AdmissionLimits;
-import org.medlardrum.decisions.AdmissionQueue;
+import org.medlardrum.decisions.AdmissionPolicy;
 import org.medlardrum.decisions.Work;
 import org.medlardrum.state.Rank;
 
@@ -15,14 +15,14 @@
  */
 final class PoolQueue {
 
-	private final AdmissionQueue queue;
+	private final AdmissionPolicy queue;
 
 	private final Map<Long, Ticket> waiting = new HashMap<>();
 
 	private final DemandMeter demand = new DemandMeter();
 
-	PoolQueue(AdmissionLimits limits) {
-		this.queue = new AdmissionQueue(limits);
+	PoolQueue(AdmissionPolicy queue) {
+		this.queue = queue;
 	}
 
 	void update(AdmissionLimits limits) {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -14,6 +14,10 @@
 import org.medlardrum.coordination.gossip.GossipOptions;
 import org.medlardrum.coordination.membership.Membership;
 import org.medlardrum.coordination.membership.MembershipOptions;
+import org.medlardrum.decisions.AdmissionQueue;
+import org.medlardrum.decisions.ChainPlanner;
+import org.medlardrum.decisions.FirstComeFirstServedQueue;
+import org.medlardrum.decisions.RoundRobinPlanner;
 import org.medlardrum.entry.internal.admission.Admission;
 import org.medlardrum.entry.internal.fleet.CrashDetector;
 import org.medlardrum.entry.internal.fleet.Fleet;
@@ -25,6 +29,7 @@
 import org.medlardrum.entry.internal.route.RouteTable;
 import org.medlardrum.entry.internal.service.CallTimes;
 import org.medlardrum.entry.internal.service.ServiceRun;
+import org.medlardrum.entry.internal.settings.Policy;
 import org.medlardrum.entry.internal.settings.Settings;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
@@ -120,11 +125,13 @@
 				this.membership, this.engineClient, clock, new FleetOptions(settings.hostId(),
 						settings.availabilityZone(), settings.pollIntervalMs(), POLL_TIMEOUT_MS),
 				this.gossip::isSuspect);
-		this.admission = new Admission(clock, settings.admissionRingSize());
+		boolean fair = settings.policy() == Policy.FAIR;
+		this.admission = new Admission(clock, settings.admissionRingSize(),
+				(fair) ? AdmissionQueue::new : FirstComeFirstServedQueue::new);
 		CallTimes callTimes = new CallTimes();
 		this.tuner = new PoolTuner(settings.hostId(), this.membership, this.gossip, this.fleet, this.admission,
 				callTimes);
-		this.retries = new Retries(clock);
+		this.retries = new Retries(clock, fair);
 		this.lifecycle = new Lifecycle(settings.drainDelayMs(), settings.drainTimeoutMs(), this.gossip::setDraining);
 		Traces traces = new Traces();
 		CrashDetector crashes = new CrashDetector(this.engineClient, (server, bootId, fingerprints) -> {
@@ -133,7 +140,8 @@
 		}, CRASH_PROBE_TIMEOUT_MS);
 		ModelServices services = new ModelServices(this.engineClient, this.fleet, crashes, this.gossip, this.retries,
 				traces, this.metrics, clock,
-				new AttemptTimeouts(settings.firstFrameTimeoutMs(), settings.stallTimeoutMs()));
+				new AttemptTimeouts(settings.firstFrameTimeoutMs(), settings.stallTimeoutMs()),
+				(fair) ? new ChainPlanner() : new RoundRobinPlanner());
 		this.metrics.gauges(this.fleet::view, this.admission::status, this.lifecycle::inFlight, this::configVersion);
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()),
 				new EntryPeerHandler(this.gossip, this.config, this.claims), settings.peerOptions());
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Retries.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Retries.java
@@ -21,6 +21,8 @@
 
 	private final InstantSource clock;
 
+	private final boolean enabled;
+
 	private final Backoff backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS);
 
 	private double share = -1;
@@ -32,9 +34,11 @@
 	/**
 	 * Creates a budget without retries until it is configured.
 	 * @param clock the clock
+	 * @param enabled whether there are retries at all
 	 */
-	public Retries(InstantSource clock) {
+	public Retries(InstantSource clock, boolean enabled) {
 		this.clock = clock;
+		this.enabled = enabled;
 	}
 
 	/**
@@ -62,7 +66,7 @@
 	 * @return {@code true} if it may be made
 	 */
 	public synchronized boolean tryRetry(int attempts) {
-		return attempts < this.maxAttempts && this.budget.tryRetry(this.clock.millis());
+		return this.enabled && attempts < this.maxAttempts && this.budget.tryRetry(this.clock.millis());
 	}
 
 	/**
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import org.medlardrum.decisions.ChainDecision;
-import org.medlardrum.decisions.ChainPlanner;
 import org.medlardrum.decisions.ChainQuery;
 import org.medlardrum.entry.internal.fleet.CrashDetector;
 import org.medlardrum.entry.internal.fleet.FleetView;
@@ -29,8 +28,6 @@
 
 	private static final long CANCEL_TIMEOUT_MS = 500;
 
-	private final ChainPlanner planner = new ChainPlanner();
-
 	private final ModelServices services;
 
 	private final ModelJob job;
@@ -153,7 +150,7 @@
 				this.job.fingerprint(), this.suspect || this.services.gossip().isSuspect(this.job.fingerprint()),
 				Set.copyOf(this.excluded));
 		long seed = ThreadLocalRandom.current().nextLong();
-		ChainDecision decision = this.planner.plan(query, snapshot, new SplittableRandom(seed));
+		ChainDecision decision = this.services.planner().plan(query, snapshot, new SplittableRandom(seed));
 		this.services.traces().decision(query, snapshot, seed, decision);
 		return decision;
 	}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelServices.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelServices.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 
 import org.medlardrum.coordination.gossip.Gossip;
+import org.medlardrum.decisions.ChainPolicy;
 import org.medlardrum.entry.internal.fleet.CrashDetector;
 import org.medlardrum.entry.internal.fleet.Fleet;
 import org.medlardrum.entry.internal.host.Metrics;
@@ -22,7 +23,8 @@
  * @param metrics metrics
  * @param clock the clock
  * @param timeouts timeouts of an attempt
+ * @param planner chooses the chains
  */
 public record ModelServices(EngineClient client, Fleet fleet, CrashDetector crashes, Gossip gossip, Retries retries,
-		Traces traces, Metrics metrics, InstantSource clock, AttemptTimeouts timeouts) {
+		Traces traces, Metrics metrics, InstantSource clock, AttemptTimeouts timeouts, ChainPolicy planner) {
 }
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
@@ -81,6 +81,11 @@
 	@Parameter(names = "--admission-ring-size", description = "Messages that may wait for the admission thread")
 	String admissionRingSize = "4096";
 
+	@Parameter(names = "--policy",
+			description = "Decisions of the host: fair, or baseline for measurements (first come first served, "
+					+ "round robin, no retries)")
+	String policy = "fair";
+
 	@Parameter(names = "--check", description = "Check the settings and exit")
 	boolean check;
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Settings.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Settings.java
@@ -22,9 +22,10 @@
  * @param drainDelayMs time from failing readiness to refusing new requests
  * @param drainTimeoutMs longest wait for requests in progress at shutdown
  * @param admissionRingSize messages that may wait for the admission thread
+ * @param policy decisions that the host takes
  */
 public record Settings(String hostId, String availabilityZone, String callerAddress, String adminAddress,
 		String peerAddress, String platformAddress, long platformTimeoutMs, PeerOptions peerOptions,
 		ServerLimits callerLimits, int connectTimeoutMs, long firstFrameTimeoutMs, long stallTimeoutMs,
-		long pollIntervalMs, long drainDelayMs, long drainTimeoutMs, int admissionRingSize) {
+		long pollIntervalMs, long drainDelayMs, long drainTimeoutMs, int admissionRingSize, Policy policy) {
 }
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/SettingsParser.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/SettingsParser.java
@@ -92,7 +92,17 @@
 				number("--poll-interval-ms", this.flags.pollIntervalMs, 50, MAX_MS),
 				number("--drain-delay-ms", this.flags.drainDelayMs, 0, MAX_MS),
 				number("--drain-timeout-ms", this.flags.drainTimeoutMs, 0, MAX_MS),
-				(int) number("--admission-ring-size", this.flags.admissionRingSize, 2, 1 << 20));
+				(int) number("--admission-ring-size", this.flags.admissionRingSize, 2, 1 << 20), policy());
+	}
+
+	private Policy policy() {
+		for (Policy policy : Policy.values()) {
+			if (policy.name().toLowerCase(Locale.ROOT).equals(this.flags.policy)) {
+				return policy;
+			}
+		}
+		fault("--policy", this.flags.policy, "fair or baseline");
+		return Policy.FAIR;
 	}
 
 	private ServerLimits limits() {
