--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ReplayCommand.java
@@ -42,8 +42,8 @@
 		List<String> text = new ArrayList<>();
 		text.add(report.decisions() + " decisions, " + report.mismatches().size() + " mismatches");
 		report.mismatches()
-			.forEach((mismatch) -> text.add("  line " + mismatch.line() + "\n    recorded " + shorten(mismatch.expected())
-					+ "\n    now      " + shorten(mismatch.actual())));
+			.forEach((mismatch) -> text.add("  line " + mismatch.line() + "\n    recorded "
+					+ shorten(mismatch.expected()) + "\n    now      " + shorten(mismatch.actual())));
 		return CommandResult.of(report.mismatches().isEmpty() ? ExitCode.OK : ExitCode.FAILED, json,
 				String.join("\n", text));
 	}
--- a/medlardrum-state/src/main/java/org/medlardrum/state/config/CanonicalJson.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/CanonicalJson.java
@@ -13,7 +13,9 @@
  */
 final class CanonicalJson {
 
-	/** Numbers with larger exponents are written with an exponent, to bound their length. */
+	/**
+	 * Numbers with larger exponents are written with an exponent, to bound their length.
+	 */
 	private static final int MAX_PLAIN_SCALE = 20;
 
 	private CanonicalJson() {
