--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/OpenLoop.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/load/OpenLoop.java
@@ -113,7 +113,7 @@
 	private void finish(Arrival arrival, CallResult result, TokenTimes times, int tries) {
 		MixRoute route = arrival.route();
 		long nowNs = System.nanoTime() - this.startNs;
-		long cost = (route.isModel()) ? (long) result.tokens() * route.layers() : 1;
+		long cost = (route.isModel()) ? (long) result.tokens() * route.layers() : 0;
 		long firstNs = (times.firstNs() >= 0) ? times.firstNs() : nowNs;
 		long firstUs = TimeUnit.NANOSECONDS.toMicros(Math.max(0, firstNs - arrival.atNs()));
 		boolean inTarget = (route.targetMs() <= 0 || firstUs <= route.targetMs() * 1000)
