--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/Json.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/Json.java
@@ -1,14 +1,24 @@
 package org.medlardrum.standins;
 
 import java.io.IOException;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import com.google.gson.Gson;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
 
 /**
- * JSON files of the commands.
+ * JSON files of the commands. Unknown members are refused, as a misspelt setting would
+ * silently take its default.
  */
 final class Json {
 
@@ -19,15 +29,36 @@
 
 	static <T> T read(String file, Class<T> type) throws IOException {
 		try {
-			T value = GSON.fromJson(Files.readString(Path.of(file)), type);
-			if (value == null) {
-				throw new IllegalArgumentException("File " + file + " is empty");
-			}
-			return value;
+			return parse(Files.readString(Path.of(file)), type);
 		}
 		catch (JsonParseException ex) {
 			throw new IllegalArgumentException("File " + file + " is malformed: " + ex.getMessage(), ex);
 		}
 	}
 
+	static <T> T parse(String text, Class<T> type) {
+		JsonElement json = JsonParser.parseString(text);
+		if (!json.isJsonObject()) {
+			throw new JsonParseException("not a JSON object");
+		}
+		check(json, type);
+		return GSON.fromJson(json, type);
+	}
+
+	private static void check(JsonElement json, Type type) {
+		if (json.isJsonArray() && type instanceof ParameterizedType list) {
+			json.getAsJsonArray().forEach((element) -> check(element, list.getActualTypeArguments()[0]));
+		}
+		else if (json.isJsonObject() && type instanceof Class<?> record && record.isRecord()) {
+			Map<String, RecordComponent> members = Arrays.stream(record.getRecordComponents())
+				.collect(Collectors.toMap(RecordComponent::getName, Function.identity()));
+			json.getAsJsonObject().asMap().forEach((name, value) -> {
+				if (!members.containsKey(name)) {
+					throw new JsonParseException("unknown member \"" + name + "\"");
+				}
+				check(value, members.get(name).getGenericType());
+			});
+		}
+	}
+
 }
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/LoadGenerator.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/LoadGenerator.java
@@ -31,7 +31,7 @@
 	 */
 	public static JsonObject run(String mix, List<String> targets, List<String> services, long seed, int maxInFlight)
 			throws Exception {
-		return new OpenLoop(Json.GSON.fromJson(mix, Mix.class), targets, seed, maxInFlight).run(services);
+		return new OpenLoop(Json.parse(mix, Mix.class), targets, seed, maxInFlight).run(services);
 	}
 
 }
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/EngineCore.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/engine/EngineCore.java
@@ -51,6 +51,8 @@
 	 * settings name is loaded again.
 	 */
 	public void reset() {
+		// The boot identifier tells a cancelled request that the engine crashed.
+		this.holdings.bootId(newBootId());
 		this.running.cancelAll();
 		this.scheduler = new StepScheduler(this.settings.slots());
 		this.prefixCache.clear();
@@ -58,7 +60,6 @@
 		this.holdings.model(this.settings.model(), this.settings.version());
 		this.holdings.adapters(List.copyOf(this.settings.adapters()));
 		this.holdings.role(this.settings.role());
-		this.holdings.bootId(newBootId());
 	}
 
 	EngineSettings settings() {
