Give ranks with a long target a longer stall timeout

Cause: engines serve urgent sequences first, so a background sequence may pause for longer than the fixed 1500 ms without any fault; the attempt was abandoned and its prefill repeated, which added load during a flood. Change: the stall timeout is the larger of the setting and 20 times the rank's target between tokens (urgent 1500 ms, background 8000 ms with a 400 ms target). Before: 1500 ms for all ranks. After: AttemptTimeoutsTests; ChainFailureTests pass.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/ModelHandler.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/ModelHandler.java
@@ -89,19 +89,20 @@
 					route.get().config().rank(), 0));
 			return;
 		}
-		admit(context, table, request, job(context, organisation, route.get(), model, request, body));
+		admit(context, table, request, job(context, table, organisation, route.get(), model, request, body));
 	}
 
-	private ModelJob job(CallerContext context, String organisation, Route route, ModelConfig model,
+	private ModelJob job(CallerContext context, RouteTable table, String organisation, Route route, ModelConfig model,
 			ChatRequest request, byte[] body) {
 		int limit = route.config().maxTokens();
 		int maxTokens = (request.maxTokens() > 0) ? Math.min(request.maxTokens(), limit) : limit;
 		String version = (model.version() != null) ? model.version() : "";
 		String adapter = (route.config().adapter() != null) ? route.config().adapter() : "";
+		long betweenTokensTargetMs = table.configuration().ranks().get(route.config().rank()).betweenTokensTargetMs();
 		return new ModelJob(context.id(), organisation, route.name(), route.config().model(), version, adapter,
 				model.pool(), model.layers(), route.config().rank(), request.prompt(), maxTokens,
 				Digests.fingerprint(organisation, route.name(), "", body),
-				this.services.clock().millis() + route.config().timeoutMs());
+				this.services.clock().millis() + route.config().timeoutMs(), betweenTokensTargetMs);
 	}
 
 	private void admit(CallerContext context, RouteTable table, ChatRequest request, ModelJob job) throws IOException {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
@@ -35,6 +35,8 @@
 
 	private final AttemptTimeouts timeouts;
 
+	private final long stallMs;
+
 	private final ModelJob job;
 
 	private final Chain chain;
@@ -51,6 +53,7 @@
 		this.metrics = services.metrics();
 		this.clock = services.clock();
 		this.timeouts = services.timeouts();
+		this.stallMs = this.timeouts.stallMs(job.betweenTokensTargetMs());
 		this.job = job;
 		this.chain = chain;
 		this.number = number;
@@ -107,7 +110,7 @@
 			if (leftMs <= 0) {
 				return new AttemptResult.Failed("", "timed-out", true, false, false);
 			}
-			StreamEvent event = stream.next(Math.min(leftMs, this.timeouts.stallMs()));
+			StreamEvent event = stream.next(Math.min(leftMs, this.stallMs));
 			if (Thread.currentThread().isInterrupted()) {
 				return new AttemptResult.Cut();
 			}
@@ -121,9 +124,8 @@
 			else if (event instanceof StreamEvent.Broken broken) {
 				return new AttemptResult.Failed(head, broken.reason(), true, true, true);
 			}
-			else if (leftMs > this.timeouts.stallMs()) {
-				return new AttemptResult.Failed("", "no frame within " + this.timeouts.stallMs() + " ms", true, false,
-						false);
+			else if (leftMs > this.stallMs) {
+				return new AttemptResult.Failed("", "no frame within " + this.stallMs + " ms", true, false, false);
 			}
 		}
 	}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelJob.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelJob.java
@@ -18,9 +18,11 @@
  * @param maxTokens largest number of tokens
  * @param fingerprint fingerprint of the request
  * @param deadlineMs clock reading at which the timeout passes
+ * @param betweenTokensTargetMs target of the rank for the time between tokens
  */
 public record ModelJob(String request, String organisation, String route, String model, String version, String adapter,
-		String pool, int layerCount, Rank rank, String prompt, int maxTokens, String fingerprint, long deadlineMs) {
+		String pool, int layerCount, Rank rank, String prompt, int maxTokens, String fingerprint, long deadlineMs,
+		long betweenTokensTargetMs) {
 
 	/** Rough length of a token in English text, used to estimate the prompt's tokens. */
 	private static final int CHARACTERS_PER_TOKEN = 4;
