--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
@@ -1,5 +1,6 @@
 package org.medlardrum.standins;
 
+import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,7 +48,17 @@
 			System.exit(2);
 			return;
 		}
-		System.exit(command.run());
+		System.exit(run(command));
+	}
+
+	private static int run(Command command) throws Exception {
+		try {
+			return command.run();
+		}
+		catch (IOException | IllegalArgumentException | IllegalStateException | ParameterException ex) {
+			System.err.println(ex.getMessage());
+			return 2;
+		}
 	}
 
 	private static void help(JCommander parser, String command) {
