--- a/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/ApplyCommandTests.java
+++ b/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/ApplyCommandTests.java
@@ -60,9 +60,11 @@
 		assertThat(apply()).isEqualTo(0);
 		assertThat(this.cli.out).contains("accepted, version 2, in force at 1 of 1 entry hosts");
 		write(5);
-		this.cli.hosts.put(HOST, (target) -> status(2));
+		this.cli.hosts.put(HOST,
+				(target) -> CliHarness.ok("{\"configVersion\":2,\"configProblem\":\"version 3 is not valid here\"}"));
 		assertThat(apply()).isEqualTo(1);
-		assertThat(this.cli.out).contains("in force at 0 of 1 entry hosts, not at:\n  127.0.0.1:9001  version 2");
+		assertThat(this.cli.out).contains("in force at 0 of 1 entry hosts, not at:\n  127.0.0.1:9001  version 2 "
+				+ "version 3 is not valid here");
 	}
 
 	@Test
