Compute waits from the measured rate when the window is full

Cause: with the machine overloaded the engines completed a seventh of the rate that their reported layer times give. Waits were computed from the nominal rate: urgent requests with a limit of 700 ms waited 4 s, background ones with 15 s waited 45 s. Change: AdmissionQueue measures the cost completed while its window is full and work waits, over 5 s, and uses it between 5% and 200% of the nominal rate. Before: without the measurement ServedRateTests fails for slowdowns 3 and 8. After: passes for 1, 3 and 8; the other tests of admission are unchanged and pass.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/AdmissionQueue.java
@@ -42,6 +42,8 @@
 
 	private final WaitEstimate waits = new WaitEstimate(this.queues, this.floors, this::weight);
 
+	private final ServedRate served = new ServedRate();
+
 	private double runningCost;
 
 	private AdmissionLimits limits;
@@ -67,6 +69,7 @@
 	 * @throws IllegalArgumentException if work of the same id is queued or running
 	 */
 	public AdmissionDecision offer(Work work, long nowMs) {
+		this.served.advance(nowMs, isBusy());
 		if (this.queued.containsKey(work.id()) || this.running.containsKey(work.id())) {
 			throw new IllegalArgumentException("Work " + work.id() + " is already queued or running");
 		}
@@ -94,13 +97,17 @@
 		return this.limits.weight(organisation);
 	}
 
+	private boolean isBusy() {
+		return this.limits != null && this.running.size() >= this.limits.windowSlots() && !this.queued.isEmpty();
+	}
+
 	private long expectedWaitMs(Work work, long nowMs) {
 		int freeSlots = this.limits.windowSlots() - this.running.size();
 		if (this.queued.size() < freeSlots) {
 			return 0;
 		}
 		double meanRunningCost = (this.running.isEmpty()) ? 0 : this.runningCost / this.running.size();
-		return this.waits.expectedWaitMs(work, meanRunningCost, this.limits.costPerS(), nowMs);
+		return this.waits.expectedWaitMs(work, meanRunningCost, this.served.costPerS(this.limits.costPerS()), nowMs);
 	}
 
 	/**
@@ -109,6 +116,7 @@
 	 * @return the work, empty when the window is full or nothing is queued
 	 */
 	public Optional<Work> poll(long nowMs) {
+		this.served.advance(nowMs, isBusy());
 		removeExpired(nowMs);
 		if (this.running.size() >= this.limits.windowSlots() || this.queued.isEmpty()) {
 			return Optional.empty();
@@ -175,10 +183,15 @@
 	 * @param nowMs clock reading, in milliseconds
 	 */
 	public void finish(long id, double actualCost, long nowMs) {
+		boolean busy = isBusy();
+		this.served.advance(nowMs, busy);
 		Work work = this.running.remove(id);
 		if (work == null) {
 			return;
 		}
+		if (busy) {
+			this.served.served(work.cost());
+		}
 		this.runningCost = (this.running.isEmpty()) ? 0 : this.runningCost - work.cost();
 		double difference = actualCost - work.cost();
 		if (difference != 0) {
