--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/internal/admission/AdmissionTests.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/internal/admission/AdmissionTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.medlardrum.decisions.AdmissionLimits;
+import org.medlardrum.decisions.AdmissionQueue;
 import org.medlardrum.decisions.RankLimits;
 import org.medlardrum.state.PausableClock;
 import org.medlardrum.state.Rank;
@@ -20,7 +21,7 @@
 
 	private final PausableClock clock = new PausableClock(1000);
 
-	private final Admission admission = new Admission(this.clock, 4);
+	private final Admission admission = new Admission(this.clock, 4, AdmissionQueue::new);
 
 	private void limit(int slots, long maxQueueMs) {
 		this.admission.update(Map.of("pool",
