Wait for a chain without spending attempts, and count each crash once

Cause: after a crash its suspects may not share an engine; with one engine left for a layer range, waiting requests used up their attempts and failed. Change: a started request waits up to 10 s for a chain; a crash is reported and counted once for each boot of an engine. Conclusion: a request without any chain for 10 s still fails.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/CrashDetector.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/CrashDetector.java
@@ -23,6 +23,8 @@
 
 	private final long probeTimeoutMs;
 
+	private final Map<String, String> crashedBootIds = new ConcurrentHashMap<>();
+
 	private final Map<String, Map<Long, String>> runningByServer = new ConcurrentHashMap<>();
 
 	/**
@@ -76,8 +78,8 @@
 			case Outcome.Completed<EngineReport> report ->
 				(bootId.equals(report.value().bootId())) ? Health.ALIVE : Health.CRASHED;
 		};
-		if (health == Health.CRASHED) {
-			String server = engine.server().id();
+		String server = engine.server().id();
+		if (health == Health.CRASHED && !bootId.equals(this.crashedBootIds.put(server, bootId))) {
 			Set<String> fingerprints = new HashSet<>(this.runningByServer.getOrDefault(server, Map.of()).values());
 			Logger.warn("chain: engine {} crashed with {} different requests", server, fingerprints.size());
 			this.listener.crashed(server, bootId, fingerprints);
@@ -102,7 +104,7 @@
 	}
 
 	/**
-	 * Receives crashes. The same crash may be reported several times.
+	 * Receives crashes, each once.
 	 */
 	@FunctionalInterface
 	public interface CrashListener {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/ModelRun.java
@@ -28,6 +28,11 @@
 
 	private static final long CANCEL_TIMEOUT_MS = 500;
 
+	/** Bounds how long a caller is held when the engines do not return. */
+	private static final long MAX_CHAIN_WAIT_MS = 10_000;
+
+	private static final long CHAIN_WAIT_STEP_MS = 50;
+
 	private final ModelServices services;
 
 	private final ModelJob job;
@@ -44,6 +49,8 @@
 
 	private int attempts;
 
+	private long waitedMs;
+
 	/**
 	 * Creates a run.
 	 * @param services what the run needs
@@ -71,53 +78,59 @@
 	 */
 	public RunResult run() {
 		this.services.retries().onFirstAttempt();
-		while (true) {
+		RunResult result = null;
+		while (result == null) {
 			FleetView view = this.services.fleet().view();
-			ChainDecision decision = plan(view);
-			String failure;
-			if (decision instanceof ChainDecision.Chosen chosen) {
-				AttemptResult result = attempt(chosen.chain(), view);
-				switch (result) {
-					case AttemptResult.Completed completed -> {
-						this.services.gossip().completed(this.job.fingerprint());
-						return new RunResult.Completed(completed.reason());
-					}
-					case AttemptResult.Cut cut -> {
-						return new RunResult.Cut();
-					}
-					case AttemptResult.Rejected rejected -> {
-						return new RunResult.Failed(problem(ProblemType.BAD_REQUEST, rejected.detail(), 0));
-					}
-					case AttemptResult.Failed failed -> failure = failed.code();
-				}
-			}
-			else {
-				failure = ((ChainDecision.NoChain) decision).reason();
-				if (this.attempts == 0) {
-					return new RunResult.Failed(problem(ProblemType.NO_CAPACITY, failure,
-							((ChainDecision.NoChain) decision).retryAfterMs()));
-				}
-				// Excluded engines may be usable again, or the only ones left.
-				this.excluded.clear();
-				this.attempts++;
-			}
-			RunResult end = nextAttempt(failure);
-			if (end != null) {
-				return end;
+			result = switch (plan(view)) {
+				case ChainDecision.Chosen chosen -> afterAttempt(attempt(chosen.chain(), view));
+				case ChainDecision.NoChain none -> withoutChain(none);
+			};
+		}
+		return result;
+	}
+
+	// Returns null when another attempt may be made.
+	private RunResult afterAttempt(AttemptResult result) {
+		return switch (result) {
+			case AttemptResult.Completed completed -> {
+				this.services.gossip().completed(this.job.fingerprint());
+				yield new RunResult.Completed(completed.reason());
 			}
+			case AttemptResult.Cut cut -> new RunResult.Cut();
+			case AttemptResult.Rejected rejected ->
+				new RunResult.Failed(problem(ProblemType.BAD_REQUEST, rejected.detail(), 0));
+			case AttemptResult.Failed failed -> nextAttempt(failed.code());
+		};
+	}
+
+	// A request that has not run is refused at once. One that has started waits for a
+	// chain, which does not count as an attempt: engines return, and suspects of the same
+	// crash run one after the other.
+	private RunResult withoutChain(ChainDecision.NoChain none) {
+		if (this.attempts == 0) {
+			return new RunResult.Failed(problem(ProblemType.NO_CAPACITY, none.reason(), none.retryAfterMs()));
+		}
+		RunResult end = ended();
+		if (end != null) {
+			return end;
+		}
+		if (!this.excluded.isEmpty()) {
+			// Excluded engines may be usable again, or the only ones left.
+			this.excluded.clear();
+			return null;
 		}
+		if (this.waitedMs >= MAX_CHAIN_WAIT_MS) {
+			return new RunResult.Failed(problem(ProblemType.NO_CAPACITY, none.reason(), none.retryAfterMs()));
+		}
+		this.waitedMs += CHAIN_WAIT_STEP_MS;
+		return pause(CHAIN_WAIT_STEP_MS);
 	}
 
 	// Returns null when another attempt may be made.
 	private RunResult nextAttempt(String failure) {
-		long nowMs = this.services.clock().millis();
-		long untilMs = this.services.gossip().quarantinedUntilMs(this.job.fingerprint());
-		if (untilMs > nowMs) {
-			return new RunResult.Failed(
-					problem(ProblemType.QUARANTINED, "the request crashed backend servers", untilMs - nowMs));
-		}
-		if (nowMs >= this.job.deadlineMs()) {
-			return new RunResult.Failed(problem(ProblemType.TIMED_OUT, "the timeout of the route passed", 0));
+		RunResult end = ended();
+		if (end != null) {
+			return end;
 		}
 		if (!this.services.retries().tryRetry(this.attempts)) {
 			return new RunResult.Failed(problem(ProblemType.BACKEND_FAILED,
@@ -127,13 +140,30 @@
 		if (!this.emitted.isEmpty()) {
 			this.services.metrics().resume();
 		}
+		return pause(this.services.retries().delayMs(this.attempts));
+	}
+
+	private RunResult ended() {
+		long nowMs = this.services.clock().millis();
+		long untilMs = this.services.gossip().quarantinedUntilMs(this.job.fingerprint());
+		if (untilMs > nowMs) {
+			return new RunResult.Failed(
+					problem(ProblemType.QUARANTINED, "the request crashed backend servers", untilMs - nowMs));
+		}
+		if (nowMs >= this.job.deadlineMs()) {
+			return new RunResult.Failed(problem(ProblemType.TIMED_OUT, "the timeout of the route passed", 0));
+		}
+		return null;
+	}
+
+	private static RunResult pause(long durationMs) {
 		try {
-			Thread.sleep(this.services.retries().delayMs(this.attempts));
+			Thread.sleep(durationMs);
+			return null;
 		}
 		catch (InterruptedException ex) {
 			return new RunResult.Cut();
 		}
-		return null;
 	}
 
 	private Problem problem(ProblemType type, String detail, long retryAfterMs) {
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/ChainFailureTests.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/ChainFailureTests.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.AfterEach;
@@ -145,6 +146,24 @@
 		EntryFixture.await("others are served", () -> this.fixture.chat("harmless", 5, false).statusCode() == 200);
 	}
 
+	@Test
+	void allSuspectsOfOneCrashCompleteOnTheLastEngine() throws Exception {
+		startChains();
+		CompletableFuture<?>[] callers = new CompletableFuture<?>[8];
+		for (int i = 0; i < callers.length; i++) {
+			String prompt = "suspect " + i;
+			callers[i] = CompletableFuture.runAsync(() -> {
+				HttpResponse<String> response = this.fixture.chat(prompt, 20, false);
+				assertThat(EntryFixture.content(response)).isEqualTo(EntryFixture.expected(prompt, 20));
+			}, (task) -> Thread.ofVirtual().start(task));
+		}
+		EngineStandIn tail = this.fixture.engines.get(1);
+		EntryFixture.await("running", () -> !tail.ledger("").isEmpty());
+		tail.crash();
+		CompletableFuture.allOf(callers).join();
+		assertThat(this.fixture.metric("medlardrum_backend_crashes_total")).isEqualTo(1.0);
+	}
+
 	@Test
 	void clientDisconnectFreesTheEngines() throws Exception {
 		startChains();
