Test concurrent operators and the reader's thread

Cause: rebasing was tested with staged interleavings only, and the thread of ConfigAgent not at all. Change: six operators at once with lost answers; a running agent that is woken by a peer's version.

--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigAgentTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigAgentTests.java
@@ -1,10 +1,12 @@
 package org.medlardrum.coordination.config;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import com.google.gson.JsonObject;
@@ -68,6 +70,27 @@
 		assertThat(versionOf(other)).isEqualTo(2);
 	}
 
+	@Test
+	void threadReadsChangesAndWakesUpForPeers() throws Exception {
+		ConfigFixtures.accept(this.log, 1);
+		CountDownLatch first = new CountDownLatch(1);
+		CountDownLatch second = new CountDownLatch(2);
+		try (ConfigAgent running = agent(others().get(0), this.store)) {
+			running.onChange((documents) -> {
+				first.countDown();
+				second.countDown();
+			});
+			running.start();
+			assertThat(first.await(60, TimeUnit.SECONDS)).isTrue();
+			ConfigFixtures.accept(this.log, 2);
+			Host watcher = watchers().get(0);
+			agent(watcher, this.store).step();
+			running.heardVersion(watcher, 2);
+			assertThat(second.await(60, TimeUnit.SECONDS)).isTrue();
+			assertThat(versionOf(running)).isEqualTo(2);
+		}
+	}
+
 	@Test
 	void heardVersionIsPulledFromThePeerWithoutTheStore() {
 		ConfigFixtures.accept(this.log, 1);
@@ -254,7 +277,7 @@
 
 	private static final class AgentNetwork implements PeerNetwork {
 
-		private final Map<String, ConfigAgent> agents = new HashMap<>();
+		private final Map<String, ConfigAgent> agents = new ConcurrentHashMap<>();
 
 		private boolean cut;
 
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigLogTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigLogTests.java
@@ -1,7 +1,14 @@
 package org.medlardrum.coordination.config;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 
 import com.google.gson.JsonObject;
 import org.junit.jupiter.api.BeforeEach;
@@ -64,6 +71,31 @@
 		assertThat(result).isEqualTo(new ApplyResult.Accepted(3));
 	}
 
+	@Test
+	void concurrentOperatorsLoseNoChangeWhenAnswersAreLost() throws Exception {
+		int operators = 6;
+		ConfigDocuments common = ConfigFixtures.load(this.log);
+		List<Callable<ApplyResult>> tasks = new ArrayList<>();
+		for (int operator = 0; operator < operators; operator++) {
+			JsonObject base = ConfigFixtures.baseWith(common.base(),
+					"{'organisations':{'new-" + operator + "':{'keySha256':[]}}}");
+			ConfigLog own = new ConfigLog(this.store, this.clock);
+			tasks.add(() -> ConfigFixtures.applyBase(own, common, base));
+		}
+		this.store.loseAnswers(4);
+		Set<ApplyResult> results = new HashSet<>();
+		try (ExecutorService threads = Executors.newFixedThreadPool(operators)) {
+			for (Future<ApplyResult> result : threads.invokeAll(tasks)) {
+				results.add(result.get());
+			}
+		}
+		for (int version = 2; version <= operators + 1; version++) {
+			assertThat(results).contains(new ApplyResult.Accepted(version));
+		}
+		assertThat(ConfigFixtures.load(this.log).base().getAsJsonObject("organisations").size())
+			.isEqualTo(operators + 2);
+	}
+
 	@Test
 	void conflictingChangeIsRefusedWithTheOtherOperatorsEdit() {
 		ConfigDocuments common = ConfigFixtures.load(this.log);
