Keep the configuration thread alive when a listener fails

Cause: an exception of a listener ended the thread config; the host then kept its version for good while it still looked ready. Change: each listener is called on its own, and a failed step is logged and repeated. Before: a test with a listener that throws would have stopped at the first version. After: that test and the module's others pass.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
@@ -176,13 +176,25 @@
 
 	private void run() {
 		while (!this.closed) {
-			long waitMs = step();
+			long waitMs = guardedStep();
 			if (waitMs > 0 && this.heard.isEmpty()) {
 				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(waitMs));
 			}
 		}
 	}
 
+	private long guardedStep() {
+		try {
+			return step();
+		}
+		catch (RuntimeException ex) {
+			// Without this thread the host would keep its version for good and still look
+			// ready.
+			Logger.error(ex, "config: a step failed and is repeated");
+			return jittered(this.settings.retryMs());
+		}
+	}
+
 	/**
 	 * Handles peers' news and looks into the store if it is time.
 	 * @return how long to wait before the next step, in milliseconds
@@ -362,11 +374,20 @@
 			this.state = next;
 			if (valid) {
 				Logger.info("config: version {} is in force", next.active().version());
-				this.listeners.forEach((listener) -> listener.accept(next.active()));
+				this.listeners.forEach((listener) -> inform(listener, next.active()));
 			}
 		}
 	}
 
+	private static void inform(Consumer<ConfigDocuments> listener, ConfigDocuments documents) {
+		try {
+			listener.accept(documents);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "config: a listener failed on version {}", documents.version());
+		}
+	}
+
 	private long jittered(long meanMs) {
 		return meanMs * 3 / 4 + this.random.nextLong(Math.max(1, meanMs / 2));
 	}
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigAgentTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigAgentTests.java
@@ -71,7 +71,7 @@
 	}
 
 	@Test
-	void threadReadsChangesAndWakesUpForPeers() throws Exception {
+	void threadWakesUpForPeersAndSurvivesAFailingListener() throws Exception {
 		ConfigFixtures.accept(this.log, 1);
 		CountDownLatch first = new CountDownLatch(1);
 		CountDownLatch second = new CountDownLatch(2);
@@ -79,6 +79,7 @@
 			running.onChange((documents) -> {
 				first.countDown();
 				second.countDown();
+				throw new IllegalStateException("failing listener");
 			});
 			running.start();
 			assertThat(first.await(60, TimeUnit.SECONDS)).isTrue();
