Issue orders from the entry host and write traces that replay reads

Cause: OrderIssuer was never started by the entry host, so placements had no effect; the trace page had a format of its own, of which the replayer refused each line. Change: HttpEngineOrders over the engines' interface, started by the host; Traces writes TraceRecorder's lines and turns decisions into JSON only on request. After: a test replays the page without a mismatch.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -1,6 +1,7 @@
 package org.medlardrum.entry.internal.host;
 
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 
@@ -14,6 +15,8 @@
 import org.medlardrum.coordination.gossip.GossipOptions;
 import org.medlardrum.coordination.membership.Membership;
 import org.medlardrum.coordination.membership.MembershipOptions;
+import org.medlardrum.coordination.orders.OrderIssuer;
+import org.medlardrum.coordination.orders.OrderOptions;
 import org.medlardrum.decisions.AdmissionQueue;
 import org.medlardrum.decisions.ChainPlanner;
 import org.medlardrum.decisions.FirstComeFirstServedQueue;
@@ -36,7 +39,9 @@
 import org.medlardrum.state.config.ConfigDocuments;
 import org.medlardrum.state.config.ConfigParser;
 import org.medlardrum.state.config.ConfigResult;
+import org.medlardrum.state.config.PlacementConfig;
 import org.medlardrum.transport.EngineClient;
+import org.medlardrum.transport.HttpEngineOrders;
 import org.medlardrum.transport.HttpPlatformStore;
 import org.medlardrum.transport.ServiceClient;
 import org.medlardrum.transport.internal.Addresses;
@@ -81,6 +86,8 @@
 
 	private final Fleet fleet;
 
+	private final OrderIssuer orders;
+
 	private final Admission admission;
 
 	private final PoolTuner tuner;
@@ -126,6 +133,9 @@
 						settings.availabilityZone(), settings.pollIntervalMs(), POLL_TIMEOUT_MS),
 				this.gossip::isSuspect);
 		boolean fair = settings.policy() == Policy.FAIR;
+		this.orders = new OrderIssuer(this.store, new HttpEngineOrders(this.engineClient), this.membership,
+				settings.hostId(), () -> placements(this.table), () -> loadsPerMinute(this.table), clock,
+				OrderOptions.DEFAULT);
 		this.admission = new Admission(clock, settings.admissionRingSize(),
 				(fair) ? AdmissionQueue::new : FirstComeFirstServedQueue::new);
 		CallTimes callTimes = new CallTimes();
@@ -201,6 +211,7 @@
 		this.peerServer.close();
 		this.tuner.close();
 		this.admission.close();
+		this.orders.close();
 		this.fleet.close();
 		this.config.close();
 		this.gossip.close();
@@ -222,6 +233,7 @@
 		this.gossip.start();
 		this.claims.start();
 		this.config.start();
+		this.orders.start();
 		this.peerServer.start();
 	}
 
@@ -241,6 +253,16 @@
 		}
 	}
 
+	private static Map<String, PlacementConfig> placements(RouteTable current) {
+		return (current != null && current.configuration().placements() != null) ? current.configuration().placements()
+				: Map.of();
+	}
+
+	private static double loadsPerMinute(RouteTable current) {
+		return (current != null && current.configuration().weightStore() != null)
+				? current.configuration().weightStore().loadsPerMinute() : 0;
+	}
+
 	private long configVersion() {
 		RouteTable current = this.table;
 		return (current != null) ? current.version() : 0;
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Traces.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Traces.java
@@ -9,9 +9,11 @@
 import java.util.Optional;
 
 import com.google.gson.Gson;
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import org.medlardrum.decisions.ChainDecision;
 import org.medlardrum.decisions.ChainQuery;
+import org.medlardrum.decisions.TraceRecorder;
 import org.medlardrum.state.FleetSnapshot;
 
 /**
@@ -31,7 +33,7 @@
 
 	private final Deque<TracedDecision> decisions = new ArrayDeque<>();
 
-	private final Map<String, List<JsonObject>> requests = new LinkedHashMap<>();
+	private final Map<String, List<TraceEvent>> requests = new LinkedHashMap<>();
 
 	private final Map<String, String> requestsByCallerId = new LinkedHashMap<>();
 
@@ -47,10 +49,7 @@
 			this.decisions.removeFirst();
 		}
 		this.decisions.addLast(new TracedDecision(query, fleet, seed, decision));
-		JsonObject event = new JsonObject();
-		event.addProperty("event", "chain");
-		event.add("decision", GSON.toJsonTree(decision));
-		add(query.request(), event);
+		add(query.request(), new TraceEvent.Planned(System.currentTimeMillis(), decision));
 	}
 
 	/**
@@ -60,10 +59,7 @@
 	 * @param detail technical detail without content of the caller
 	 */
 	public synchronized void event(String request, String event, String detail) {
-		JsonObject json = new JsonObject();
-		json.addProperty("event", event);
-		json.addProperty("detail", detail);
-		add(request, json);
+		add(request, new TraceEvent.Note(System.currentTimeMillis(), event, detail));
 	}
 
 	/**
@@ -84,13 +80,15 @@
 	 */
 	public synchronized Optional<String> explain(String id) {
 		String request = this.requestsByCallerId.getOrDefault(id, id);
-		List<JsonObject> events = this.requests.get(request);
+		List<TraceEvent> events = this.requests.get(request);
 		if (events == null) {
 			return Optional.empty();
 		}
 		JsonObject json = new JsonObject();
 		json.addProperty("request", request);
-		json.add("events", GSON.toJsonTree(events));
+		JsonArray history = new JsonArray();
+		events.forEach((event) -> history.add(json(event)));
+		json.add("events", history);
 		return Optional.of(json.toString());
 	}
 
@@ -103,21 +101,33 @@
 		synchronized (this) {
 			copy = List.copyOf(this.decisions);
 		}
+		TraceRecorder recorder = new TraceRecorder();
 		StringBuilder lines = new StringBuilder();
 		for (TracedDecision traced : copy) {
-			JsonObject json = new JsonObject();
-			json.add("query", GSON.toJsonTree(traced.query()));
-			json.add("fleet", GSON.toJsonTree(traced.fleet()));
-			json.addProperty("seed", traced.seed());
-			json.add("outcome", GSON.toJsonTree(traced.decision()));
-			lines.append(json).append('\n');
+			lines.append(recorder.fleet(traced.fleet())).append('\n');
+			lines.append(recorder.chain(traced.seed(), traced.query(), Map.of(), traced.decision())).append('\n');
 		}
 		return lines.toString();
 	}
 
-	private void add(String request, JsonObject event) {
-		event.addProperty("atMs", System.currentTimeMillis());
-		List<JsonObject> events = this.requests.computeIfAbsent(request, (id) -> new ArrayList<>());
+	private static JsonObject json(TraceEvent event) {
+		JsonObject json = new JsonObject();
+		json.addProperty("atMs", event.atMs());
+		switch (event) {
+			case TraceEvent.Note note -> {
+				json.addProperty("event", note.event());
+				json.addProperty("detail", note.detail());
+			}
+			case TraceEvent.Planned planned -> {
+				json.addProperty("event", "chain");
+				json.add("decision", GSON.toJsonTree(planned.decision()));
+			}
+		}
+		return json;
+	}
+
+	private void add(String request, TraceEvent event) {
+		List<TraceEvent> events = this.requests.computeIfAbsent(request, (id) -> new ArrayList<>());
 		if (events.size() < MAX_EVENTS) {
 			events.add(event);
 		}
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/EntryHostTests.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/EntryHostTests.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.medlardrum.decisions.ReplayReport;
+import org.medlardrum.decisions.TraceReplayer;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -114,7 +116,9 @@
 		HttpResponse<String> response = fixture.chat("explain", 3, false);
 		String id = response.headers().firstValue("x-request-id").orElseThrow();
 		assertThat(fixture.get("/explain/" + id).body()).contains("\"chain\"");
-		assertThat(fixture.get("/trace").body()).contains("\"seed\"");
+		ReplayReport replay = new TraceReplayer().replay(fixture.get("/trace").body().lines().toList());
+		assertThat(replay.decisions()).isAtLeast(1);
+		assertThat(replay.mismatches()).isEmpty();
 		assertThat(fixture.get("/quarantine").body()).isEqualTo("[]");
 		assertThat(fixture
 			.metric("medlardrum_requests_total{organisation=\"coop\",outcome=\"completed\",rank=\"urgent\"}"))
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
@@ -6,8 +6,10 @@
 
 import com.google.gson.Gson;
 import io.servicetalk.http.api.BlockingStreamingHttpResponse;
+import org.medlardrum.coordination.orders.OrderResult;
 import org.medlardrum.protocol.engine.CancelRequest;
 import org.medlardrum.protocol.engine.EngineFrame;
+import org.medlardrum.protocol.engine.EngineOrder;
 import org.medlardrum.protocol.engine.GenerateRequest;
 import org.medlardrum.state.EngineReport;
 import org.medlardrum.state.Outcome;
@@ -32,6 +34,10 @@
 
 	private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
 
+	private static final int ACCEPTED = 202;
+
+	private static final int CONFLICT = 409;
+
 	private static final List<String> JSON = List.of("Content-Type", "application/json");
 
 	private static final byte[] EMPTY = new byte[0];
@@ -101,6 +107,35 @@
 		};
 	}
 
+	/**
+	 * Sends an order.
+	 * @param address {@code ip:port} of the engine
+	 * @param order the order
+	 * @param timeoutMs longest duration of the call
+	 * @return the result
+	 */
+	public OrderResult order(String address, EngineOrder order, long timeoutMs) {
+		byte[] body = GSON.toJson(order).getBytes(StandardCharsets.UTF_8);
+		try {
+			BlockingStreamingHttpResponse response = HttpExchange.send(this.clients.client(address), "POST",
+					"/v1/orders", JSON, body, timeoutMs);
+			int status = response.status().code();
+			HttpExchange.readBody(response, MAX_RESPONSE_BYTES, timeoutMs);
+			return switch (status) {
+				case NotRunHeader.OK, ACCEPTED -> new OrderResult.Accepted();
+				case CONFLICT -> new OrderResult.Fenced(0);
+				default -> new OrderResult.Refused("HTTP status " + status);
+			};
+		}
+		catch (Exception ex) {
+			return switch (EngineClient.<String>failed(ex)) {
+				case Outcome.NotRun<String> notRun -> new OrderResult.NotSent(notRun.reason());
+				case Outcome.MayHaveRun<String> unclear -> new OrderResult.Unknown(unclear.reason());
+				case Outcome.Completed<String> none -> new OrderResult.Unknown("no response");
+			};
+		}
+	}
+
 	/**
 	 * Closes connections to all other engines.
 	 * @param addresses addresses that are still in use
