--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigAgentTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/config/ConfigAgentTests.java
@@ -132,6 +132,23 @@
 		assertThat(versionOf(starting)).isEqualTo(71);
 	}
 
+	@Test
+	void olderSnapshotOfTheStoreNeverReplacesANewerVersion() {
+		for (int weight = 1; weight <= 70; weight++) {
+			ConfigFixtures.accept(this.log, weight);
+		}
+		ConfigAgent agent = agent(watchers().get(0), this.store);
+		List<Long> versions = new ArrayList<>();
+		agent.onChange((documents) -> versions.add(documents.version()));
+		agent.step();
+		// The snapshot of version 64 is read again, because a later version was heard of.
+		this.network.cut = true;
+		agent.heardVersion(others().get(0), 80);
+		agent.step();
+		assertThat(versionOf(agent)).isEqualTo(70);
+		assertThat(versions).isInStrictOrder();
+	}
+
 	@Test
 	void hostThatStartsWithAStaleStoreCatchesUpFromAPeer() {
 		ConfigFixtures.accept(this.log, 1);
