Wake the admission and fleet threads less often when idle

Change: the admission thread polls only while requests wait; the fleet thread steps at half its view interval. Before: 20 and 50 ms between steps. After: 250 and 125 ms; offers and events still wake the threads at once.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
@@ -33,7 +33,10 @@
 	private static final long RING_FULL_RETRY_MS = 1000;
 
 	/** Bounds the time until queued requests whose timeout passed are answered. */
-	private static final long IDLE_WAIT_MS = 20;
+	private static final long QUEUED_WAIT_MS = 20;
+
+	/** Offers wake the thread; an idle host should use little of a core. */
+	private static final long IDLE_WAIT_MS = 250;
 
 	private final InstantSource clock;
 
@@ -174,7 +177,10 @@
 			});
 			this.status = List.copyOf(published);
 		}
-		return (this.ring.isEmpty()) ? IDLE_WAIT_MS : 0;
+		if (!this.ring.isEmpty()) {
+			return 0;
+		}
+		return (this.pools.values().stream().anyMatch(PoolQueue::hasQueued)) ? QUEUED_WAIT_MS : IDLE_WAIT_MS;
 	}
 
 }
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/PoolQueue.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/PoolQueue.java
@@ -61,6 +61,10 @@
 		}
 	}
 
+	boolean hasQueued() {
+		return !this.waiting.isEmpty();
+	}
+
 	PoolStatus status(String pool) {
 		Map<Rank, Integer> queued = new java.util.EnumMap<>(Rank.class);
 		for (Rank rank : Rank.values()) {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
@@ -306,7 +306,7 @@
 			this.viewedAtMs = nowMs;
 			this.changed = false;
 		}
-		return (this.changed) ? MIN_VIEW_INTERVAL_MS : MAX_VIEW_INTERVAL_MS / 5;
+		return (this.changed) ? MIN_VIEW_INTERVAL_MS : MAX_VIEW_INTERVAL_MS / 2;
 	}
 
 	private void accept(HostDirectory newest, long nowMs) {
