Keep a drained host running until it is told to stop

Cause: POST /drain ended the process, so undrain worked within the drain delay only; the drain command promises that undrain puts the host back. Change: the admin call drains and goes on; SIGTERM drains and ends. The drain test asserted the end of the process after the admin call; it now asserts that undrain serves again after a complete drain, and the end after a stop. Before: connection refused after a drain.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -269,7 +269,8 @@
 	}
 
 	private void drainInBackground() {
-		Thread.ofPlatform().name("drain").start(this::drain);
+		// The process goes on, so that the host can be put back into service.
+		Thread.ofPlatform().name("drain").start(this.lifecycle::drain);
 	}
 
 	private static Host self(Settings settings) {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdminHandler.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/AdminHandler.java
@@ -61,7 +61,7 @@
 	 * @param configured whether a configuration is in force
 	 * @param status state of the host
 	 * @param quarantine suspects and quarantined requests
-	 * @param drain starts a drain that ends the process
+	 * @param drain takes the host out of service
 	 * @param changesAfter returns the configuration changes after a version, from which
 	 * the command line restores changes that the platform's store has lost
 	 */
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/CallerFailureTests.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/CallerFailureTests.java
@@ -72,6 +72,10 @@
 			String answer = client.readUntil("0\r\n\r\n");
 			assertThat(EntryFixture.streamed(answer)).isEqualTo(EntryFixture.expected("drain", 60) + "[DONE]");
 		}
+		EntryFixture.await("idle", () -> this.fixture.get("/status").body().contains("\"inFlight\":0"));
+		this.fixture.postAdmin("/undrain");
+		assertThat(this.fixture.chat("x", 1, false).statusCode()).isEqualTo(200);
+		this.fixture.host.drain();
 		this.fixture.host.awaitStopped();
 	}
 
