Keep the claims test harness from stepping a ledger inside its own commit

Change: run() uses the same guard as waiting calls. Conclusion: no change of product code was needed.

--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/claims/ClaimCluster.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/claims/ClaimCluster.java
@@ -81,7 +81,9 @@
 	void run(long durationMs) {
 		for (long i = 0; i < durationMs; i += 50) {
 			this.clock.advance(50);
-			this.ledgers.forEach(ClaimLedger::step);
+			for (int index = 0; index < this.ledgers.size(); index++) {
+				pump(index);
+			}
 		}
 	}
 
