Split the stage times from the fleet thread and read bodies in linear time

Change: move the measurement into StageTimes; collect bodies in a stream. Conclusion: no change of behaviour; the module's HTTP and session tests pass.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
@@ -26,7 +26,6 @@
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.state.HostState;
 import org.medlardrum.state.Outcome;
-import org.medlardrum.state.Stage;
 import org.medlardrum.state.config.Configuration;
 import org.medlardrum.transport.EngineClient;
 import org.tinylog.Logger;
@@ -243,30 +242,8 @@
 		if (stageTimesUs == null || stageTimesUs.size() != chain.stages().size()) {
 			return;
 		}
-		tell(() -> measure(chain, stageTimesUs));
-	}
-
-	private void measure(Chain chain, List<Long> stageTimesUs) {
-		long nowMs = this.clock.millis();
-		String from = this.options.availabilityZone();
-		for (int i = 0; i < stageTimesUs.size(); i++) {
-			Stage stage = chain.stages().get(i);
-			ServerState state = this.servers.get(stage.server());
-			if (state == null || state.report() == null) {
-				return;
-			}
-			String to = state.server().availabilityZone();
-			EngineReport report = state.report();
-			double load = Math.max(1, (report.running() + report.queued()) / (double) Math.max(1, report.slots()));
-			double expectedUs = report.layerTimeUs() * load * (stage.toLayer() - stage.fromLayer());
-			if (i > 0 && !from.equals(to)) {
-				this.links.measured(from, to, Math.max(0, stageTimesUs.get(i) - expectedUs), nowMs);
-			}
-			else if (expectedUs > 0) {
-				state.measured(stageTimesUs.get(i) / (expectedUs + LinkTimes.DEFAULT_LATENCY_US), nowMs);
-			}
-			from = to;
-		}
+		tell(() -> StageTimes.apply(chain, stageTimesUs, this.options.availabilityZone(), this.servers, this.links,
+				this.clock.millis()));
 	}
 
 	// Events must not be lost, or requests in progress would be counted for ever.
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/StageTimes.java
@@ -0,0 +1,46 @@
+package org.medlardrum.entry.internal.fleet;
+
+import java.util.List;
+import java.util.Map;
+
+import org.medlardrum.state.Chain;
+import org.medlardrum.state.EngineReport;
+import org.medlardrum.state.Stage;
+
+/**
+ * Splits the measured times of stages between links and engines: what a stage takes
+ * beyond its expected time counts against the link if it crosses zones, otherwise against
+ * the engine.
+ */
+final class StageTimes {
+
+	private StageTimes() {
+	}
+
+	static void apply(Chain chain, List<Long> stageTimesUs, String localZone, Map<String, ServerState> servers,
+			LinkTimes links, long nowMs) {
+		String from = localZone;
+		for (int i = 0; i < stageTimesUs.size(); i++) {
+			Stage stage = chain.stages().get(i);
+			ServerState state = servers.get(stage.server());
+			if (state == null || state.report() == null) {
+				return;
+			}
+			String to = state.server().availabilityZone();
+			double expectedUs = expectedUs(state.report(), stage);
+			if (i > 0 && !from.equals(to)) {
+				links.measured(from, to, Math.max(0, stageTimesUs.get(i) - expectedUs), nowMs);
+			}
+			else if (expectedUs > 0) {
+				state.measured(stageTimesUs.get(i) / (expectedUs + LinkTimes.DEFAULT_LATENCY_US), nowMs);
+			}
+			from = to;
+		}
+	}
+
+	private static double expectedUs(EngineReport report, Stage stage) {
+		double load = Math.max(1, (report.running() + report.queued()) / (double) Math.max(1, report.slots()));
+		return report.layerTimeUs() * load * (stage.toLayer() - stage.fromLayer());
+	}
+
+}
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpServerExchange.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpServerExchange.java
@@ -1,5 +1,6 @@
 package org.medlardrum.transport.server;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -115,19 +116,19 @@
 		}
 		this.body = this.request.payloadBody().iterator();
 		long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.bodyTimeoutMs);
-		byte[] bytes = new byte[0];
+		ByteArrayOutputStream content = new ByteArrayOutputStream();
 		try {
 			while (this.body.hasNext(Math.max(1, deadlineNs - System.nanoTime()), TimeUnit.NANOSECONDS)) {
 				Buffer buffer = this.body.next();
-				int read = bytes.length;
-				if (read + buffer.readableBytes() > maxBytes) {
+				if (content.size() + buffer.readableBytes() > maxBytes) {
 					return new BodyResult.TooLarge(maxBytes);
 				}
-				bytes = java.util.Arrays.copyOf(bytes, read + buffer.readableBytes());
-				buffer.readBytes(bytes, read, bytes.length - read);
+				byte[] part = new byte[buffer.readableBytes()];
+				buffer.readBytes(part);
+				content.write(part);
 			}
 			this.bodyComplete = true;
-			return new BodyResult.Complete(bytes);
+			return new BodyResult.Complete(content.toByteArray());
 		}
 		catch (TimeoutException ex) {
 			return new BodyResult.Incomplete("not complete within " + this.bodyTimeoutMs + " ms");
