Let a host start while the platform is down

Cause: peers came only from the platform's host list, so a host that started during an outage had no peers, no configuration and was never ready. A drain waits up to 5 s for outcomes that are not yet recorded. Before: livePeers empty, readyz 503 until the end of the outage.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/membership/Membership.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/membership/Membership.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.StoreResult;
@@ -45,6 +46,8 @@
 
 	private final MembershipOptions options;
 
+	private final Supplier<Optional<HostDirectory>> seeds;
+
 	private final DutyThread thread;
 
 	private final Map<String, Long> heardAtMs = new ConcurrentHashMap<>();
@@ -60,6 +63,20 @@
 	private volatile boolean storeReachable;
 
 	public Membership(PlatformStore store, String ownHostId, InstantSource clock, MembershipOptions options) {
+		this(store, ownHostId, clock, options, Optional::empty);
+	}
+
+	/**
+	 * Creates a membership that can start without the platform.
+	 * @param store the store
+	 * @param ownHostId name of the own host
+	 * @param clock the clock
+	 * @param options settings
+	 * @param seeds asks other hosts for their list; called only while no list is known
+	 */
+	public Membership(PlatformStore store, String ownHostId, InstantSource clock, MembershipOptions options,
+			Supplier<Optional<HostDirectory>> seeds) {
+		this.seeds = Objects.requireNonNull(seeds, "seeds");
 		this.store = Objects.requireNonNull(store, "store");
 		this.ownHostId = Objects.requireNonNull(ownHostId, "ownHostId");
 		this.clock = Objects.requireNonNull(clock, "clock");
@@ -105,6 +122,9 @@
 
 	private long failed(String reason) {
 		reachable(false, reason);
+		if (this.listed.revision() == 0) {
+			this.seeds.get().ifPresent(this::accept);
+		}
 		return this.options.retryMs();
 	}
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -1,9 +1,12 @@
 package org.medlardrum.entry.internal.host;
 
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
 
 import com.google.gson.Gson;
 import org.medlardrum.coordination.claims.ClaimLedger;
@@ -35,6 +38,7 @@
 import org.medlardrum.entry.internal.settings.Policy;
 import org.medlardrum.entry.internal.settings.Settings;
 import org.medlardrum.state.Host;
+import org.medlardrum.state.HostDirectory;
 import org.medlardrum.state.HostState;
 import org.medlardrum.state.config.ConfigDocuments;
 import org.medlardrum.state.config.ConfigParser;
@@ -66,6 +70,11 @@
 
 	private static final Gson GSON = new Gson();
 
+	/** A platform outage must not hold back a planned stop for longer than this. */
+	private static final long MAX_OUTCOME_WAIT_MS = 5000;
+
+	private static final long OUTCOME_CHECK_INTERVAL_MS = 20;
+
 	private final Settings settings;
 
 	private final HttpPlatformStore store;
@@ -118,7 +127,8 @@
 		this.settings = settings;
 		this.store = new HttpPlatformStore(settings.platformAddress(), settings.platformTimeoutMs());
 		this.peers = new ThriftPeerNetwork(settings.peerOptions());
-		this.membership = new Membership(this.store, settings.hostId(), clock, MembershipOptions.DEFAULT);
+		this.membership = new Membership(this.store, settings.hostId(), clock, MembershipOptions.DEFAULT,
+				() -> hostsFromSeeds(settings.seedPeers()));
 		this.gossip = new Gossip(this.peers, this.membership, self(settings), clock, new SplittableRandom(),
 				GossipOptions.DEFAULT);
 		this.config = new ConfigAgent(this.store, this.peers,
@@ -155,7 +165,7 @@
 				(fair) ? new ChainPlanner() : new RoundRobinPlanner());
 		this.metrics.gauges(this.fleet::view, this.admission::status, this.lifecycle::inFlight, this::configVersion);
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()),
-				new EntryPeerHandler(this.gossip, this.config, this.claims), settings.peerOptions());
+				new EntryPeerHandler(this.gossip, this.config, this.claims, this.membership), settings.peerOptions());
 		ServiceRun runner = new ServiceRun(this.serviceClient, this.fleet, this.retries, callTimes, traces,
 				this.metrics, clock);
 		StatusPage status = new StatusPage(settings.hostId(), settings.availabilityZone(), this.lifecycle, this.config,
@@ -192,10 +202,21 @@
 	 */
 	public void drain() {
 		if (this.lifecycle.drain()) {
+			awaitRecordedOutcomes();
 			this.stopped.countDown();
 		}
 	}
 
+	// Outcomes that are lost with the process turn into "outcome unknown" for callers
+	// that
+	// repeat their key.
+	private void awaitRecordedOutcomes() {
+		long endNs = System.nanoTime() + MAX_OUTCOME_WAIT_MS * 1_000_000;
+		while (this.claims.stats().pendingOutcomes() > 0 && System.nanoTime() < endNs) {
+			LockSupport.parkNanos(OUTCOME_CHECK_INTERVAL_MS * 1_000_000);
+		}
+	}
+
 	/**
 	 * Waits until a drain has ended.
 	 * @throws InterruptedException if the thread is interrupted
@@ -253,6 +274,10 @@
 		}
 	}
 
+	private Optional<HostDirectory> hostsFromSeeds(List<String> seeds) {
+		return seeds.stream().map(this.peers::pullHosts).flatMap(Optional::stream).findFirst();
+	}
+
 	private static Map<String, PlacementConfig> placements(RouteTable current) {
 		return (current != null && current.configuration().placements() != null) ? current.configuration().placements()
 				: Map.of();
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryPeerHandler.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryPeerHandler.java
@@ -1,8 +1,10 @@
 package org.medlardrum.entry.internal.host;
 
+import com.google.gson.Gson;
 import org.medlardrum.coordination.claims.ClaimLedger;
 import org.medlardrum.coordination.config.ConfigAgent;
 import org.medlardrum.coordination.gossip.Gossip;
+import org.medlardrum.coordination.membership.Membership;
 import org.medlardrum.peer.gen.ClaimAnswer;
 import org.medlardrum.peer.gen.ClaimOutcome;
 import org.medlardrum.peer.gen.ClaimRequest;
@@ -15,13 +17,18 @@
  */
 final class EntryPeerHandler implements PeerHandler {
 
+	private static final Gson GSON = new Gson();
+
 	private final Gossip gossip;
 
+	private final Membership membership;
+
 	private final ConfigAgent config;
 
 	private final ClaimLedger claims;
 
-	EntryPeerHandler(Gossip gossip, ConfigAgent config, ClaimLedger claims) {
+	EntryPeerHandler(Gossip gossip, ConfigAgent config, ClaimLedger claims, Membership membership) {
+		this.membership = membership;
 		this.gossip = gossip;
 		this.config = config;
 		this.claims = claims;
@@ -37,6 +44,11 @@
 		return this.config.pull(afterVersion);
 	}
 
+	@Override
+	public String hosts() {
+		return GSON.toJson(this.membership.directory());
+	}
+
 	@Override
 	public ClaimAnswer claim(ClaimRequest request) {
 		return this.claims.claimHere(request);
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
@@ -34,6 +34,10 @@
 	@Parameter(names = "--platform-timeout-ms", description = "Longest call of the platform, in milliseconds")
 	String platformTimeoutMs = "1000";
 
+	@Parameter(names = "--seed-peers",
+			description = "Comma-separated ip:port of peers to learn the host list from while the platform is down")
+	String seedPeers = "";
+
 	@Parameter(names = "--peer-ranges", description = "Comma-separated address ranges of peers, as 10.0.0.0/8")
 	String peerRanges = "127.0.0.0/8";
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Settings.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Settings.java
@@ -1,5 +1,7 @@
 package org.medlardrum.entry.internal.settings;
 
+import java.util.List;
+
 import org.medlardrum.transport.peer.PeerOptions;
 import org.medlardrum.transport.server.ServerLimits;
 
@@ -13,6 +15,7 @@
  * @param peerAddress {@code ip:port} for other entry hosts
  * @param platformAddress {@code ip:port} of the platform
  * @param platformTimeoutMs longest call of the platform
+ * @param seedPeers peer addresses to learn the host list from while the platform is down
  * @param peerOptions options of the peers' network
  * @param callerLimits limits of the callers' server
  * @param connectTimeoutMs longest time to connect to a backend server
@@ -25,7 +28,8 @@
  * @param policy decisions that the host takes
  */
 public record Settings(String hostId, String availabilityZone, String callerAddress, String adminAddress,
-		String peerAddress, String platformAddress, long platformTimeoutMs, PeerOptions peerOptions,
-		ServerLimits callerLimits, int connectTimeoutMs, long firstFrameTimeoutMs, long stallTimeoutMs,
-		long pollIntervalMs, long drainDelayMs, long drainTimeoutMs, int admissionRingSize, Policy policy) {
+		String peerAddress, String platformAddress, long platformTimeoutMs, List<String> seedPeers,
+		PeerOptions peerOptions, ServerLimits callerLimits, int connectTimeoutMs, long firstFrameTimeoutMs,
+		long stallTimeoutMs, long pollIntervalMs, long drainDelayMs, long drainTimeoutMs, int admissionRingSize,
+		Policy policy) {
 }
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/SettingsParser.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/SettingsParser.java
@@ -86,7 +86,7 @@
 		PeerOptions peers = PeerOptions.of(ranges());
 		ServerLimits limits = limits();
 		int connectTimeoutMs = (int) number("--connect-timeout-ms", this.flags.connectTimeoutMs, 1, MAX_MS);
-		return new Settings(hostId, zone, caller, admin, peer, platform, platformTimeoutMs, peers, limits,
+		return new Settings(hostId, zone, caller, admin, peer, platform, platformTimeoutMs, seedPeers(), peers, limits,
 				connectTimeoutMs, number("--first-frame-timeout-ms", this.flags.firstFrameTimeoutMs, 1, MAX_MS),
 				number("--stall-timeout-ms", this.flags.stallTimeoutMs, 1, MAX_MS),
 				number("--poll-interval-ms", this.flags.pollIntervalMs, 50, MAX_MS),
@@ -135,6 +135,16 @@
 		return value;
 	}
 
+	private List<String> seedPeers() {
+		List<String> seeds = new ArrayList<>();
+		for (String seed : this.flags.seedPeers.split(",")) {
+			if (!seed.isBlank()) {
+				seeds.add(address("--seed-peers", seed.trim()));
+			}
+		}
+		return seeds;
+	}
+
 	private List<CidrRange> ranges() {
 		List<CidrRange> ranges = new ArrayList<>();
 		for (String range : this.flags.peerRanges.split(",")) {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/PeerRequest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/PeerRequest.java
@@ -15,12 +15,14 @@
   private static final org.apache.thrift.protocol.TField PULL_CONFIG_AFTER_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("pullConfigAfterVersion", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField CLAIM_FIELD_DESC = new org.apache.thrift.protocol.TField("claim", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField RECORD_OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("recordOutcome", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField PULL_HOSTS_AFTER_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("pullHostsAfterRevision", org.apache.thrift.protocol.TType.I64, (short)4);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     PULL_CONFIG_AFTER_VERSION((short)1, "pullConfigAfterVersion"),
     CLAIM((short)2, "claim"),
-    RECORD_OUTCOME((short)3, "recordOutcome");
+    RECORD_OUTCOME((short)3, "recordOutcome"),
+    PULL_HOSTS_AFTER_REVISION((short)4, "pullHostsAfterRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +44,8 @@
           return CLAIM;
         case 3: // RECORD_OUTCOME
           return RECORD_OUTCOME;
+        case 4: // PULL_HOSTS_AFTER_REVISION
+          return PULL_HOSTS_AFTER_REVISION;
         default:
           return null;
       }
@@ -93,6 +97,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ClaimRequest.class)));
     tmpMap.put(_Fields.RECORD_OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("recordOutcome", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ClaimOutcome.class)));
+    tmpMap.put(_Fields.PULL_HOSTS_AFTER_REVISION, new org.apache.thrift.meta_data.FieldMetaData("pullHostsAfterRevision", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerRequest.class, metaDataMap);
   }
@@ -131,6 +137,12 @@
     return x;
   }
 
+  public static PeerRequest pullHostsAfterRevision(long value) {
+    PeerRequest x = new PeerRequest();
+    x.setPullHostsAfterRevision(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -150,6 +162,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type ClaimOutcome for field 'recordOutcome', but got " + value.getClass().getSimpleName());
+      case PULL_HOSTS_AFTER_REVISION:
+        if (value instanceof java.lang.Long) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type java.lang.Long for field 'pullHostsAfterRevision', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -189,6 +206,15 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case PULL_HOSTS_AFTER_REVISION:
+          if (field.type == PULL_HOSTS_AFTER_REVISION_FIELD_DESC.type) {
+            java.lang.Long pullHostsAfterRevision;
+            pullHostsAfterRevision = iprot.readI64();
+            return pullHostsAfterRevision;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -213,6 +239,10 @@
         ClaimOutcome recordOutcome = (ClaimOutcome)value_;
         recordOutcome.write(oprot);
         return;
+      case PULL_HOSTS_AFTER_REVISION:
+        java.lang.Long pullHostsAfterRevision = (java.lang.Long)value_;
+        oprot.writeI64(pullHostsAfterRevision);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -237,6 +267,10 @@
           recordOutcome = new ClaimOutcome();
           recordOutcome.read(iprot);
           return recordOutcome;
+        case PULL_HOSTS_AFTER_REVISION:
+          java.lang.Long pullHostsAfterRevision;
+          pullHostsAfterRevision = iprot.readI64();
+          return pullHostsAfterRevision;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -260,6 +294,10 @@
         ClaimOutcome recordOutcome = (ClaimOutcome)value_;
         recordOutcome.write(oprot);
         return;
+      case PULL_HOSTS_AFTER_REVISION:
+        java.lang.Long pullHostsAfterRevision = (java.lang.Long)value_;
+        oprot.writeI64(pullHostsAfterRevision);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -274,6 +312,8 @@
         return CLAIM_FIELD_DESC;
       case RECORD_OUTCOME:
         return RECORD_OUTCOME_FIELD_DESC;
+      case PULL_HOSTS_AFTER_REVISION:
+        return PULL_HOSTS_AFTER_REVISION_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -335,6 +375,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.RECORD_OUTCOME");
   }
 
+  public long getPullHostsAfterRevision() {
+    if (getSetField() == _Fields.PULL_HOSTS_AFTER_REVISION) {
+      return (java.lang.Long)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'pullHostsAfterRevision' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPullHostsAfterRevision(long value) {
+    setField_ = _Fields.PULL_HOSTS_AFTER_REVISION;
+    value_ = value;
+  }
+
   public boolean isSetPullConfigAfterVersion() {
     return setField_ == _Fields.PULL_CONFIG_AFTER_VERSION;
   }
@@ -350,6 +403,11 @@
   }
 
 
+  public boolean isSetPullHostsAfterRevision() {
+    return setField_ == _Fields.PULL_HOSTS_AFTER_REVISION;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof PeerRequest) {
       return equals((PeerRequest)other);
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/PeerResponse.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/PeerResponse.java
@@ -13,13 +13,15 @@
   private static final org.apache.thrift.protocol.TField CLAIM_FIELD_DESC = new org.apache.thrift.protocol.TField("claim", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField OUTCOME_RECORDED_FIELD_DESC = new org.apache.thrift.protocol.TField("outcomeRecorded", org.apache.thrift.protocol.TType.BOOL, (short)3);
   private static final org.apache.thrift.protocol.TField ERROR_FIELD_DESC = new org.apache.thrift.protocol.TField("error", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField HOSTS_JSON_FIELD_DESC = new org.apache.thrift.protocol.TField("hostsJson", org.apache.thrift.protocol.TType.STRING, (short)5);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     CONFIG_PULL((short)1, "configPull"),
     CLAIM((short)2, "claim"),
     OUTCOME_RECORDED((short)3, "outcomeRecorded"),
-    ERROR((short)4, "error");
+    ERROR((short)4, "error"),
+    HOSTS_JSON((short)5, "hostsJson");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -43,6 +45,8 @@
           return OUTCOME_RECORDED;
         case 4: // ERROR
           return ERROR;
+        case 5: // HOSTS_JSON
+          return HOSTS_JSON;
         default:
           return null;
       }
@@ -96,6 +100,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.ERROR, new org.apache.thrift.meta_data.FieldMetaData("error", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.HOSTS_JSON, new org.apache.thrift.meta_data.FieldMetaData("hostsJson", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerResponse.class, metaDataMap);
   }
@@ -140,6 +146,12 @@
     return x;
   }
 
+  public static PeerResponse hostsJson(java.lang.String value) {
+    PeerResponse x = new PeerResponse();
+    x.setHostsJson(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -164,6 +176,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type java.lang.String for field 'error', but got " + value.getClass().getSimpleName());
+      case HOSTS_JSON:
+        if (value instanceof java.lang.String) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type java.lang.String for field 'hostsJson', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -212,6 +229,15 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case HOSTS_JSON:
+          if (field.type == HOSTS_JSON_FIELD_DESC.type) {
+            java.lang.String hostsJson;
+            hostsJson = iprot.readString();
+            return hostsJson;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -240,6 +266,10 @@
         java.lang.String error = (java.lang.String)value_;
         oprot.writeString(error);
         return;
+      case HOSTS_JSON:
+        java.lang.String hostsJson = (java.lang.String)value_;
+        oprot.writeString(hostsJson);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -268,6 +298,10 @@
           java.lang.String error;
           error = iprot.readString();
           return error;
+        case HOSTS_JSON:
+          java.lang.String hostsJson;
+          hostsJson = iprot.readString();
+          return hostsJson;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -295,6 +329,10 @@
         java.lang.String error = (java.lang.String)value_;
         oprot.writeString(error);
         return;
+      case HOSTS_JSON:
+        java.lang.String hostsJson = (java.lang.String)value_;
+        oprot.writeString(hostsJson);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -311,6 +349,8 @@
         return OUTCOME_RECORDED_FIELD_DESC;
       case ERROR:
         return ERROR_FIELD_DESC;
+      case HOSTS_JSON:
+        return HOSTS_JSON_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -385,6 +425,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.ERROR");
   }
 
+  public java.lang.String getHostsJson() {
+    if (getSetField() == _Fields.HOSTS_JSON) {
+      return (java.lang.String)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'hostsJson' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setHostsJson(java.lang.String value) {
+    setField_ = _Fields.HOSTS_JSON;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.HOSTS_JSON");
+  }
+
   public boolean isSetConfigPull() {
     return setField_ == _Fields.CONFIG_PULL;
   }
@@ -405,6 +458,11 @@
   }
 
 
+  public boolean isSetHostsJson() {
+    return setField_ == _Fields.HOSTS_JSON;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof PeerResponse) {
       return equals((PeerResponse)other);
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -100,6 +100,7 @@
   1: i64 pullConfigAfterVersion
   2: ClaimRequest claim
   3: ClaimOutcome recordOutcome
+  4: i64 pullHostsAfterRevision
 }
 
 union PeerResponse {
@@ -107,4 +108,5 @@
   2: ClaimAnswer claim
   3: bool outcomeRecorded
   4: string error
+  5: string hostsJson
 }
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerCodec.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerCodec.java
@@ -72,7 +72,7 @@
 			return outcome.isSetOrganisation() && outcome.isSetRoute() && outcome.isSetIdempotencyKey()
 					&& outcome.isSetAttemptId();
 		}
-		return request.isSetPullConfigAfterVersion();
+		return request.isSetPullConfigAfterVersion() || request.isSetPullHostsAfterRevision();
 	}
 
 	/**
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerHandler.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerHandler.java
@@ -24,6 +24,13 @@
 	 */
 	ConfigPull pullConfig(long afterVersion);
 
+	/**
+	 * Returns the host list that this host knows, for a host that starts while the
+	 * platform is down.
+	 * @return the list as JSON
+	 */
+	String hosts();
+
 	/**
 	 * Records a claim.
 	 * @param request the claim
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
@@ -8,10 +8,13 @@
 import java.net.UnknownHostException;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
 import org.apache.thrift.TException;
 import org.medlardrum.coordination.PeerNetwork;
 import org.medlardrum.coordination.PeerResult;
@@ -23,6 +26,8 @@
 import org.medlardrum.peer.gen.PeerRequest;
 import org.medlardrum.peer.gen.PeerResponse;
 import org.medlardrum.state.Host;
+import org.medlardrum.state.HostDirectory;
+import org.medlardrum.state.HostState;
 import org.tinylog.Logger;
 
 /**
@@ -36,6 +41,8 @@
  */
 public final class ThriftPeerNetwork implements PeerNetwork, AutoCloseable {
 
+	private static final Gson GSON = new Gson();
+
 	private final PeerOptions options;
 
 	private final DatagramSocket udp;
@@ -79,6 +86,28 @@
 				(response) -> (response.isSetOutcomeRecorded()) ? response.getOutcomeRecorded() : null);
 	}
 
+	/**
+	 * Asks a peer for the host list that it knows.
+	 * @param peerAddress {@code ip:port} of the peer, which need not be listed
+	 * @return the list, with a revision of at least 1
+	 */
+	public Optional<HostDirectory> pullHosts(String peerAddress) {
+		Host peer = new Host(peerAddress, "", "", peerAddress, "", HostState.LIVE);
+		PeerResult<String> result = call(peer, PeerRequest.pullHostsAfterRevision(0),
+				(response) -> (response.isSetHostsJson()) ? response.getHostsJson() : null);
+		if (!(result instanceof PeerResult.Ok<String> ok)) {
+			return Optional.empty();
+		}
+		try {
+			return Optional.ofNullable(GSON.fromJson(ok.value(), HostDirectory.class))
+				.filter((directory) -> directory.revision() > 0);
+		}
+		catch (JsonParseException ex) {
+			Logger.warn("membership: host list of {} is not readable: {}", peerAddress, ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
 	private <T> PeerResult<T> call(Host peer, PeerRequest request, Function<PeerResponse, T> value) {
 		byte[] content;
 		try {
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/peer/RecordingHandler.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/peer/RecordingHandler.java
@@ -23,6 +23,11 @@
 
 	final List<ClaimOutcome> outcomes = new CopyOnWriteArrayList<>();
 
+	@Override
+	public String hosts() {
+		return "{\"revision\":7,\"entryHosts\":[],\"backendServers\":[]}";
+	}
+
 	@Override
 	public void digest(Digest digest) {
 		this.digests.add(digest);
