Apply quarantine and claim retention from the configuration; mend repeated code

Change: both limits are set when a configuration comes into force; DemandTable out of Gossip; DutyThread.deliver; Identification.withBody. Before: 600000 ms and 24 h whatever was configured.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/Bucket.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/Bucket.java
@@ -127,7 +127,7 @@
 			WriteResult result = write(round, fresh, nowMs);
 			switch (result) {
 				case WriteResult.Done done -> {
-					if (this.clock.millis() - startedAtMs > this.options.retentionMs() / 4) {
+					if (this.clock.millis() - startedAtMs > this.log.retentionMs() / 4) {
 						giveUp(open, "the host was paused", true);
 						return;
 					}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 import com.google.gson.JsonParseException;
 import org.medlardrum.coordination.PlatformStore;
@@ -29,7 +30,7 @@
 
 	private final SegmentWriter writer;
 
-	private final long retentionMs;
+	private final LongSupplier retentionMs;
 
 	/** Sealed segments by number, with the time of their newest entry. */
 	private final TreeMap<Long, SealedSegment> sealed = new TreeMap<>();
@@ -40,13 +41,17 @@
 
 	private long verifiedAtMs;
 
-	BucketLog(int bucket, PlatformStore store, ClaimCounters counters, long retentionMs) {
+	BucketLog(int bucket, PlatformStore store, ClaimCounters counters, LongSupplier retentionMs) {
 		this.bucket = bucket;
 		this.store = store;
 		this.writer = new SegmentWriter(store, counters);
 		this.retentionMs = retentionMs;
 	}
 
+	long retentionMs() {
+		return this.retentionMs.getAsLong();
+	}
+
 	ClaimIndex index() {
 		return this.index;
 	}
@@ -59,7 +64,7 @@
 	 * @return whether it was read or written recently
 	 */
 	boolean isUsable(long nowMs) {
-		return this.last != null && nowMs - this.verifiedAtMs < this.retentionMs / 4;
+		return this.last != null && nowMs - this.verifiedAtMs < this.retentionMs.getAsLong() / 4;
 	}
 
 	boolean isLoaded() {
@@ -190,7 +195,7 @@
 		while (!this.sealed.isEmpty() && removed < MAX_REMOVALS) {
 			long number = this.sealed.firstKey();
 			SealedSegment oldest = this.sealed.get(number);
-			if (nowMs - oldest.newestAtMs() <= this.retentionMs || isNewest(number)) {
+			if (nowMs - oldest.newestAtMs() <= this.retentionMs.getAsLong() || isNewest(number)) {
 				return;
 			}
 			if (leaseId == null) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimIndex.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimIndex.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Keys of one bucket. Changes can be tried out on a child index before they are written.
@@ -12,13 +13,13 @@
 
 	private final Map<String, KeyState> states = new HashMap<>();
 
-	private final long retentionMs;
+	private final LongSupplier retentionMs;
 
-	ClaimIndex(long retentionMs) {
+	ClaimIndex(LongSupplier retentionMs) {
 		this(null, retentionMs);
 	}
 
-	private ClaimIndex(ClaimIndex parent, long retentionMs) {
+	private ClaimIndex(ClaimIndex parent, LongSupplier retentionMs) {
 		this.parent = parent;
 		this.retentionMs = retentionMs;
 	}
@@ -46,11 +47,11 @@
 	 */
 	KeyState get(String key, long nowMs) {
 		KeyState state = find(key);
-		return (state != null && nowMs - state.atMs() <= this.retentionMs) ? state : null;
+		return (state != null && nowMs - state.atMs() <= this.retentionMs.getAsLong()) ? state : null;
 	}
 
 	void removeExpired(long nowMs) {
-		this.states.values().removeIf((state) -> nowMs - state.atMs() > this.retentionMs);
+		this.states.values().removeIf((state) -> nowMs - state.atMs() > this.retentionMs.getAsLong());
 	}
 
 	int size() {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/ClaimLedger.java
@@ -87,6 +87,8 @@
 
 	private volatile boolean closed;
 
+	private volatile long retentionMs;
+
 	public ClaimLedger(PlatformStore store, PeerNetwork peers, Membership membership, String ownHostId,
 			InstantSource clock, ClaimOptions options) {
 		this(store, peers, membership, ownHostId, clock, options, (task) -> Thread.ofVirtual().start(task), null);
@@ -116,10 +118,11 @@
 		this.options = Objects.requireNonNull(options, "options");
 		this.storeCalls = storeCalls;
 		this.whileWaiting = whileWaiting;
+		this.retentionMs = options.retentionMs();
 		this.retries = new OutcomeRetries(options, this.counters);
 		ClaimRules rules = new ClaimRules(membership::isLive, options.retryAfterMs());
 		for (int i = 0; i < ClaimKey.BUCKETS; i++) {
-			BucketLog log = new BucketLog(i, store, this.counters, options.retentionMs());
+			BucketLog log = new BucketLog(i, store, this.counters, () -> this.retentionMs);
 			this.buckets.add(new Bucket(log, rules, clock, options, this.counters));
 		}
 		this.cleanAtMs = clock.millis() + options.cleanIntervalMs();
@@ -139,6 +142,18 @@
 		this.thread.close();
 	}
 
+	/**
+	 * Sets how long a claim is kept after its last entry. Keys whose claim was already
+	 * removed are not known again.
+	 * @param value the time, in milliseconds
+	 */
+	public void retention(long value) {
+		if (value <= 0) {
+			throw new IllegalArgumentException("Retention of " + value + " ms is not positive");
+		}
+		this.retentionMs = value;
+	}
+
 	/**
 	 * Claims a key for one attempt. Blocks until the verdict is known, at most the answer
 	 * timeout for the preferred writer and once more for the own host.
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/Gossip.java
@@ -1,11 +1,8 @@
 package org.medlardrum.coordination.gossip;
 
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
@@ -43,9 +40,6 @@
 
 	private static final int MAILBOX_CAPACITY = 4_096;
 
-	/** Hosts whose demand is kept, against forged names. */
-	private static final int MAX_HEARD = 2_000;
-
 	/** Replies for each interval, against a peer that sends too often. */
 	private static final int MAX_REPLIES = 5;
 
@@ -72,7 +66,7 @@
 
 	private final MpscArrayQueue<Runnable> mailbox = new MpscArrayQueue<>(MAILBOX_CAPACITY);
 
-	private final Map<String, HeardDemand> heard = new HashMap<>();
+	private final DemandTable demands;
 
 	private final LongAdder sent = new LongAdder();
 
@@ -91,8 +85,6 @@
 
 	private volatile boolean draining;
 
-	private volatile Map<String, HeardDemand> publishedDemands = Map.of();
-
 	private volatile List<Rumour> publishedRumours = List.of();
 
 	private boolean rumoursChanged;
@@ -113,6 +105,7 @@
 		this.partners = new PartnerChoice(self.availabilityZone(), options.otherZoneEvery(), random);
 		this.builder = new DigestBuilder(options.maxDigestBytes());
 		this.rumours = new RumourTable(options.rumourMaxMs(), options.maxRumours());
+		this.demands = new DemandTable(options.demandKeepMs());
 		this.crashes = new SharedCrashLedger(options.quarantineMs());
 		this.exchangeAtMs = clock.millis() + random.nextLong(options.intervalMs());
 		this.thread = new DutyThread("gossip", this::step);
@@ -195,11 +188,9 @@
 	 * @return one entry for each host
 	 */
 	public Collection<HostDemand> demands(String pool) {
-		List<HostDemand> result = new ArrayList<>();
 		OwnDemand own = this.ownDemand;
-		result.add(new HeardDemand(this.self.id(), own.ranks(), own.organisations(), this.clock.millis()).of(pool));
-		this.publishedDemands.values().forEach((demand) -> result.add(demand.of(pool)));
-		return result;
+		return this.demands.of(pool,
+				new HeardDemand(this.self.id(), own.ranks(), own.organisations(), this.clock.millis()));
 	}
 
 	/**
@@ -232,6 +223,14 @@
 		return this.crashes.isSuspect(fingerprint);
 	}
 
+	/**
+	 * Sets the duration of later quarantines.
+	 * @param value the duration, in milliseconds, more than 0
+	 */
+	public void quarantine(long value) {
+		tell(() -> this.crashes.quarantine(value));
+	}
+
 	/**
 	 * Returns the end of a request's quarantine.
 	 * @param fingerprint fingerprint of the request
@@ -296,7 +295,7 @@
 	}
 
 	private void removeExpired(long nowMs) {
-		this.heard.values().removeIf((demand) -> nowMs - demand.heardAtMs() > this.options.demandKeepMs());
+		this.demands.removeExpired(nowMs);
 		this.rumours.removeExpired(nowMs);
 		this.crashes.expire(nowMs);
 		this.rumoursChanged = true;
@@ -319,9 +318,7 @@
 		if (digest.isDraining()) {
 			this.membership.leavingRumour(digest.getHostId(), nowMs + this.options.demandKeepMs());
 		}
-		if (digest.isSetRanks() && (this.heard.size() < MAX_HEARD || this.heard.containsKey(digest.getHostId()))) {
-			this.heard.put(digest.getHostId(), HeardDemand.of(digest, nowMs));
-		}
+		this.demands.heard(digest, nowMs);
 		if (digest.isSetRumours()) {
 			digest.getRumours().forEach(this::merge);
 		}
@@ -385,7 +382,7 @@
 	}
 
 	private void publish() {
-		this.publishedDemands = Map.copyOf(this.heard);
+		this.demands.publish();
 		this.crashes.publish();
 		if (this.rumoursChanged) {
 			this.rumoursChanged = false;
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/SharedCrashLedger.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/gossip/SharedCrashLedger.java
@@ -36,6 +36,10 @@
 			.toList();
 	}
 
+	void quarantine(long quarantineMs) {
+		this.ledger.quarantine(quarantineMs);
+	}
+
 	Optional<Rumour> completed(String fingerprint) {
 		this.changed = true;
 		return this.ledger.completed(fingerprint).map(SharedCrashLedger::rumour);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/internal/DutyThread.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/internal/DutyThread.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
+import org.jctools.queues.MessagePassingQueue;
 import org.tinylog.Logger;
 
 /**
@@ -16,6 +17,8 @@
 	/** Upper limit of one wait, so that a wrong due time cannot stop a thread. */
 	private static final long MAX_WAIT_MS = 1_000;
 
+	private static final long FULL_RING_WAIT_MS = 1;
+
 	private final LongSupplier step;
 
 	private final Thread thread;
@@ -41,6 +44,29 @@
 		LockSupport.unpark(this.thread);
 	}
 
+	/**
+	 * Puts a message that must not be lost into the thread's ring, waiting while it is
+	 * full. Called from virtual threads only, since it may block.
+	 * @param ring the ring that the step drains
+	 * @param message the message
+	 */
+	public void deliver(MessagePassingQueue<Runnable> ring, Runnable message) {
+		boolean interrupted = false;
+		while (!ring.offer(message)) {
+			wake();
+			try {
+				Thread.sleep(FULL_RING_WAIT_MS);
+			}
+			catch (InterruptedException ex) {
+				interrupted = true;
+			}
+		}
+		wake();
+		if (interrupted) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private void run() {
 		while (!this.closed) {
 			long waitMs = runStep();
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CrashLedger.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/CrashLedger.java
@@ -27,7 +27,7 @@
 		.thenComparing((fact) -> fact.kind() == CrashFact.Kind.CLEARED)
 		.thenComparing(CrashFact::crashes);
 
-	private final long quarantineMs;
+	private long quarantineMs;
 
 	private final Map<String, CrashFact> facts = new HashMap<>();
 
@@ -38,10 +38,18 @@
 	 * @param quarantineMs duration of a quarantine and of a suspicion, in milliseconds
 	 */
 	public CrashLedger(long quarantineMs) {
-		if (quarantineMs <= 0) {
-			throw new IllegalArgumentException("Quarantine of " + quarantineMs + " ms is not positive");
+		quarantine(quarantineMs);
+	}
+
+	/**
+	 * Sets the duration of later quarantines and suspicions.
+	 * @param value the duration, in milliseconds
+	 */
+	public void quarantine(long value) {
+		if (value <= 0) {
+			throw new IllegalArgumentException("Quarantine of " + value + " ms is not positive");
 		}
-		this.quarantineMs = quarantineMs;
+		this.quarantineMs = value;
 	}
 
 	/**
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/LinkTable.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/LinkTable.java
@@ -8,8 +8,8 @@
 import org.medlardrum.state.LinkState;
 
 /**
- * Link latencies between the availability zones of one decision. Zones are numbered in
- * the order in which they are first seen; the deciding host's zone is 0.
+ * Link latencies between the availability zones of one decision. They are numbered in the
+ * order in which they are first seen; the deciding host's zone is 0.
  */
 final class LinkTable {
 
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/admission/Admission.java
@@ -132,22 +132,9 @@
 		});
 	}
 
-	// Releases and updates must not be lost, so their virtual threads wait for a place.
+	// Releases and updates must not be lost.
 	private void tell(Runnable message) {
-		boolean interrupted = false;
-		while (!this.ring.offer(message)) {
-			this.thread.wake();
-			try {
-				Thread.sleep(1);
-			}
-			catch (InterruptedException ex) {
-				interrupted = true;
-			}
-		}
-		this.thread.wake();
-		if (interrupted) {
-			Thread.currentThread().interrupt();
-		}
+		this.thread.deliver(this.ring, message);
 	}
 
 	private void accept(Ticket ticket) {
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/fleet/Fleet.java
@@ -248,20 +248,7 @@
 
 	// Events must not be lost, or requests in progress would be counted for ever.
 	private void tell(Runnable message) {
-		boolean interrupted = false;
-		while (!this.ring.offer(message)) {
-			this.thread.wake();
-			try {
-				Thread.sleep(1);
-			}
-			catch (InterruptedException ex) {
-				interrupted = true;
-			}
-		}
-		this.thread.wake();
-		if (interrupted) {
-			Thread.currentThread().interrupt();
-		}
+		this.thread.deliver(this.ring, message);
 	}
 
 	/**
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -43,6 +43,7 @@
 import org.medlardrum.state.config.ConfigDocuments;
 import org.medlardrum.state.config.ConfigParser;
 import org.medlardrum.state.config.ConfigResult;
+import org.medlardrum.state.config.LimitsConfig;
 import org.medlardrum.state.config.PlacementConfig;
 import org.medlardrum.transport.EngineClient;
 import org.medlardrum.transport.HttpEngineOrders;
@@ -262,7 +263,10 @@
 		switch (ConfigParser.forSite(documents, this.settings.availabilityZone())) {
 			case ConfigResult.Valid valid -> {
 				RouteTable next = new RouteTable(documents.version(), valid.configuration());
-				this.retries.configure(valid.configuration().limits());
+				LimitsConfig limits = valid.configuration().limits();
+				this.retries.configure(limits);
+				this.gossip.quarantine(limits.quarantineMs());
+				this.claims.retention(limits.claimRetentionMs());
 				this.fleet.configure(valid.configuration());
 				this.table = next;
 				this.tuner.configure(next);
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/Identification.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/Identification.java
@@ -24,6 +24,30 @@
 
 	private final Map<String, AtomicInteger> inFlight = new ConcurrentHashMap<>();
 
+	/**
+	 * Identifies the organisation, takes one of its places, reads the body and handles
+	 * the request. A request that fails one of these steps is refused.
+	 * @param context the request
+	 * @param table the configuration in force
+	 * @param handler handles the identified request
+	 * @throws IOException if the caller has gone
+	 */
+	void withBody(CallerContext context, RouteTable table, IdentifiedHandler handler) throws IOException {
+		Optional<String> organisation = organisation(context, table);
+		if (organisation.isEmpty() || !enter(context, table, organisation.get())) {
+			return;
+		}
+		try {
+			byte[] body = body(context, table);
+			if (body != null) {
+				handler.handle(organisation.get(), body);
+			}
+		}
+		finally {
+			leave(organisation.get());
+		}
+	}
+
 	/**
 	 * Identifies the organisation by the key's SHA-256 digest.
 	 * @param context the request
@@ -31,7 +55,7 @@
 	 * @return name of the organisation, empty when the request was refused
 	 * @throws IOException if the caller has gone
 	 */
-	public Optional<String> organisation(CallerContext context, RouteTable table) throws IOException {
+	private Optional<String> organisation(CallerContext context, RouteTable table) throws IOException {
 		String authorization = context.exchange().header("Authorization").orElse("");
 		String key = (authorization.regionMatches(true, 0, BEARER, 0, BEARER.length()))
 				? authorization.substring(BEARER.length()).trim() : null;
@@ -53,7 +77,7 @@
 	 * @return the body, {@code null} when the request was refused
 	 * @throws IOException if the caller has gone
 	 */
-	public byte[] body(CallerContext context, RouteTable table) throws IOException {
+	private byte[] body(CallerContext context, RouteTable table) throws IOException {
 		switch (context.exchange().readBody(table.configuration().limits().maxBodyBytes())) {
 			case BodyResult.Complete complete -> {
 				return complete.bytes();
@@ -74,7 +98,7 @@
 	 * @return whether a place was taken; otherwise the request was refused
 	 * @throws IOException if the caller has gone
 	 */
-	public boolean enter(CallerContext context, RouteTable table, String organisation) throws IOException {
+	private boolean enter(CallerContext context, RouteTable table, String organisation) throws IOException {
 		OrganisationConfig config = table.configuration().organisations().get(organisation);
 		AtomicInteger count = this.inFlight.computeIfAbsent(organisation, (name) -> new AtomicInteger());
 		int limit = (config != null) ? config.maxInFlight() : 0;
@@ -91,7 +115,7 @@
 	 * Returns a place taken by {@link #enter}.
 	 * @param organisation name of the organisation
 	 */
-	public void leave(String organisation) {
+	private void leave(String organisation) {
 		this.inFlight.get(organisation).decrementAndGet();
 	}
 
--- /dev/null
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/IdentifiedHandler.java
@@ -0,0 +1,19 @@
+package org.medlardrum.entry.internal.http;
+
+import java.io.IOException;
+
+/**
+ * Handles a request whose organisation is known and whose body was read.
+ */
+@FunctionalInterface
+interface IdentifiedHandler {
+
+	/**
+	 * Handles the request.
+	 * @param organisation name of the organisation
+	 * @param body the body
+	 * @throws IOException if the caller has gone
+	 */
+	void handle(String organisation, byte[] body) throws IOException;
+
+}
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/ModelHandler.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/ModelHandler.java
@@ -47,19 +47,8 @@
 			context.end(Problem.notRun(ProblemType.UNKNOWN_ROUTE, "chat completions take POST only", null, 0));
 			return;
 		}
-		Optional<String> organisation = this.identification.organisation(context, table);
-		if (organisation.isEmpty() || !this.identification.enter(context, table, organisation.get())) {
-			return;
-		}
-		try {
-			byte[] body = this.identification.body(context, table);
-			if (body != null) {
-				identified(context, table, organisation.get(), body);
-			}
-		}
-		finally {
-			this.identification.leave(organisation.get());
-		}
+		this.identification.withBody(context, table,
+				(organisation, body) -> identified(context, table, organisation, body));
 	}
 
 	private void identified(CallerContext context, RouteTable table, String organisation, byte[] body)
--- a/medlardrum-protocol/src/main/java/org/medlardrum/protocol/engine/EngineOrder.java
+++ b/medlardrum-protocol/src/main/java/org/medlardrum/protocol/engine/EngineOrder.java
@@ -5,7 +5,7 @@
 /**
  * Body of {@code POST /v1/orders}: the wanted state of an engine.
  *
- * @param fencingToken token of the orderer; an engine that checks it refuses a token
+ * @param fencingToken token of the order issuer; an engine that checks it refuses a token
  * below the largest one seen
  * @param orderId identifier of the order
  * @param model model to hold
