--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnPage.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/BurnPage.java
@@ -84,7 +84,9 @@
 		for (int rank = 0; rank < ranks.size(); rank++) {
 			for (int bucket = 0; bucket < BUCKETS; bucket++) {
 				rates[rank][bucket] = rate(ranks.get(rank), bucket);
-				top = Math.max(top, rates[rank][bucket] * 1.05);
+				if (!Double.isNaN(rates[rank][bucket])) {
+					top = Math.max(top, rates[rank][bucket] * 1.05);
+				}
 			}
 		}
 		open(HEIGHT + 30);
@@ -94,8 +96,12 @@
 		for (int rank = 0; rank < ranks.size(); rank++) {
 			StringBuilder points = new StringBuilder();
 			for (int bucket = 0; bucket < BUCKETS; bucket++) {
-				points.append(LEFT + bucket * (WIDTH - LEFT) / BUCKETS).append(',').append(y(rates[rank][bucket], top));
-				points.append(' ');
+				if (!Double.isNaN(rates[rank][bucket])) {
+					points.append(LEFT + bucket * (WIDTH - LEFT) / BUCKETS)
+						.append(',')
+						.append(y(rates[rank][bucket], top))
+						.append(' ');
+				}
 			}
 			this.page.append("<polyline fill=\"none\" stroke-width=\"2\" stroke=\"")
 				.append(colour(ranks.get(rank).rank()))
@@ -109,13 +115,15 @@
 		this.page.append("</svg>");
 	}
 
+	// Returns NaN for a bucket without requests: between two samples nothing is known,
+	// and a rate of 0 would show a recovery that did not happen.
 	private double rate(BurnReport.Row row, int bucket) {
 		long span = Math.max(1, this.report.toMs() - this.report.fromMs());
 		long from = this.report.fromMs() + span * bucket / BUCKETS;
 		long to = this.report.fromMs() + span * (bucket + 1) / BUCKETS;
-		return this.history.between(from, to)
-			.getOrDefault(new BurnHistory.Series(row.rank(), row.organisation()), BurnCount.NONE)
-			.burnRate(row.objective());
+		BurnCount count = this.history.between(from, to)
+			.getOrDefault(new BurnHistory.Series(row.rank(), row.organisation()), BurnCount.NONE);
+		return (count.total() > 0) ? count.burnRate(row.objective()) : Double.NaN;
 	}
 
 	private void budgetPlot() {
--- a/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/BurnCommandTests.java
+++ b/medlardrum-cli/src/test/java/org/medlardrum/cli/internal/BurnCommandTests.java
@@ -3,6 +3,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -46,6 +48,10 @@
 		assertThat(this.cli.json().get("unreadableLines").getAsInt()).isEqualTo(1);
 		assertThat(Files.readString(page)).contains("a&lt;b&quot;c");
 		assertThat(Files.readString(page)).doesNotContain("http");
+		// One point for each pair of samples: nothing is drawn as 0 in between.
+		Matcher points = Pattern.compile("points=\"([^\"]*)\"").matcher(Files.readString(page));
+		assertThat(points.find()).isTrue();
+		assertThat(points.group(1).trim().split(" ")).hasLength(2);
 	}
 
 	@Test
