Name the setting whose address cannot be listened on

Cause: with a port in use the entry host ended with a stack trace of the network library that did not name the setting. Change: AddressUnusableException names flag and address; the process prints one line and ends with exit code 1. Before: 'bind(..) failed with error(-98)'.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/Main.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/Main.java
@@ -1,5 +1,6 @@
 package org.medlardrum.entry;
 
+import org.medlardrum.entry.internal.host.AddressUnusableException;
 import org.medlardrum.entry.internal.host.EntryHost;
 import org.medlardrum.entry.internal.settings.Settings;
 import org.medlardrum.entry.internal.settings.SettingsParser;
@@ -14,6 +15,8 @@
 
 	private static final int USAGE_ERROR = 2;
 
+	private static final int START_ERROR = 1;
+
 	private Main() {
 	}
 
@@ -35,7 +38,15 @@
 	}
 
 	private static void run(Settings settings) throws Exception {
-		EntryHost host = new EntryHost(settings);
+		EntryHost host;
+		try {
+			host = new EntryHost(settings);
+		}
+		catch (AddressUnusableException ex) {
+			System.err.println("medlardrum-entry: " + ex.getMessage());
+			System.exit(START_ERROR);
+			return;
+		}
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 			host.drain();
 			stop(host);
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.locks.LockSupport;
 
@@ -165,19 +166,24 @@
 				new AttemptTimeouts(settings.firstFrameTimeoutMs(), settings.stallTimeoutMs()),
 				(fair) ? new ChainPlanner() : new RoundRobinPlanner());
 		this.metrics.gauges(this.fleet::view, this.admission::status, this.lifecycle::inFlight, this::configVersion);
-		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()),
-				new EntryPeerHandler(this.gossip, this.config, this.claims, this.membership), settings.peerOptions());
+		this.peerServer = listen("--peer-port", settings.peerAddress(),
+				() -> new PeerServer(Addresses.parse(settings.peerAddress()),
+						new EntryPeerHandler(this.gossip, this.config, this.claims, this.membership),
+						settings.peerOptions()));
 		ServiceRun runner = new ServiceRun(this.serviceClient, this.fleet, this.retries, callTimes, traces,
 				this.metrics, clock);
 		StatusPage status = new StatusPage(settings.hostId(), settings.availabilityZone(), this.lifecycle, this.config,
 				this.membership, this.gossip, this.claims, this.fleet, this.admission);
 		start();
-		this.callers = HttpListener.start(settings.callerAddress(), settings.callerLimits(), new CallerHandler(
-				settings.hostId(), () -> this.table, this.lifecycle, services, runner, this.claims, this.admission));
-		this.admin = HttpListener.start(settings.adminAddress(), ADMIN_LIMITS,
-				new AdminHandler(this.lifecycle, this.metrics, traces, () -> this.table != null, status::json,
-						() -> GSON.toJsonTree(this.gossip.crashFacts()), this::drainInBackground,
-						(version) -> ConfigPullCodec.write(this.config.pull(version))));
+		this.callers = listen("--listen-port", settings.callerAddress(),
+				() -> HttpListener.start(settings.callerAddress(), settings.callerLimits(),
+						new CallerHandler(settings.hostId(), () -> this.table, this.lifecycle, services, runner,
+								this.claims, this.admission)));
+		this.admin = listen("--admin-port", settings.adminAddress(),
+				() -> HttpListener.start(settings.adminAddress(), ADMIN_LIMITS,
+						new AdminHandler(this.lifecycle, this.metrics, traces, () -> this.table != null, status::json,
+								() -> GSON.toJsonTree(this.gossip.crashFacts()), this::drainInBackground,
+								(version) -> ConfigPullCodec.write(this.config.pull(version)))));
 		Logger.info("http: host {} listens on port {} for callers and {} for operators", settings.hostId(),
 				this.callers.port(), this.admin.port());
 	}
@@ -282,6 +288,15 @@
 		return seeds.stream().map(this.peers::pullHosts).flatMap(Optional::stream).findFirst();
 	}
 
+	private static <T> T listen(String flag, String address, Callable<T> open) throws AddressUnusableException {
+		try {
+			return open.call();
+		}
+		catch (Exception ex) {
+			throw new AddressUnusableException(flag, address, ex);
+		}
+	}
+
 	private static Map<String, PlacementConfig> placements(RouteTable current) {
 		return (current != null && current.configuration().placements() != null) ? current.configuration().placements()
 				: Map.of();
