Log a configuration that comes into force once

Cause: ConfigAgent and EntryHost both logged 'version N is in force', so each change stood twice in the log of each host. Change: the line of EntryHost is removed; ConfigAgent's stays. Before: two lines a change (seen in the demo's logs).

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/EntryHost.java
@@ -277,7 +277,6 @@
 				this.table = next;
 				this.tuner.configure(next);
 				this.gossip.publishVersion(documents.version());
-				Logger.info("config: version {} is in force", documents.version());
 			}
 			case ConfigResult.Invalid invalid -> Logger.error("config: version {} is not usable here: {}",
 					documents.version(), invalid.faults().get(0).describe());
