--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreChanges.java
@@ -0,0 +1,17 @@
+package org.medlardrum.coordination;
+
+import java.util.List;
+
+/**
+ * Changes of keys with a prefix.
+ *
+ * @param changes the changes in order; for a first read, one for each key
+ * @param revision revision after which to continue
+ */
+public record StoreChanges(List<StoreChange> changes, long revision) {
+
+	public StoreChanges {
+		changes = List.copyOf(changes);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Follows the platform's store.
+ */
+package org.medlardrum.coordination.follow;
--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -0,0 +1,269 @@
+package org.medlardrum.decisions.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
+import org.medlardrum.state.routing.ModelPool;
+
+/**
+ * Decides which layers each engine holds. Engines of similar speed form chains; slow
+ * engines form chains within one availability zone, so that each zone that is cut off
+ * still serves. Within a chain the layers are in proportion to memory, because the engine
+ * with the least free memory for each layer bounds the chain. An engine that comes later
+ * takes the layers that the fewest tokens fit on.
+ */
+public final class LayerPlanner {
+
+	/** Engines whose step factors differ by less than this share a chain. */
+	private static final double SAME_SPEED_FACTOR = 4;
+
+	/**
+	 * Memory of a chain relative to the weights. With less, more than four fifths of the
+	 * memory would hold weights and the chain would run a few requests only.
+	 */
+	private static final double MIN_CHAIN_MEMORY = 1.25;
+
+	/** Memory of a second chain of the same engines relative to the weights. */
+	private static final double MEMORY_PER_CHAIN = 1.5;
+
+	/** Part of an engine's memory that weights may take. */
+	private static final double MAX_WEIGHT_MEMORY = 0.9;
+
+	private final ModelPool pool;
+
+	/**
+	 * Creates a planner.
+	 * @param pool figures of the pool
+	 */
+	public LayerPlanner(ModelPool pool) {
+		this.pool = pool;
+	}
+
+	/**
+	 * Returns the layers of engines that hold none.
+	 * @param servers all engines that take requests
+	 * @return layers by identifier of the engine, for engines without layers only
+	 */
+	public Map<String, LayerRange> plan(Collection<PlacementServer> servers) {
+		List<PlacementServer> empty = new ArrayList<>(
+				servers.stream().filter((server) -> server.layers().isEmpty()).toList());
+		if (empty.size() * 2 > servers.size()) {
+			return planChains(empty);
+		}
+		return fill(servers, empty);
+	}
+
+	/**
+	 * Places whole chains on empty engines.
+	 */
+	private Map<String, LayerRange> planChains(List<PlacementServer> empty) {
+		Map<String, LayerRange> plan = new LinkedHashMap<>();
+		List<PlacementServer> rest = new ArrayList<>();
+		for (List<PlacementServer> tier : tiers(empty)) {
+			boolean slowest = tier == tiers(empty).getLast() || isSlowest(tier, empty);
+			if (slowest) {
+				byZone(tier).values().forEach((zone) -> placeGroup(zone, plan, rest));
+			}
+			else {
+				placeGroup(tier, plan, rest);
+			}
+		}
+		placeGroup(rest, plan, new ArrayList<>());
+		List<PlacementServer> known = new ArrayList<>();
+		List<PlacementServer> left = new ArrayList<>();
+		for (PlacementServer server : empty) {
+			LayerRange range = plan.get(server.id());
+			if (range != null) {
+				known.add(new PlacementServer(server.id(), server.address(), server.availabilityZone(), server.kind(),
+						java.util.Optional.of(range)));
+			}
+			else {
+				left.add(server);
+			}
+		}
+		if (!known.isEmpty()) {
+			plan.putAll(fill(known, left));
+		}
+		return plan;
+	}
+
+	private static boolean isSlowest(List<PlacementServer> tier, List<PlacementServer> all) {
+		double slowest = all.stream().mapToDouble((server) -> server.kind().stepFactor()).max().orElse(0);
+		return tier.stream().anyMatch((server) -> server.kind().stepFactor() == slowest);
+	}
+
+	private static List<List<PlacementServer>> tiers(List<PlacementServer> servers) {
+		List<PlacementServer> sorted = servers.stream()
+			.sorted(Comparator.comparingDouble((PlacementServer server) -> server.kind().stepFactor())
+				.thenComparing(PlacementServer::id))
+			.toList();
+		List<List<PlacementServer>> tiers = new ArrayList<>();
+		double fastest = 0;
+		for (PlacementServer server : sorted) {
+			if (tiers.isEmpty() || server.kind().stepFactor() >= fastest * SAME_SPEED_FACTOR) {
+				tiers.add(new ArrayList<>());
+				fastest = server.kind().stepFactor();
+			}
+			tiers.getLast().add(server);
+		}
+		return tiers;
+	}
+
+	private static Map<String, List<PlacementServer>> byZone(List<PlacementServer> servers) {
+		Map<String, List<PlacementServer>> zones = new LinkedHashMap<>();
+		servers.stream()
+			.sorted(Comparator.comparing(PlacementServer::availabilityZone).thenComparing(PlacementServer::id))
+			.forEach((server) -> zones.computeIfAbsent(server.availabilityZone(), (zone) -> new ArrayList<>())
+				.add(server));
+		return zones;
+	}
+
+	private void placeGroup(List<PlacementServer> group, Map<String, LayerRange> plan, List<PlacementServer> rest) {
+		double weightsMb = this.pool.layers() * this.pool.layerMb();
+		double memoryMb = group.stream().mapToDouble((server) -> server.kind().memoryMb()).sum();
+		if (memoryMb < MIN_CHAIN_MEMORY * weightsMb) {
+			rest.addAll(group);
+			return;
+		}
+		int chains = Math.max(1, (int) (memoryMb / (MEMORY_PER_CHAIN * weightsMb)));
+		for (List<PlacementServer> chain : split(group, chains)) {
+			Map<String, LayerRange> ranges = proportional(chain);
+			if (ranges.isEmpty()) {
+				rest.addAll(chain);
+			}
+			plan.putAll(ranges);
+		}
+	}
+
+	/**
+	 * Splits engines into groups of about the same memory.
+	 */
+	private static List<List<PlacementServer>> split(List<PlacementServer> group, int parts) {
+		List<List<PlacementServer>> chains = new ArrayList<>();
+		for (int i = 0; i < parts; i++) {
+			chains.add(new ArrayList<>());
+		}
+		Comparator<PlacementServer> largestFirst = Comparator.comparingDouble((server) -> -server.kind().memoryMb());
+		for (PlacementServer server : group.stream().sorted(largestFirst.thenComparing(PlacementServer::id)).toList()) {
+			chains.stream().min(Comparator.comparingDouble(LayerPlanner::memoryMb)).orElseThrow().add(server);
+		}
+		return chains;
+	}
+
+	private static double memoryMb(List<PlacementServer> servers) {
+		return servers.stream().mapToDouble((server) -> server.kind().memoryMb()).sum();
+	}
+
+	private Map<String, LayerRange> proportional(List<PlacementServer> chain) {
+		int[] counts = new int[chain.size()];
+		for (int layer = 0; layer < this.pool.layers(); layer++) {
+			int next = -1;
+			double least = Double.MAX_VALUE;
+			for (int i = 0; i < counts.length; i++) {
+				AcceleratorKind kind = chain.get(i).kind();
+				double weightPart = (counts[i] + 1) * this.pool.layerMb() / kind.memoryMb();
+				if (weightPart <= MAX_WEIGHT_MEMORY && weightPart < least) {
+					least = weightPart;
+					next = i;
+				}
+			}
+			if (next < 0) {
+				return Map.of();
+			}
+			counts[next]++;
+		}
+		return consecutive(chain, counts);
+	}
+
+	/**
+	 * Engines of one zone follow each other, so that a token crosses zones seldom.
+	 */
+	private static Map<String, LayerRange> consecutive(List<PlacementServer> chain, int[] counts) {
+		List<Integer> order = new ArrayList<>();
+		for (int i = 0; i < counts.length; i++) {
+			order.add(i);
+		}
+		order.sort(Comparator.comparing((Integer i) -> chain.get(i).availabilityZone())
+			.thenComparing((i) -> chain.get(i).id()));
+		Map<String, LayerRange> ranges = new LinkedHashMap<>();
+		int from = 0;
+		for (int i : order) {
+			if (counts[i] > 0) {
+				ranges.put(chain.get(i).id(), new LayerRange(from, from + counts[i]));
+				from += counts[i];
+			}
+		}
+		return ranges;
+	}
+
+	/**
+	 * Places single engines where the fewest tokens fit.
+	 */
+	private Map<String, LayerRange> fill(Collection<PlacementServer> servers, List<PlacementServer> empty) {
+		double[] tokens = new double[this.pool.layers()];
+		for (PlacementServer server : servers) {
+			server.layers().ifPresent((range) -> add(tokens, server.kind(), range));
+		}
+		Map<String, LayerRange> plan = new HashMap<>();
+		for (PlacementServer server : empty) {
+			int length = usualLength(server.kind(), servers);
+			if (length < 1) {
+				continue;
+			}
+			LayerRange range = weakest(tokens, length);
+			plan.put(server.id(), range);
+			add(tokens, server.kind(), range);
+		}
+		return plan;
+	}
+
+	private void add(double[] tokens, AcceleratorKind kind, LayerRange range) {
+		double each = (double) this.pool.tokenLayerCapacity(kind, range.length()) / range.length();
+		for (int layer = range.fromLayer(); layer < Math.min(range.toLayer(), tokens.length); layer++) {
+			tokens[layer] += each;
+		}
+	}
+
+	/**
+	 * Number of layers that other engines of the kind hold, so that a replacement closes
+	 * the gap that its predecessor left.
+	 */
+	private int usualLength(AcceleratorKind kind, Collection<PlacementServer> servers) {
+		int longest = servers.stream()
+			.filter((server) -> server.kind().name().equals(kind.name()))
+			.flatMap((server) -> server.layers().stream())
+			.mapToInt(LayerRange::length)
+			.max()
+			.orElse((int) (kind.memoryMb() / this.pool.layerMb() / 2));
+		return Math.min(longest, (int) (kind.memoryMb() * MAX_WEIGHT_MEMORY / this.pool.layerMb()));
+	}
+
+	private static LayerRange weakest(double[] tokens, int length) {
+		int width = Math.min(length, tokens.length);
+		int best = 0;
+		double bestLeast = Double.MAX_VALUE;
+		double bestSum = Double.MAX_VALUE;
+		for (int from = 0; from + width <= tokens.length; from++) {
+			double least = Double.MAX_VALUE;
+			double sum = 0;
+			for (int layer = from; layer < from + width; layer++) {
+				least = Math.min(least, tokens[layer]);
+				sum += tokens[layer];
+			}
+			if (least < bestLeast || (least == bestLeast && sum < bestSum)) {
+				best = from;
+				bestLeast = least;
+				bestSum = sum;
+			}
+		}
+		return new LayerRange(best, best + width);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementServer.java
@@ -0,0 +1,19 @@
+package org.medlardrum.decisions.pool;
+
+import java.util.Optional;
+
+import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
+
+/**
+ * An engine that layers may be placed on.
+ *
+ * @param id identifier of this start of the engine
+ * @param address {@code ip:port}
+ * @param availabilityZone availability zone of the engine
+ * @param kind kind of accelerator
+ * @param layers layers that it holds or has been ordered to hold, empty for none
+ */
+public record PlacementServer(String id, String address, String availabilityZone, AcceleratorKind kind,
+		Optional<LayerRange> layers) {
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/GatewayClock.java
@@ -0,0 +1,34 @@
+package org.medlardrum.gateway;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Clocks of the process.
+ *
+ * @param steady clock that never jumps but does not count suspensions, in milliseconds
+ * @param wall time of day, in Unix milliseconds
+ */
+public record GatewayClock(LongSupplier steady, LongSupplier wall) {
+
+	/** Clocks of the runtime. */
+	public static final GatewayClock SYSTEM = new GatewayClock(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+			System::currentTimeMillis);
+
+	/**
+	 * Reads the steady clock.
+	 * @return the reading, in milliseconds
+	 */
+	public long steadyMs() {
+		return this.steady.getAsLong();
+	}
+
+	/**
+	 * Reads the time of day.
+	 * @return Unix milliseconds
+	 */
+	public long wallMs() {
+		return this.wall.getAsLong();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -0,0 +1,193 @@
+package org.medlardrum.gateway.internal.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.SourceAdapters;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import org.medlardrum.transport.internal.Failures;
+import org.medlardrum.transport.internal.HttpClientPool;
+
+/**
+ * One attempt at a backend server, on a connection of its own. A kept connection could
+ * hold a late or additional response of another request, or be closed by the server while
+ * a request that must not be repeated is on its way. Signals are delivered in order, on
+ * an event loop.
+ */
+public final class BackendCall implements AutoCloseable {
+
+	/** Parts of a body that may wait for the thread of the request. */
+	private static final int WINDOW = 64;
+
+	private final String address;
+
+	private final Consumer<Signal> sink;
+
+	private Cancellable pending;
+
+	private PublisherSource.Subscription body;
+
+	private boolean closed;
+
+	private BackendCall(String address, Consumer<Signal> sink) {
+		this.address = address;
+		this.sink = sink;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param clients clients by address
+	 * @param request the request
+	 * @param sink receives the signals; must not block
+	 * @return the call
+	 */
+	public static BackendCall send(HttpClientPool clients, BackendRequest request, Consumer<Signal> sink) {
+		BackendCall call = new BackendCall(request.address(), sink);
+		StreamingHttpClient client = clients.client(request.address()).asStreamingClient();
+		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
+		for (int i = 0; i + 1 < request.headers().size(); i += 2) {
+			http.addHeader(request.headers().get(i), request.headers().get(i + 1));
+		}
+		http.setHeader("connection", "close");
+		if (request.body().length > 0) {
+			http.payloadBody(Publisher.from(client.executionContext().bufferAllocator().wrap(request.body())));
+		}
+		if (request.body().length > 0 || !request.method().equals("GET")) {
+			http.setHeader("content-length", Integer.toString(request.body().length));
+		}
+		http.context().put(HttpClientPool.HEADER_TIMEOUT, Duration.ofMillis(Math.max(1, request.headerTimeoutMs())));
+		SourceAdapters.toSource(client.request(http)).subscribe(call.new HeaderSubscriber());
+		return call;
+	}
+
+	/**
+	 * Returns the address of the server.
+	 * @return {@code ip:port}
+	 */
+	public String address() {
+		return this.address;
+	}
+
+	/**
+	 * Allows the server to send more after a {@link Signal.Data}.
+	 */
+	public void consumed() {
+		PublisherSource.Subscription subscription;
+		synchronized (this) {
+			subscription = this.body;
+		}
+		if (subscription != null) {
+			subscription.request(1);
+		}
+	}
+
+	/**
+	 * Ends the call. The server sees a closed connection.
+	 */
+	@Override
+	public void close() {
+		Cancellable toCancel;
+		synchronized (this) {
+			if (this.closed) {
+				return;
+			}
+			this.closed = true;
+			toCancel = (this.body != null) ? this.body : this.pending;
+		}
+		if (toCancel != null) {
+			toCancel.cancel();
+		}
+	}
+
+	private synchronized boolean isClosed() {
+		return this.closed;
+	}
+
+	private void deliver(Signal signal) {
+		if (!isClosed()) {
+			this.sink.accept(signal);
+		}
+	}
+
+	private static List<String> headers(StreamingHttpResponse response) {
+		List<String> headers = new ArrayList<>();
+		for (Map.Entry<CharSequence, CharSequence> header : response.headers()) {
+			headers.add(header.getKey().toString());
+			headers.add(header.getValue().toString());
+		}
+		return headers;
+	}
+
+	private final class HeaderSubscriber implements SingleSource.Subscriber<StreamingHttpResponse> {
+
+		@Override
+		public void onSubscribe(Cancellable cancellable) {
+			synchronized (BackendCall.this) {
+				if (!BackendCall.this.closed) {
+					BackendCall.this.pending = cancellable;
+					return;
+				}
+			}
+			cancellable.cancel();
+		}
+
+		@Override
+		public void onSuccess(StreamingHttpResponse response) {
+			deliver(new Signal.Header(BackendCall.this, response.status().code(), headers(response)));
+			SourceAdapters.toSource(response.payloadBody()).subscribe(new BodySubscriber());
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+			deliver(new Signal.Failed(BackendCall.this, Failures.isNotSent(failure), Failures.describe(failure)));
+		}
+
+	}
+
+	private final class BodySubscriber implements PublisherSource.Subscriber<Buffer> {
+
+		@Override
+		public void onSubscribe(PublisherSource.Subscription subscription) {
+			synchronized (BackendCall.this) {
+				if (!BackendCall.this.closed) {
+					BackendCall.this.body = subscription;
+				}
+			}
+			if (isClosed()) {
+				subscription.cancel();
+				return;
+			}
+			subscription.request(WINDOW);
+		}
+
+		@Override
+		public void onNext(Buffer buffer) {
+			byte[] bytes = new byte[buffer.readableBytes()];
+			buffer.readBytes(bytes);
+			deliver(new Signal.Data(BackendCall.this, bytes));
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+			deliver(new Signal.Failed(BackendCall.this, false, Failures.describe(failure)));
+		}
+
+		@Override
+		public void onComplete() {
+			deliver(new Signal.End(BackendCall.this));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendRequest.java
@@ -0,0 +1,17 @@
+package org.medlardrum.gateway.internal.call;
+
+import java.util.List;
+
+/**
+ * A request to a backend server.
+ *
+ * @param address {@code ip:port} of the server
+ * @param method HTTP method
+ * @param target path and query
+ * @param headers names and values in turn
+ * @param body the body, empty for none
+ * @param headerTimeoutMs longest time until the header of the response
+ */
+public record BackendRequest(String address, String method, String target, List<String> headers, byte[] body,
+		long headerTimeoutMs) {
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls to backend servers.
+ */
+package org.medlardrum.gateway.internal.call;
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayMetrics.java
@@ -0,0 +1,115 @@
+package org.medlardrum.gateway.internal.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.DoubleSupplier;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Counters and latency histograms of the gateway. Labels take their values from fixed
+ * lists, so the number of series is bounded.
+ */
+public final class GatewayMetrics {
+
+	private static final double[] SECONDS = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10,
+			20 };
+
+	private static final double MS_PER_S = 1000;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter requests = Counter.builder()
+		.name("medlardrum_gateway_requests")
+		.help("Requests by kind of route and outcome")
+		.labelNames("kind", "outcome")
+		.register(this.registry);
+
+	private final Counter attempts = Counter.builder()
+		.name("medlardrum_gateway_attempts")
+		.help("Attempts at backend servers by kind of route and reason")
+		.labelNames("kind", "reason")
+		.register(this.registry);
+
+	private final Histogram firstByte = histogram("medlardrum_gateway_first_byte_seconds",
+			"Time from arrival to the first byte of a response of a backend server");
+
+	private final Histogram whole = histogram("medlardrum_gateway_response_seconds",
+			"Time from arrival to the end of a response of a backend server");
+
+	private Histogram histogram(String name, String help) {
+		return Histogram.builder()
+			.name(name)
+			.help(help)
+			.classicOnly()
+			.classicUpperBounds(SECONDS)
+			.labelNames("kind")
+			.register(this.registry);
+	}
+
+	/**
+	 * Adds a gauge that is read at each scrape.
+	 * @param name name of the series
+	 * @param help description
+	 * @param value the value
+	 */
+	public void gauge(String name, String help, DoubleSupplier value) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.getAsDouble()))
+			.register(this.registry);
+	}
+
+	/**
+	 * Counts a request that was answered or given up.
+	 * @param kind kind of route
+	 * @param outcome outcome
+	 */
+	public void request(String kind, String outcome) {
+		this.requests.labelValues(kind, outcome).inc();
+	}
+
+	/**
+	 * Counts an attempt at a backend server.
+	 * @param kind kind of route
+	 * @param reason why it was made
+	 */
+	public void attempt(String kind, String reason) {
+		this.attempts.labelValues(kind, reason).inc();
+	}
+
+	/**
+	 * Records the first byte of a response.
+	 * @param kind kind of route
+	 * @param ms time since arrival
+	 */
+	public void firstByte(String kind, long ms) {
+		this.firstByte.labelValues(kind).observe(ms / MS_PER_S);
+	}
+
+	/**
+	 * Records the end of a response.
+	 * @param kind kind of route
+	 * @param ms time since arrival
+	 */
+	public void whole(String kind, long ms) {
+		this.whole.labelValues(kind).observe(ms / MS_PER_S);
+	}
+
+	/**
+	 * Writes all series in the text format.
+	 * @return the document
+	 * @throws IOException never, as the document is written to memory
+	 */
+	public byte[] text() throws IOException {
+		ByteArrayOutputStream text = new ByteArrayOutputStream();
+		new PrometheusTextFormatWriter(false).write(text, this.registry.scrape());
+		return text.toByteArray();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ReadinessHandler.java
@@ -0,0 +1,80 @@
+package org.medlardrum.gateway.internal.http;
+
+import java.nio.charset.StandardCharsets;
+
+import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.gateway.internal.state.GatewayState;
+import org.medlardrum.transport.server.HttpHandler;
+import org.medlardrum.transport.server.HttpServerExchange;
+
+/**
+ * Answers whether the balancer may send new connections to this host, and whether the
+ * process lives.
+ */
+public final class ReadinessHandler implements HttpHandler {
+
+	private static final int OK = 200;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final String LIVENESS_PATH = "/livez";
+
+	private static final String READINESS_PATH = "/readyz";
+
+	private final GatewayState state;
+
+	private final DecisionLog log;
+
+	private final String platformPath;
+
+	private volatile String last = "";
+
+	/**
+	 * Creates a handler.
+	 * @param state what the host knows
+	 * @param log the log
+	 * @param platformPath additional path of the readiness question
+	 */
+	public ReadinessHandler(GatewayState state, DecisionLog log, String platformPath) {
+		this.state = state;
+		this.log = log;
+		this.platformPath = platformPath;
+	}
+
+	@Override
+	public void handle(HttpServerExchange exchange) throws Exception {
+		String path = exchange.path();
+		if (path.equals(LIVENESS_PATH)) {
+			respond(exchange, OK, "live");
+		}
+		else if (path.equals(this.platformPath) || path.equals(READINESS_PATH)) {
+			String reason = notReady();
+			if (!reason.equals(this.last)) {
+				this.last = reason;
+				this.log.event("ready", (reason.isEmpty()) ? "ready" : "not-ready", "reason", reason, "confirmedMsAgo",
+						this.state.confirmationAgeMs());
+			}
+			respond(exchange, (reason.isEmpty()) ? OK : UNAVAILABLE, (reason.isEmpty()) ? "ready" : reason);
+		}
+		else {
+			respond(exchange, NOT_FOUND, "unknown path");
+		}
+	}
+
+	private String notReady() {
+		if (this.state.isDraining()) {
+			return "draining";
+		}
+		if (this.state.table() == null) {
+			return "no configuration";
+		}
+		return (this.state.isFresh()) ? "" : "configuration not confirmed";
+	}
+
+	private static void respond(HttpServerExchange exchange, int status, String text) throws Exception {
+		exchange.respond(status, "text/plain", text.getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Handlers of the callers', readiness and metrics addresses.
+ */
+package org.medlardrum.gateway.internal.http;
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/log/DecisionLog.java
@@ -0,0 +1,144 @@
+package org.medlardrum.gateway.internal.log;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
+
+import org.jctools.queues.MpscArrayQueue;
+
+/**
+ * Structured log: one line of {@code key=value} pairs for each decision. Lines go through
+ * a bounded ring to one thread, so that an output that stalls blocks no request; lines
+ * that find the ring full are counted and the count is logged later.
+ *
+ * <pre>
+ * log.event("stream", "resume", "id", requestId, "server", server, "after", lastEventId);
+ * </pre>
+ */
+public final class DecisionLog implements AutoCloseable {
+
+	/** Lines that wait for the output; about 200 bytes each, 1 MB in all. */
+	private static final int RING_LINES = 4096;
+
+	/** Longest wait of the writer for new lines. */
+	private static final long IDLE_WAIT_MS = 100;
+
+	/** Longest wait for the output when the process ends. */
+	private static final long CLOSE_WAIT_MS = 300;
+
+	private final MpscArrayQueue<String> ring = new MpscArrayQueue<>(RING_LINES);
+
+	private final LongAdder dropped = new LongAdder();
+
+	private final PrintStream output;
+
+	private final Thread writer;
+
+	private volatile boolean closed;
+
+	private long droppedLogged;
+
+	/**
+	 * Creates a log and starts its writer.
+	 * @param output where lines go
+	 */
+	public DecisionLog(PrintStream output) {
+		this.output = output;
+		this.writer = Thread.ofPlatform().name("decision-log").daemon().start(this::write);
+	}
+
+	/**
+	 * Logs one decision.
+	 * @param part part of the process
+	 * @param event what was decided or seen
+	 * @param pairs names and values in turn
+	 */
+	public void event(String part, String event, Object... pairs) {
+		StringBuilder line = new StringBuilder(160).append("t=")
+			.append(System.currentTimeMillis())
+			.append(" part=")
+			.append(part)
+			.append(" event=")
+			.append(event);
+		for (int i = 0; i + 1 < pairs.length; i += 2) {
+			line.append(' ').append(pairs[i]).append('=');
+			appendValue(line, String.valueOf(pairs[i + 1]));
+		}
+		if (!this.ring.offer(line.toString())) {
+			this.dropped.increment();
+		}
+	}
+
+	/**
+	 * Returns the number of lines that found the ring full.
+	 * @return the number since the start
+	 */
+	public long dropped() {
+		return this.dropped.sum();
+	}
+
+	private static void appendValue(StringBuilder line, String value) {
+		boolean plain = !value.isEmpty();
+		for (int i = 0; plain && i < value.length(); i++) {
+			char c = value.charAt(i);
+			plain = c > ' ' && c != '"' && c != '=' && c != '\\';
+		}
+		if (plain) {
+			line.append(value);
+			return;
+		}
+		line.append('"');
+		for (int i = 0; i < value.length(); i++) {
+			char c = value.charAt(i);
+			if (c == '"' || c == '\\') {
+				line.append('\\');
+			}
+			line.append((c < ' ') ? ' ' : c);
+		}
+		line.append('"');
+	}
+
+	private void write() {
+		while (!this.closed || !this.ring.isEmpty()) {
+			StringBuilder batch = new StringBuilder();
+			for (String line = this.ring.poll(); line != null; line = this.ring.poll()) {
+				batch.append(line).append('\n');
+			}
+			long lost = this.dropped.sum();
+			if (lost > this.droppedLogged) {
+				batch.append("t=")
+					.append(System.currentTimeMillis())
+					.append(" part=log event=dropped lines=")
+					.append(lost - this.droppedLogged)
+					.append('\n');
+				this.droppedLogged = lost;
+			}
+			if (!batch.isEmpty()) {
+				byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+				this.output.write(bytes, 0, bytes.length);
+				this.output.flush();
+			}
+			if (!this.closed) {
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(IDLE_WAIT_MS));
+			}
+		}
+	}
+
+	/**
+	 * Writes the lines that wait, unless the output stalls.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		LockSupport.unpark(this.writer);
+		try {
+			this.writer.join(CLOSE_WAIT_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Structured log of decisions.
+ */
+package org.medlardrum.gateway.internal.log;
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainAttempt.java
@@ -0,0 +1,90 @@
+package org.medlardrum.gateway.internal.plain;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+
+import org.medlardrum.gateway.BackendVerdict;
+import org.medlardrum.gateway.internal.call.BackendCall;
+import org.medlardrum.gateway.internal.load.Reservation;
+import org.medlardrum.state.routing.ServiceInstance;
+
+/**
+ * One attempt at a server of a plain service. Used by the thread of the request only.
+ */
+final class PlainAttempt implements AutoCloseable {
+
+	private final ServiceInstance server;
+
+	private final Reservation reservation;
+
+	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private BackendCall call;
+
+	private int status;
+
+	private List<String> headers = List.of();
+
+	private BackendVerdict verdict;
+
+	PlainAttempt(ServiceInstance server, Reservation reservation) {
+		this.server = server;
+		this.reservation = reservation;
+	}
+
+	void started(BackendCall started) {
+		this.call = started;
+	}
+
+	void header(int headerStatus, List<String> headerFields, BackendVerdict headerVerdict) {
+		this.status = headerStatus;
+		this.headers = headerFields;
+		this.verdict = headerVerdict;
+	}
+
+	boolean hasHeader() {
+		return this.verdict != null;
+	}
+
+	void data(byte[] bytes) {
+		this.body.writeBytes(bytes);
+		this.call.consumed();
+	}
+
+	ServiceInstance server() {
+		return this.server;
+	}
+
+	BackendCall call() {
+		return this.call;
+	}
+
+	int status() {
+		return this.status;
+	}
+
+	List<String> headers() {
+		return this.headers;
+	}
+
+	BackendVerdict verdict() {
+		return this.verdict;
+	}
+
+	byte[] body() {
+		return this.body.toByteArray();
+	}
+
+	int bodySize() {
+		return this.body.size();
+	}
+
+	@Override
+	public void close() {
+		this.reservation.close();
+		if (this.call != null) {
+			this.call.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests to plain services.
+ */
+package org.medlardrum.gateway.internal.plain;
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -0,0 +1,251 @@
+package org.medlardrum.gateway.internal.state;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.medlardrum.decisions.routing.ConfigFreshness;
+import org.medlardrum.decisions.routing.ServerSuspicions;
+import org.medlardrum.gateway.GatewayClock;
+import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.state.routing.RoutingTable;
+import org.medlardrum.state.routing.ServiceInstance;
+
+/**
+ * Routes, backend servers and suspicions as this host knows them. Written by the thread
+ * that follows the store and by the thread that hears other hosts; read by all requests.
+ */
+public final class GatewayState {
+
+	/**
+	 * Time for which a silent server is not used: the registry removes it after three
+	 * missed heartbeats, 3.6 s in the users' settings.
+	 */
+	public static final long SUSPICION_MS = 4_000;
+
+	/** Time for which a removed server is remembered; longer than any stream lasts. */
+	private static final long LEAVING_MEMORY_MS = 30_000;
+
+	private final GatewayClock clock;
+
+	private final DecisionLog log;
+
+	private final ConfigFreshness freshness;
+
+	private final ServerSuspicions ownSuspicions = new ServerSuspicions();
+
+	private final ServerSuspicions heardSuspicions = new ServerSuspicions();
+
+	private final AtomicBoolean draining = new AtomicBoolean();
+
+	private volatile RoutingTable table;
+
+	private volatile FleetView fleet = new FleetView(List.of(), null);
+
+	/** Steady times at which servers began to leave, by identifier. */
+	private volatile Map<String, Long> leavingSinceMs = Map.of();
+
+	/**
+	 * Creates a state that knows nothing.
+	 * @param clock the clocks
+	 * @param log the log
+	 * @param keyFreshnessMs longest age of a confirmation of the configuration
+	 */
+	public GatewayState(GatewayClock clock, DecisionLog log, long keyFreshnessMs) {
+		this.clock = clock;
+		this.log = log;
+		this.freshness = new ConfigFreshness(keyFreshnessMs);
+	}
+
+	/**
+	 * Puts a configuration into force unless it is older than the one in force.
+	 * @param next the configuration
+	 */
+	public synchronized void configure(RoutingTable next) {
+		RoutingTable known = this.table;
+		if (known != null && next.version() <= known.version()) {
+			if (next.version() < known.version()) {
+				this.log.event("config", "ignored", "version", next.version(), "inForce", known.version());
+			}
+			return;
+		}
+		this.table = next;
+		this.fleet = new FleetView(this.fleet.all(), next);
+		this.log.event("config", "in-force", "version", next.version(), "before",
+				(known != null) ? known.version() : "none");
+	}
+
+	/**
+	 * Replaces the registered servers.
+	 * @param instances the servers
+	 */
+	public synchronized void instances(Collection<ServiceInstance> instances) {
+		FleetView before = this.fleet;
+		FleetView after = new FleetView(instances, this.table);
+		long nowMs = this.clock.steadyMs();
+		Map<String, Long> leaving = new HashMap<>();
+		for (ServiceInstance old : before.all()) {
+			Optional<ServiceInstance> now = after.instance(old.id());
+			if (now.isEmpty() || now.get().draining() || !now.get().sameStart(old)) {
+				leaving.put(old.id(), this.leavingSinceMs.getOrDefault(old.id(), nowMs));
+			}
+			if (now.isEmpty()) {
+				this.log.event("fleet", "removed", "server", old.id(), "address", old.address(), "zone",
+						old.availabilityZone());
+			}
+			else if (now.get().draining() && !old.draining()) {
+				this.log.event("fleet", "draining", "server", old.id(), "address", old.address());
+			}
+		}
+		this.leavingSinceMs.forEach((id, since) -> {
+			if (nowMs - since < LEAVING_MEMORY_MS && after.instance(id).map(ServiceInstance::draining).orElse(true)) {
+				leaving.putIfAbsent(id, since);
+			}
+		});
+		for (ServiceInstance instance : after.all()) {
+			Optional<ServiceInstance> old = before.instance(instance.id());
+			if (old.isEmpty() || !old.get().layers().equals(instance.layers())) {
+				this.log.event("fleet", "seen", "server", instance.id(), "address", instance.address(), "zone",
+						instance.availabilityZone(), "kind", instance.acceleratorKind(), "layers",
+						instance.layers().map((range) -> range.fromLayer() + "-" + range.toLayer()).orElse("none"));
+			}
+		}
+		this.leavingSinceMs = Map.copyOf(leaving);
+		this.fleet = after;
+	}
+
+	/**
+	 * Records that configuration and servers were the newest ones.
+	 * @param steadyMs reading of the steady clock at that time
+	 * @param wallMs time of day at that time
+	 */
+	public void confirmed(long steadyMs, long wallMs) {
+		this.freshness.confirmed(steadyMs, wallMs);
+	}
+
+	/**
+	 * Returns the age of the last confirmation.
+	 * @return the age in milliseconds
+	 */
+	public long confirmationAgeMs() {
+		return this.freshness.ageMs(this.clock.steadyMs(), this.clock.wallMs());
+	}
+
+	/**
+	 * Returns whether requests with an API key may be served.
+	 * @return {@code true} if the configuration was confirmed in time
+	 */
+	public boolean isFresh() {
+		return this.freshness.isFresh(this.clock.steadyMs(), this.clock.wallMs());
+	}
+
+	/**
+	 * Returns whether any of some servers began to leave longer ago than a given time.
+	 * @param ids identifiers of the servers
+	 * @param ageMs the time
+	 * @return the first such server
+	 */
+	public Optional<String> leavingLongerThan(Collection<String> ids, long ageMs) {
+		Map<String, Long> leaving = this.leavingSinceMs;
+		if (leaving.isEmpty()) {
+			return Optional.empty();
+		}
+		long nowMs = this.clock.steadyMs();
+		return ids.stream().filter((id) -> leaving.containsKey(id) && nowMs - leaving.get(id) >= ageMs).findFirst();
+	}
+
+	/**
+	 * Suspects a server from this host's own experience.
+	 * @param fromZone availability zone of what waited for the server
+	 * @param server the server
+	 */
+	public void suspect(String fromZone, ServiceInstance server) {
+		this.log.event("fleet", "suspect", "server", server.id(), "address", server.address(), "zone",
+				server.availabilityZone(), "seenFrom", fromZone, "forMs", SUSPICION_MS);
+		this.ownSuspicions.suspect(fromZone, server.id(), server.availabilityZone(),
+				this.clock.steadyMs() + SUSPICION_MS);
+	}
+
+	/**
+	 * Ends this host's suspicion of a server that answered.
+	 * @param fromZone availability zone of what waited for the server
+	 * @param server identifier of the server
+	 */
+	public void answered(String fromZone, String server) {
+		this.ownSuspicions.answered(fromZone, server);
+	}
+
+	/**
+	 * Takes over the suspicion of another host.
+	 * @param suspicion the suspicion
+	 */
+	public void heard(ServerSuspicions.Suspicion suspicion) {
+		long remainingMs = Math.min(SUSPICION_MS, suspicion.remainingMs());
+		this.heardSuspicions.suspect(suspicion.fromZone(), suspicion.server(), suspicion.serverZone(),
+				this.clock.steadyMs() + remainingMs);
+	}
+
+	/**
+	 * Returns this host's own suspicions.
+	 * @return the suspicions
+	 */
+	public List<ServerSuspicions.Suspicion> ownSuspicions() {
+		return this.ownSuspicions.entries(this.clock.steadyMs());
+	}
+
+	/**
+	 * Returns whether a server is suspect.
+	 * @param fromZone availability zone of what would send to it
+	 * @param server identifier of the server
+	 * @param serverZone availability zone of the server
+	 * @return {@code true} if it is not to be used
+	 */
+	public boolean isSuspect(String fromZone, String server, String serverZone) {
+		long nowMs = this.clock.steadyMs();
+		return this.ownSuspicions.isSuspect(fromZone, server, serverZone, nowMs)
+				|| this.heardSuspicions.isSuspect(fromZone, server, serverZone, nowMs);
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, {@code null} before the first one
+	 */
+	public RoutingTable table() {
+		return this.table;
+	}
+
+	/**
+	 * Returns the registered servers.
+	 * @return the servers
+	 */
+	public FleetView fleet() {
+		return this.fleet;
+	}
+
+	/**
+	 * Marks the host as draining.
+	 */
+	public void drain() {
+		this.draining.set(true);
+	}
+
+	/**
+	 * Returns whether the host is draining.
+	 * @return {@code true} after {@link #drain}
+	 */
+	public boolean isDraining() {
+		return this.draining.get();
+	}
+
+	/**
+	 * Returns the clocks.
+	 * @return the clocks
+	 */
+	public GatewayClock clock() {
+		return this.clock;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -0,0 +1,95 @@
+package org.medlardrum.gateway.internal.stream;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.medlardrum.decisions.pool.ChainHop;
+import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.pool.ChainSearch;
+import org.medlardrum.decisions.pool.PoolServer;
+import org.medlardrum.decisions.pool.PoolSnapshot;
+import org.medlardrum.gateway.internal.load.Reservation;
+import org.medlardrum.gateway.internal.request.RequestServices;
+import org.medlardrum.gateway.internal.state.GatewayState;
+import org.medlardrum.state.routing.RoutedService;
+
+/**
+ * Chooses engine chains from what this host knows now.
+ */
+final class ChainChooser {
+
+	/** Fill up to which a stream that has begun may take an engine's KV cache. */
+	private static final double RESUME_FILL = 0.97;
+
+	private final RequestServices services;
+
+	ChainChooser(RequestServices services) {
+		this.services = services;
+	}
+
+	/**
+	 * Chooses a chain and reserves it.
+	 * @param service the service
+	 * @param request what the chain is needed for
+	 * @param excluded identifiers of engines that must not be used
+	 * @param resumes whether the stream has begun
+	 * @return the chain, empty when none has room
+	 */
+	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
+		GatewayState state = this.services.state();
+		List<PoolServer> servers = state.fleet()
+			.poolServers(service)
+			.stream()
+			.filter((server) -> !excluded.contains(server.id()))
+			.toList();
+		Map<String, Boolean> suspects = new HashMap<>();
+		PoolSnapshot snapshot = new PoolSnapshot(service.pool().orElseThrow(), servers,
+				this.services.loads().total(this.services.nowMs()),
+				(zone, server) -> suspects.computeIfAbsent(zone + '|' + server.id(),
+						(key) -> state.isSuspect(zone, server.id(), server.availabilityZone())));
+		ChainSearch search = new ChainSearch(snapshot);
+		Optional<List<ChainHop>> chain = (resumes) ? search.find(request, RESUME_FILL) : search.find(request);
+		return chain.map((hops) -> {
+			double fill = hops.stream()
+				.mapToDouble((hop) -> snapshot.fill(hop.server(), (long) request.tokensAtEnd() * hop.layers().length()))
+				.max()
+				.orElse(0);
+			Reservation reservation = this.services.loads().reserve(hops, request.tokensAtEnd());
+			return new ReservedChain(hops, fill, reservation);
+		});
+	}
+
+	/**
+	 * A chain that is reserved until it is closed.
+	 *
+	 * @param hops the engines
+	 * @param fill largest part of an engine's KV cache in use with this request
+	 * @param reservation the reservation
+	 */
+	record ReservedChain(List<ChainHop> hops, double fill, Reservation reservation) {
+
+		List<String> ids() {
+			return this.hops.stream().map((hop) -> hop.server().id()).toList();
+		}
+
+		String describe() {
+			StringBuilder text = new StringBuilder();
+			for (ChainHop hop : this.hops) {
+				if (!text.isEmpty()) {
+					text.append(',');
+				}
+				text.append(hop.server().address())
+					.append('/')
+					.append(hop.layers().fromLayer())
+					.append('-')
+					.append(hop.layers().toLayer());
+			}
+			return text.toString();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
@@ -0,0 +1,67 @@
+package org.medlardrum.gateway.internal.stream;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Splits a {@code text/event-stream} into whole events. Bytes of an event that has not
+ * ended stay behind, so that a stream that breaks in the middle of an event can go on at
+ * another server.
+ */
+final class EventParser {
+
+	private static final String ID_FIELD = "id:";
+
+	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+
+	private boolean lineEmpty = true;
+
+	/**
+	 * Adds bytes of the stream.
+	 * @param bytes the bytes
+	 * @return events that are whole now
+	 */
+	List<StreamedEvent> add(byte[] bytes) {
+		List<StreamedEvent> events = new ArrayList<>();
+		for (byte value : bytes) {
+			this.partial.write(value);
+			if (value == '\n') {
+				if (this.lineEmpty && this.partial.size() > 1) {
+					byte[] event = this.partial.toByteArray();
+					this.partial.reset();
+					events.add(new StreamedEvent(event, id(event)));
+				}
+				this.lineEmpty = true;
+			}
+			else if (value != '\r') {
+				this.lineEmpty = false;
+			}
+		}
+		return events;
+	}
+
+	/**
+	 * Returns whether an event has begun and not ended.
+	 * @return {@code true} if bytes stay behind
+	 */
+	boolean hasPartialEvent() {
+		return this.partial.size() > 0;
+	}
+
+	private static long id(byte[] event) {
+		for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
+			if (line.startsWith(ID_FIELD)) {
+				try {
+					return Long.parseLong(line.substring(ID_FIELD.length()).trim());
+				}
+				catch (NumberFormatException ex) {
+					return StreamedEvent.NO_ID;
+				}
+			}
+		}
+		return StreamedEvent.NO_ID;
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -0,0 +1,476 @@
+package org.medlardrum.gateway.internal.stream;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.routing.ReturnTime;
+import org.medlardrum.gateway.BackendVerdict;
+import org.medlardrum.gateway.CallerAttributes;
+import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.internal.call.BackendCall;
+import org.medlardrum.gateway.internal.call.BackendRequest;
+import org.medlardrum.gateway.internal.call.Mailbox;
+import org.medlardrum.gateway.internal.call.Signal;
+import org.medlardrum.gateway.internal.request.CallerResponse;
+import org.medlardrum.gateway.internal.request.GatewayRequest;
+import org.medlardrum.gateway.internal.request.HeaderList;
+import org.medlardrum.gateway.internal.request.RequestServices;
+import org.medlardrum.gateway.internal.state.GatewayState;
+import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.routing.ModelPool;
+import org.medlardrum.state.routing.ServiceInstance;
+
+/**
+ * Serves a stream from chains of engines. Whole events are passed on as they arrive. When
+ * a chain breaks, stalls or loses an engine that leaves, the stream goes on at another
+ * chain after the last event that the caller has.
+ */
+public final class StreamRun {
+
+	/** Silence before the first event after which the chain is asked for its state. */
+	private static final long FIRST_SILENCE_MS = 450;
+
+	/** Silence between events after which the chain is asked for its state. */
+	private static final long EVENT_SILENCE_MS = 250;
+
+	/** Time between two questions during one silence; reports lag 200 ms. */
+	private static final long ASK_AGAIN_MS = 300;
+
+	/**
+	 * Time between an engine's notice and the move of its streams. Engines go on serving
+	 * for at least 2 s after the notice; most streams end before.
+	 */
+	private static final long LEAVING_GRACE_MS = 1_400;
+
+	/** Time between two looks for a chain when a stream that has begun finds none. */
+	private static final long LOOK_AGAIN_MS = 60;
+
+	/**
+	 * Longest search for a chain to resume; callers abandon a stream after 2 s of
+	 * silence.
+	 */
+	private static final long RESUME_SEARCH_MS = 900;
+
+	/** Attempts of one request, with those that did not run. */
+	private static final int MAX_SENDS = 6;
+
+	/** Largest body of a response that is no stream, in bytes. */
+	private static final int MAX_BODY_BYTES = 1024 * 1024;
+
+	private static final int OK = 200;
+
+	private static final int MULTIPLE_CHOICES = 300;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final String PART = "stream";
+
+	private final RequestServices services;
+
+	private final GatewayRequest request;
+
+	private final CallerResponse response;
+
+	private final Mailbox mailbox;
+
+	private final ChainChooser chooser;
+
+	private final SilenceProbe probe;
+
+	private final Set<String> excluded = new HashSet<>();
+
+	private ChainChooser.ReservedChain chain;
+
+	private BackendCall call;
+
+	private EventParser parser = new EventParser();
+
+	private ByteArrayOutputStream plainBody;
+
+	private int status;
+
+	private List<String> headers = List.of();
+
+	private boolean headerSeen;
+
+	private boolean started;
+
+	private boolean ran;
+
+	private long lastEventId;
+
+	private int eventsDelivered;
+
+	private int sends;
+
+	private int runs;
+
+	private long progressAtMs;
+
+	private long askAtMs;
+
+	private String lastFailure = "none";
+
+	/**
+	 * Creates a run.
+	 * @param services what all requests share
+	 * @param request the request
+	 * @param response the response
+	 * @param mailbox signals of the request
+	 */
+	public StreamRun(RequestServices services, GatewayRequest request, CallerResponse response, Mailbox mailbox) {
+		this.services = services;
+		this.request = request;
+		this.response = response;
+		this.mailbox = mailbox;
+		this.chooser = new ChainChooser(services);
+		this.probe = new SilenceProbe(services, mailbox);
+		this.lastEventId = request.attributes().lastEventId();
+	}
+
+	/**
+	 * Serves the request.
+	 * @return outcome for logs and metrics
+	 * @throws IOException if the caller does not take the response
+	 */
+	public String run() throws IOException {
+		try {
+			this.services.retries().onFirstAttempt(this.request.service().name(), this.services.nowMs());
+			if (!send("first")) {
+				return giveUp("no chain has room");
+			}
+			String outcome = null;
+			while (outcome == null) {
+				outcome = step();
+			}
+			return outcome;
+		}
+		finally {
+			endAttempt();
+		}
+	}
+
+	private String step() throws IOException {
+		long nowMs = this.services.nowMs();
+		if (nowMs >= this.request.endMs()) {
+			return timedOut();
+		}
+		Signal signal = this.mailbox.poll(Math.min(this.request.endMs(), this.askAtMs) - nowMs);
+		if (signal == null) {
+			askWhenSilent();
+			return moveFromLeaving();
+		}
+		return switch (signal) {
+			case Signal.CallerLeft left -> "caller-left";
+			case Signal.Header header -> (header.call() == this.call) ? onHeader(header) : null;
+			case Signal.Data data -> (data.call() == this.call) ? onData(data.bytes()) : null;
+			case Signal.End end -> (end.call() == this.call) ? onEnd() : null;
+			case Signal.Failed failed -> (failed.call() == this.call) ? onFailed(failed) : null;
+			case Signal.Diagnosis diagnosis -> (diagnosis.call() == this.call) ? onDiagnosis(diagnosis) : null;
+		};
+	}
+
+	private void askWhenSilent() {
+		long nowMs = this.services.nowMs();
+		if (nowMs >= this.askAtMs) {
+			this.askAtMs = nowMs + ASK_AGAIN_MS;
+			this.services.log()
+				.event(PART, "silent", "id", this.request.id(), "server", this.chain.hops().getFirst().server().id(),
+						"silentMs", nowMs - this.progressAtMs);
+			this.probe.ask(this.call, this.request.id());
+		}
+	}
+
+	private String moveFromLeaving() throws IOException {
+		Optional<String> leaving = this.services.state().leavingLongerThan(this.chain.ids(), LEAVING_GRACE_MS);
+		if (leaving.isEmpty() || !mayRunAgain()) {
+			return null;
+		}
+		this.excluded.add(leaving.get());
+		return goOn("leaving", "server " + leaving.get() + " leaves");
+	}
+
+	private boolean mayRunAgain() {
+		return this.runs < this.request.route().maxAttempts() && (this.request.route().idempotent() || !this.ran);
+	}
+
+	/**
+	 * Sends the request, or the rest of it, to the best chain.
+	 */
+	private boolean send(String reason) {
+		if (this.sends >= MAX_SENDS) {
+			return false;
+		}
+		long nowMs = this.services.nowMs();
+		String service = this.request.service().name();
+		Optional<ChainChooser.ReservedChain> choice = this.chooser.choose(this.request.service(), chainRequest(),
+				this.excluded, this.started);
+		if (choice.isEmpty()) {
+			return false;
+		}
+		if (this.sends > 0 && !this.services.retries().tryRepeat(service, nowMs)) {
+			choice.get().reservation().close();
+			this.services.log().event(PART, "budget-used", "id", this.request.id(), "service", service);
+			return false;
+		}
+		this.chain = choice.get();
+		this.sends++;
+		this.runs++;
+		this.parser = new EventParser();
+		this.plainBody = null;
+		this.headerSeen = false;
+		this.progressAtMs = nowMs;
+		this.askAtMs = nowMs + FIRST_SILENCE_MS;
+		String address = this.chain.hops().getFirst().server().address();
+		long remainingMs = this.request.endMs() - nowMs;
+		ForwardPlan plan = new ForwardPlan(remainingMs, this.chain.ids().getFirst(), this.request.organisation(),
+				this.chain.hops(), this.request.rank(), this.lastEventId);
+		this.call = BackendCall.send(this.services.clients(),
+				new BackendRequest(address, this.request.method(), this.request.target(),
+						this.services.dialect().forwardHeaders(this.request.headers(), plan), this.request.body(),
+						remainingMs),
+				this.mailbox::offer);
+		this.services.metrics().attempt(this.request.kind(), reason);
+		logSend(reason, remainingMs);
+		return true;
+	}
+
+	private void logSend(String reason, long remainingMs) {
+		GatewayState state = this.services.state();
+		this.services.log()
+			.event(PART, "send", "id", this.request.id(), "reason", reason, "chain", this.chain.describe(), "fill",
+					Math.round(this.chain.fill() * 100) / 100.0, "attempt", this.sends, "after", this.lastEventId,
+					"rank", this.request.rank(), "remainingMs", remainingMs, "configVersion", state.table().version(),
+					"confirmedMsAgo", state.confirmationAgeMs(), "peers", this.services.loads().peerCount());
+	}
+
+	private ChainRequest chainRequest() {
+		ModelPool pool = this.request.service().pool().orElseThrow();
+		CallerAttributes attributes = this.request.attributes();
+		int answer = pool.usualAnswerTokens();
+		if (attributes.estimatedAnswerTokens() > 0) {
+			answer = attributes.estimatedAnswerTokens();
+		}
+		if (attributes.maxAnswerTokens() > 0) {
+			answer = Math.min(answer, attributes.maxAnswerTokens());
+		}
+		int prompt = (attributes.promptTokens() > 0) ? attributes.promptTokens() : pool.usualPromptTokens();
+		return new ChainRequest(prompt, Math.max(1, answer), this.request.rank(),
+				this.services.settings().availabilityZone());
+	}
+
+	private void endAttempt() {
+		if (this.call != null) {
+			this.call.close();
+			this.call = null;
+		}
+		if (this.chain != null) {
+			this.chain.reservation().close();
+		}
+	}
+
+	private String onHeader(Signal.Header header) throws IOException {
+		BackendVerdict verdict = this.services.dialect()
+			.verdict(this.request.id(), header.status(), HeaderList.lookup(header.headers()));
+		if (!verdict.belongsToRequest()) {
+			return goOn("foreign", "the response belongs to another request");
+		}
+		if (verdict.notExecuted()) {
+			return onNotExecuted(header.status(), verdict);
+		}
+		if (!verdict.genuine()) {
+			return goOn("unproven", "status " + header.status() + " without the server's proof");
+		}
+		this.headerSeen = true;
+		this.status = header.status();
+		if (!this.started) {
+			this.headers = this.services.dialect().responseHeaders(header.headers());
+		}
+		if (header.status() < OK || header.status() >= MULTIPLE_CHOICES) {
+			this.plainBody = new ByteArrayOutputStream();
+		}
+		return null;
+	}
+
+	private String onNotExecuted(int refusedStatus, BackendVerdict verdict) throws IOException {
+		this.runs--;
+		Optional<ServiceInstance> faulty = verdict.faultyAddress()
+			.flatMap((address) -> this.services.state().fleet().atAddress(address));
+		this.excluded.add(faulty.map(ServiceInstance::id).orElse(this.chain.ids().getFirst()));
+		return goOn("not-executed",
+				"status " + refusedStatus + " from " + verdict.faultyAddress().orElse(this.call.address()));
+	}
+
+	private String onData(byte[] bytes) throws IOException {
+		this.call.consumed();
+		if (this.plainBody != null) {
+			this.plainBody.writeBytes(bytes);
+			return (this.plainBody.size() > MAX_BODY_BYTES) ? goOn("too-large", "the response is too large") : null;
+		}
+		for (StreamedEvent event : this.parser.add(bytes)) {
+			deliver(event);
+		}
+		return moveFromLeaving();
+	}
+
+	private void deliver(StreamedEvent event) throws IOException {
+		this.ran = true;
+		long nowMs = this.services.nowMs();
+		this.progressAtMs = nowMs;
+		this.askAtMs = nowMs + EVENT_SILENCE_MS;
+		if (event.id() != StreamedEvent.NO_ID) {
+			if (event.id() <= this.lastEventId) {
+				return;
+			}
+			this.lastEventId = event.id();
+		}
+		if (!this.started) {
+			this.started = true;
+			this.response.startStream(this.status, this.headers);
+			this.services.metrics().firstByte(this.request.kind(), nowMs - this.request.arrivedMs());
+		}
+		this.response.write(event.bytes());
+		this.eventsDelivered++;
+	}
+
+	private String onEnd() throws IOException {
+		if (!this.headerSeen) {
+			return goOn("broken", "the response has no header");
+		}
+		if (this.plainBody != null) {
+			return onServerFailure();
+		}
+		if (this.parser.hasPartialEvent()) {
+			return goOn("broken", "the stream ended within an event");
+		}
+		if (!this.started) {
+			this.response.startStream(this.status, this.headers);
+		}
+		this.response.finish();
+		this.services.metrics().whole(this.request.kind(), this.services.nowMs() - this.request.arrivedMs());
+		return "answered";
+	}
+
+	private String onServerFailure() throws IOException {
+		byte[] body = this.plainBody.toByteArray();
+		if (this.status >= SERVER_ERROR && this.request.route().idempotent()) {
+			this.ran = true;
+			this.excluded.add(this.chain.ids().getFirst());
+			String outcome = goOn("server-error", "status " + this.status);
+			if (outcome == null || this.started) {
+				return outcome;
+			}
+		}
+		if (this.started) {
+			this.response.abort();
+			return "broken-off";
+		}
+		this.response.deliver(this.status, this.headers, body);
+		return "server-error";
+	}
+
+	private String onFailed(Signal.Failed failed) throws IOException {
+		this.excluded.add(this.chain.ids().getFirst());
+		if (failed.notSent()) {
+			this.runs--;
+			suspectFirst();
+		}
+		else {
+			this.ran = true;
+		}
+		return goOn((failed.notSent()) ? "unreachable" : "broken", failed.reason());
+	}
+
+	private void suspectFirst() {
+		this.services.state()
+			.fleet()
+			.instance(this.chain.ids().getFirst())
+			.ifPresent((server) -> this.services.state().suspect(this.services.settings().availabilityZone(), server));
+	}
+
+	private String onDiagnosis(Signal.Diagnosis diagnosis) throws IOException {
+		if (diagnosis.faultyAddress().isEmpty() || this.services.nowMs() - this.progressAtMs < EVENT_SILENCE_MS) {
+			return null;
+		}
+		String before = this.services.settings().availabilityZone();
+		for (org.medlardrum.decisions.pool.ChainHop hop : this.chain.hops()) {
+			if (hop.server().address().equals(diagnosis.faultyAddress())) {
+				this.excluded.add(hop.server().id());
+				Optional<ServiceInstance> server = this.services.state().fleet().instance(hop.server().id());
+				if (server.isPresent()) {
+					this.services.state().suspect(before, server.get());
+				}
+			}
+			before = hop.server().availabilityZone();
+		}
+		this.ran = true;
+		return goOn("stalled", "the chain waits for " + diagnosis.faultyAddress());
+	}
+
+	/**
+	 * Ends the attempt and goes on at another chain, or gives up.
+	 */
+	private String goOn(String event, String reason) throws IOException {
+		this.lastFailure = reason;
+		this.services.log()
+			.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered, "runs",
+					this.runs);
+		endAttempt();
+		if (this.runs > 0 && !mayRunAgain() && !firstEngineGone()) {
+			return giveUp(reason);
+		}
+		long untilMs = this.services.nowMs() + ((this.started) ? RESUME_SEARCH_MS : 0);
+		while (!send(event)) {
+			if (this.services.nowMs() >= untilMs) {
+				return giveUp(reason);
+			}
+			if (this.mailbox.poll(LOOK_AGAIN_MS) instanceof Signal.CallerLeft) {
+				return "caller-left";
+			}
+		}
+		return null;
+	}
+
+	// An engine that has ended does not count towards the attempts of the route.
+	private boolean firstEngineGone() {
+		String first = this.chain.ids().getFirst();
+		return (this.request.route().idempotent() || !this.ran)
+				&& (this.services.state().fleet().instance(first).isEmpty() || this.services.state()
+					.isSuspect(this.services.settings().availabilityZone(), first,
+							this.chain.hops().getFirst().server().availabilityZone()));
+	}
+
+	private String giveUp(String reason) throws IOException {
+		if (this.started) {
+			this.response.abort();
+			return "broken-off";
+		}
+		if (this.ran && !this.request.route().idempotent()) {
+			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
+			return "answer-lost";
+		}
+		long retryAfterMs = ReturnTime.busyMs(this.request.rank(), this.request.endMs() - this.services.nowMs(),
+				this.services.random());
+		this.services.log()
+			.event(PART, "refuse", "id", this.request.id(), "reason", reason, "lastFailure", this.lastFailure, "rank",
+					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.services.loads().peerCount());
+		this.response.refuse((this.sends == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
+				this.request.rank(), retryAfterMs);
+		return "refused";
+	}
+
+	private String timedOut() throws IOException {
+		if (this.started) {
+			this.response.abort();
+			return "broken-off";
+		}
+		this.response.fail(ProblemType.TIMED_OUT, "No answer within the time limit", this.request.rank());
+		return "timed-out";
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Streams of model engines.
+ */
+package org.medlardrum.gateway.internal.stream;
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ConfigPull.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ConfigPull.java
@@ -517,14 +517,14 @@
           case 3: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<ConfigEntry>(_list24.size);
-                @org.apache.thrift.annotation.Nullable ConfigEntry _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<ConfigEntry>(_list40.size);
+                @org.apache.thrift.annotation.Nullable ConfigEntry _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem25 = new ConfigEntry();
-                  _elem25.read(iprot);
-                  struct.changes.add(_elem25);
+                  _elem41 = new ConfigEntry();
+                  _elem41.read(iprot);
+                  struct.changes.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -563,9 +563,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (ConfigEntry _iter27 : struct.changes)
+          for (ConfigEntry _iter43 : struct.changes)
           {
-            _iter27.write(oprot);
+            _iter43.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -609,9 +609,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (ConfigEntry _iter28 : struct.changes)
+          for (ConfigEntry _iter44 : struct.changes)
           {
-            _iter28.write(oprot);
+            _iter44.write(oprot);
           }
         }
       }
@@ -631,14 +631,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<ConfigEntry>(_list29.size);
-          @org.apache.thrift.annotation.Nullable ConfigEntry _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<ConfigEntry>(_list45.size);
+          @org.apache.thrift.annotation.Nullable ConfigEntry _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem30 = new ConfigEntry();
-            _elem30.read(iprot);
-            struct.changes.add(_elem30);
+            _elem46 = new ConfigEntry();
+            _elem46.read(iprot);
+            struct.changes.add(_elem46);
           }
         }
         struct.setChangesIsSet(true);
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -22,6 +22,8 @@
   private static final org.apache.thrift.protocol.TField ORGANISATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("organisations", org.apache.thrift.protocol.TType.LIST, (short)7);
   private static final org.apache.thrift.protocol.TField RUMOURS_FIELD_DESC = new org.apache.thrift.protocol.TField("rumours", org.apache.thrift.protocol.TType.LIST, (short)8);
   private static final org.apache.thrift.protocol.TField REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("reply", org.apache.thrift.protocol.TType.BOOL, (short)9);
+  private static final org.apache.thrift.protocol.TField SERVER_SHARES_FIELD_DESC = new org.apache.thrift.protocol.TField("serverShares", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField SILENT_SERVERS_FIELD_DESC = new org.apache.thrift.protocol.TField("silentServers", org.apache.thrift.protocol.TType.LIST, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -35,6 +37,8 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<OrganisationDemand> organisations; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<Rumour> rumours; // required
   public boolean reply; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<ServerShare> serverShares; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<SilentServer> silentServers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +50,9 @@
     RANKS((short)6, "ranks"),
     ORGANISATIONS((short)7, "organisations"),
     RUMOURS((short)8, "rumours"),
-    REPLY((short)9, "reply");
+    REPLY((short)9, "reply"),
+    SERVER_SHARES((short)10, "serverShares"),
+    SILENT_SERVERS((short)11, "silentServers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -80,6 +86,10 @@
           return RUMOURS;
         case 9: // REPLY
           return REPLY;
+        case 10: // SERVER_SHARES
+          return SERVER_SHARES;
+        case 11: // SILENT_SERVERS
+          return SILENT_SERVERS;
         default:
           return null;
       }
@@ -128,6 +138,7 @@
   private static final int __SENTATMS_ISSET_ID = 2;
   private static final int __REPLY_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -152,6 +163,12 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Rumour.class))));
     tmpMap.put(_Fields.REPLY, new org.apache.thrift.meta_data.FieldMetaData("reply", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.SERVER_SHARES, new org.apache.thrift.meta_data.FieldMetaData("serverShares", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ServerShare.class))));
+    tmpMap.put(_Fields.SILENT_SERVERS, new org.apache.thrift.meta_data.FieldMetaData("silentServers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SilentServer.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -222,6 +239,20 @@
       this.rumours = __this__rumours;
     }
     this.reply = other.reply;
+    if (other.isSetServerShares()) {
+      java.util.List<ServerShare> __this__serverShares = new java.util.ArrayList<ServerShare>(other.serverShares.size());
+      for (ServerShare other_element : other.serverShares) {
+        __this__serverShares.add(new ServerShare(other_element));
+      }
+      this.serverShares = __this__serverShares;
+    }
+    if (other.isSetSilentServers()) {
+      java.util.List<SilentServer> __this__silentServers = new java.util.ArrayList<SilentServer>(other.silentServers.size());
+      for (SilentServer other_element : other.silentServers) {
+        __this__silentServers.add(new SilentServer(other_element));
+      }
+      this.silentServers = __this__silentServers;
+    }
   }
 
   @Override
@@ -244,6 +275,8 @@
     this.rumours = null;
     setReplyIsSet(false);
     this.reply = false;
+    this.serverShares = null;
+    this.silentServers = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -511,6 +544,88 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REPLY_ISSET_ID, value);
   }
 
+  public int getServerSharesSize() {
+    return (this.serverShares == null) ? 0 : this.serverShares.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ServerShare> getServerSharesIterator() {
+    return (this.serverShares == null) ? null : this.serverShares.iterator();
+  }
+
+  public void addToServerShares(ServerShare elem) {
+    if (this.serverShares == null) {
+      this.serverShares = new java.util.ArrayList<ServerShare>();
+    }
+    this.serverShares.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ServerShare> getServerShares() {
+    return this.serverShares;
+  }
+
+  public Digest setServerShares(@org.apache.thrift.annotation.Nullable java.util.List<ServerShare> serverShares) {
+    this.serverShares = serverShares;
+    return this;
+  }
+
+  public void unsetServerShares() {
+    this.serverShares = null;
+  }
+
+  /** Returns true if field serverShares is set (has been assigned a value) and false otherwise */
+  public boolean isSetServerShares() {
+    return this.serverShares != null;
+  }
+
+  public void setServerSharesIsSet(boolean value) {
+    if (!value) {
+      this.serverShares = null;
+    }
+  }
+
+  public int getSilentServersSize() {
+    return (this.silentServers == null) ? 0 : this.silentServers.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SilentServer> getSilentServersIterator() {
+    return (this.silentServers == null) ? null : this.silentServers.iterator();
+  }
+
+  public void addToSilentServers(SilentServer elem) {
+    if (this.silentServers == null) {
+      this.silentServers = new java.util.ArrayList<SilentServer>();
+    }
+    this.silentServers.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SilentServer> getSilentServers() {
+    return this.silentServers;
+  }
+
+  public Digest setSilentServers(@org.apache.thrift.annotation.Nullable java.util.List<SilentServer> silentServers) {
+    this.silentServers = silentServers;
+    return this;
+  }
+
+  public void unsetSilentServers() {
+    this.silentServers = null;
+  }
+
+  /** Returns true if field silentServers is set (has been assigned a value) and false otherwise */
+  public boolean isSetSilentServers() {
+    return this.silentServers != null;
+  }
+
+  public void setSilentServersIsSet(boolean value) {
+    if (!value) {
+      this.silentServers = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -586,6 +701,22 @@
       }
       break;
 
+    case SERVER_SHARES:
+      if (value == null) {
+        unsetServerShares();
+      } else {
+        setServerShares((java.util.List<ServerShare>)value);
+      }
+      break;
+
+    case SILENT_SERVERS:
+      if (value == null) {
+        unsetSilentServers();
+      } else {
+        setSilentServers((java.util.List<SilentServer>)value);
+      }
+      break;
+
     }
   }
 
@@ -620,6 +751,12 @@
     case REPLY:
       return isReply();
 
+    case SERVER_SHARES:
+      return getServerShares();
+
+    case SILENT_SERVERS:
+      return getSilentServers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -650,6 +787,10 @@
       return isSetRumours();
     case REPLY:
       return isSetReply();
+    case SERVER_SHARES:
+      return isSetServerShares();
+    case SILENT_SERVERS:
+      return isSetSilentServers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -748,6 +889,24 @@
         return false;
     }
 
+    boolean this_present_serverShares = true && this.isSetServerShares();
+    boolean that_present_serverShares = true && that.isSetServerShares();
+    if (this_present_serverShares || that_present_serverShares) {
+      if (!(this_present_serverShares && that_present_serverShares))
+        return false;
+      if (!this.serverShares.equals(that.serverShares))
+        return false;
+    }
+
+    boolean this_present_silentServers = true && this.isSetSilentServers();
+    boolean that_present_silentServers = true && that.isSetSilentServers();
+    if (this_present_silentServers || that_present_silentServers) {
+      if (!(this_present_silentServers && that_present_silentServers))
+        return false;
+      if (!this.silentServers.equals(that.silentServers))
+        return false;
+    }
+
     return true;
   }
 
@@ -783,6 +942,14 @@
 
     hashCode = hashCode * 8191 + ((reply) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetServerShares()) ? 131071 : 524287);
+    if (isSetServerShares())
+      hashCode = hashCode * 8191 + serverShares.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetSilentServers()) ? 131071 : 524287);
+    if (isSetSilentServers())
+      hashCode = hashCode * 8191 + silentServers.hashCode();
+
     return hashCode;
   }
 
@@ -884,6 +1051,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetServerShares(), other.isSetServerShares());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServerShares()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serverShares, other.serverShares);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSilentServers(), other.isSetSilentServers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSilentServers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.silentServers, other.silentServers);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -963,6 +1150,26 @@
     sb.append("reply:");
     sb.append(this.reply);
     first = false;
+    if (isSetServerShares()) {
+      if (!first) sb.append(", ");
+      sb.append("serverShares:");
+      if (this.serverShares == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.serverShares);
+      }
+      first = false;
+    }
+    if (isSetSilentServers()) {
+      if (!first) sb.append(", ");
+      sb.append("silentServers:");
+      if (this.silentServers == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.silentServers);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1115,6 +1322,44 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // SERVER_SHARES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list9 = iprot.readListBegin();
+                struct.serverShares = new java.util.ArrayList<ServerShare>(_list9.size);
+                @org.apache.thrift.annotation.Nullable ServerShare _elem10;
+                for (int _i11 = 0; _i11 < _list9.size; ++_i11)
+                {
+                  _elem10 = new ServerShare();
+                  _elem10.read(iprot);
+                  struct.serverShares.add(_elem10);
+                }
+                iprot.readListEnd();
+              }
+              struct.setServerSharesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 11: // SILENT_SERVERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list12 = iprot.readListBegin();
+                struct.silentServers = new java.util.ArrayList<SilentServer>(_list12.size);
+                @org.apache.thrift.annotation.Nullable SilentServer _elem13;
+                for (int _i14 = 0; _i14 < _list12.size; ++_i14)
+                {
+                  _elem13 = new SilentServer();
+                  _elem13.read(iprot);
+                  struct.silentServers.add(_elem13);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSilentServersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1154,9 +1399,9 @@
         oprot.writeFieldBegin(RANKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ranks.size()));
-          for (RankDemand _iter9 : struct.ranks)
+          for (RankDemand _iter15 : struct.ranks)
           {
-            _iter9.write(oprot);
+            _iter15.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1166,9 +1411,9 @@
         oprot.writeFieldBegin(ORGANISATIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.organisations.size()));
-          for (OrganisationDemand _iter10 : struct.organisations)
+          for (OrganisationDemand _iter16 : struct.organisations)
           {
-            _iter10.write(oprot);
+            _iter16.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1178,9 +1423,9 @@
         oprot.writeFieldBegin(RUMOURS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rumours.size()));
-          for (Rumour _iter11 : struct.rumours)
+          for (Rumour _iter17 : struct.rumours)
           {
-            _iter11.write(oprot);
+            _iter17.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1189,6 +1434,34 @@
       oprot.writeFieldBegin(REPLY_FIELD_DESC);
       oprot.writeBool(struct.reply);
       oprot.writeFieldEnd();
+      if (struct.serverShares != null) {
+        if (struct.isSetServerShares()) {
+          oprot.writeFieldBegin(SERVER_SHARES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serverShares.size()));
+            for (ServerShare _iter18 : struct.serverShares)
+            {
+              _iter18.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.silentServers != null) {
+        if (struct.isSetSilentServers()) {
+          oprot.writeFieldBegin(SILENT_SERVERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentServers.size()));
+            for (SilentServer _iter19 : struct.silentServers)
+            {
+              _iter19.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1235,7 +1508,13 @@
       if (struct.isSetReply()) {
         optionals.set(8);
       }
-      oprot.writeBitSet(optionals, 9);
+      if (struct.isSetServerShares()) {
+        optionals.set(9);
+      }
+      if (struct.isSetSilentServers()) {
+        optionals.set(10);
+      }
+      oprot.writeBitSet(optionals, 11);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -1254,39 +1533,57 @@
       if (struct.isSetRanks()) {
         {
           oprot.writeI32(struct.ranks.size());
-          for (RankDemand _iter12 : struct.ranks)
+          for (RankDemand _iter20 : struct.ranks)
           {
-            _iter12.write(oprot);
+            _iter20.write(oprot);
           }
         }
       }
       if (struct.isSetOrganisations()) {
         {
           oprot.writeI32(struct.organisations.size());
-          for (OrganisationDemand _iter13 : struct.organisations)
+          for (OrganisationDemand _iter21 : struct.organisations)
           {
-            _iter13.write(oprot);
+            _iter21.write(oprot);
           }
         }
       }
       if (struct.isSetRumours()) {
         {
           oprot.writeI32(struct.rumours.size());
-          for (Rumour _iter14 : struct.rumours)
+          for (Rumour _iter22 : struct.rumours)
           {
-            _iter14.write(oprot);
+            _iter22.write(oprot);
           }
         }
       }
       if (struct.isSetReply()) {
         oprot.writeBool(struct.reply);
       }
+      if (struct.isSetServerShares()) {
+        {
+          oprot.writeI32(struct.serverShares.size());
+          for (ServerShare _iter23 : struct.serverShares)
+          {
+            _iter23.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetSilentServers()) {
+        {
+          oprot.writeI32(struct.silentServers.size());
+          for (SilentServer _iter24 : struct.silentServers)
+          {
+            _iter24.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(11);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -1309,42 +1606,42 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list15 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.ranks = new java.util.ArrayList<RankDemand>(_list15.size);
-          @org.apache.thrift.annotation.Nullable RankDemand _elem16;
-          for (int _i17 = 0; _i17 < _list15.size; ++_i17)
+          org.apache.thrift.protocol.TList _list25 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.ranks = new java.util.ArrayList<RankDemand>(_list25.size);
+          @org.apache.thrift.annotation.Nullable RankDemand _elem26;
+          for (int _i27 = 0; _i27 < _list25.size; ++_i27)
           {
-            _elem16 = new RankDemand();
-            _elem16.read(iprot);
-            struct.ranks.add(_elem16);
+            _elem26 = new RankDemand();
+            _elem26.read(iprot);
+            struct.ranks.add(_elem26);
           }
         }
         struct.setRanksIsSet(true);
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list18.size);
-          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem19;
-          for (int _i20 = 0; _i20 < _list18.size; ++_i20)
+          org.apache.thrift.protocol.TList _list28 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list28.size);
+          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem29;
+          for (int _i30 = 0; _i30 < _list28.size; ++_i30)
           {
-            _elem19 = new OrganisationDemand();
-            _elem19.read(iprot);
-            struct.organisations.add(_elem19);
+            _elem29 = new OrganisationDemand();
+            _elem29.read(iprot);
+            struct.organisations.add(_elem29);
           }
         }
         struct.setOrganisationsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.rumours = new java.util.ArrayList<Rumour>(_list21.size);
-          @org.apache.thrift.annotation.Nullable Rumour _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list31 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.rumours = new java.util.ArrayList<Rumour>(_list31.size);
+          @org.apache.thrift.annotation.Nullable Rumour _elem32;
+          for (int _i33 = 0; _i33 < _list31.size; ++_i33)
           {
-            _elem22 = new Rumour();
-            _elem22.read(iprot);
-            struct.rumours.add(_elem22);
+            _elem32 = new Rumour();
+            _elem32.read(iprot);
+            struct.rumours.add(_elem32);
           }
         }
         struct.setRumoursIsSet(true);
@@ -1353,6 +1650,34 @@
         struct.reply = iprot.readBool();
         struct.setReplyIsSet(true);
       }
+      if (incoming.get(9)) {
+        {
+          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serverShares = new java.util.ArrayList<ServerShare>(_list34.size);
+          @org.apache.thrift.annotation.Nullable ServerShare _elem35;
+          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+          {
+            _elem35 = new ServerShare();
+            _elem35.read(iprot);
+            struct.serverShares.add(_elem35);
+          }
+        }
+        struct.setServerSharesIsSet(true);
+      }
+      if (incoming.get(10)) {
+        {
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentServers = new java.util.ArrayList<SilentServer>(_list37.size);
+          @org.apache.thrift.annotation.Nullable SilentServer _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          {
+            _elem38 = new SilentServer();
+            _elem38.read(iprot);
+            struct.silentServers.add(_elem38);
+          }
+        }
+        struct.setSilentServersIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -31,6 +31,22 @@
   4: i32 count
 }
 
+/** Work of one entry host at one backend server. */
+struct ServerShare {
+  1: string server
+  2: i64 tokenLayers
+  3: i32 sequences
+  4: i32 asFirst
+}
+
+/** A server that did not answer, as seen from an availability zone. */
+struct SilentServer {
+  1: string fromZone
+  2: string server
+  3: string serverZone
+  4: i32 remainingMs
+}
+
 /** What one entry host tells another once a second. */
 struct Digest {
   1: string hostId
@@ -42,6 +58,8 @@
   7: list<OrganisationDemand> organisations
   8: list<Rumour> rumours
   9: bool reply
+  10: optional list<ServerShare> serverShares
+  11: optional list<SilentServer> silentServers
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
--- /dev/null
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/ServiceShare.java
@@ -0,0 +1,10 @@
+package org.medlardrum.state.routing;
+
+/**
+ * Share of a route's requests that goes to a service.
+ *
+ * @param service name of the service
+ * @param weight weight relative to the other shares of the route
+ */
+public record ServiceShare(String service, double weight) {
+}
