--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -181,10 +181,8 @@
 		return this.lastByAddress.getOrDefault(server.address(), plan.get(server.id()));
 	}
 
-	/**
-	 * Adds to an engine without layers those that it has been ordered to hold, or those
-	 * that its address held before its restart.
-	 */
+	// Adds to an engine without layers those that it has been ordered to hold, or those
+	// that its address held before its restart.
 	private PlacementServer believed(PlacementServer server) {
 		if (server.layers().isPresent()) {
 			return server;
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -163,10 +163,8 @@
 		return delayMs * request.answerTokens();
 	}
 
-	/**
-	 * Time that an engine spends on a request: one step for each token written and the
-	 * reading of the prompt, for its share of the layers.
-	 */
+	// Time that an engine spends on a request: one step for each token written and the
+	// reading of the prompt, for its share of the layers.
 	private double runCost(ChainRequest request, PoolServer server, int layers) {
 		double share = (double) layers / this.pool.layers();
 		int sequences = this.snapshot.load(server).sequences();
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -60,9 +60,7 @@
 		return fill(servers, empty);
 	}
 
-	/**
-	 * Places whole chains on empty engines.
-	 */
+	// Places whole chains on empty engines.
 	private Map<String, LayerRange> planChains(List<PlacementServer> empty) {
 		Map<String, LayerRange> plan = new LinkedHashMap<>();
 		List<PlacementServer> rest = new ArrayList<>();
@@ -142,9 +140,7 @@
 		}
 	}
 
-	/**
-	 * Splits engines into groups of about the same memory.
-	 */
+	// Splits engines into groups of about the same memory.
 	private static List<List<PlacementServer>> split(List<PlacementServer> group, int parts) {
 		List<List<PlacementServer>> chains = new ArrayList<>();
 		for (int i = 0; i < parts; i++) {
@@ -182,9 +178,7 @@
 		return consecutive(chain, counts);
 	}
 
-	/**
-	 * Engines of one zone follow each other, so that a token crosses zones seldom.
-	 */
+	// Engines of one zone follow each other, so that a token crosses zones seldom.
 	private static Map<String, LayerRange> consecutive(List<PlacementServer> chain, int[] counts) {
 		List<Integer> order = new ArrayList<>();
 		for (int i = 0; i < counts.length; i++) {
@@ -203,9 +197,7 @@
 		return ranges;
 	}
 
-	/**
-	 * Places single engines where the fewest tokens fit.
-	 */
+	// Places single engines where the fewest tokens fit.
 	private Map<String, LayerRange> fill(Collection<PlacementServer> servers, List<PlacementServer> empty) {
 		double[] tokens = new double[this.pool.layers()];
 		for (PlacementServer server : servers) {
@@ -231,10 +223,8 @@
 		}
 	}
 
-	/**
-	 * Number of layers that other engines of the kind hold, so that a replacement closes
-	 * the gap that its predecessor left.
-	 */
+	// Number of layers that other engines of the kind hold, so that a replacement closes
+	// the gap that its predecessor left.
 	private int usualLength(AcceleratorKind kind, Collection<PlacementServer> servers) {
 		int longest = servers.stream()
 			.filter((server) -> server.kind().name().equals(kind.name()))
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/GatewayClock.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/GatewayClock.java
@@ -25,7 +25,7 @@
 
 	/**
 	 * Reads the time of day.
-	 * @return Unix milliseconds
+	 * @return milliseconds since the Unix epoch
 	 */
 	public long wallMs() {
 		return this.wall.getAsLong();
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -148,10 +148,8 @@
 		return Admission.refused("configuration-not-confirmed");
 	}
 
-	/**
-	 * Answers for a route or key that the configuration does not have. A host whose
-	 * configuration may be old does not know that for certain.
-	 */
+	// Answers for a route or key that the configuration does not have. A host whose
+	// configuration may be old does not know that for certain.
 	private Admission unknown(CallerResponse response, ProblemType type, String detail, CallerAttributes attributes)
 			throws IOException {
 		if (!this.services.state().isFresh()) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
@@ -144,9 +144,7 @@
 		return this.request.route().idempotent() && this.runs < this.request.route().maxAttempts();
 	}
 
-	/**
-	 * Sends the request to the next server.
-	 */
+	// Sends the request to the next server.
 	private boolean send(String reason) {
 		if (this.sends >= MAX_SENDS) {
 			return false;
@@ -276,9 +274,7 @@
 		return lost(attempt, failed.reason());
 	}
 
-	/**
-	 * Goes on after an attempt that did not run.
-	 */
+	// Goes on after an attempt that did not run.
 	private String notExecuted(PlainAttempt attempt, String reason) throws IOException {
 		this.lastFailure = reason;
 		this.runs--;
@@ -291,9 +287,7 @@
 		return giveUp();
 	}
 
-	/**
-	 * Goes on after an attempt that may have run.
-	 */
+	// Goes on after an attempt that may have run.
 	private String lost(PlainAttempt attempt, String reason) throws IOException {
 		this.lastFailure = reason;
 		end(attempt);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -199,9 +199,7 @@
 		return this.runs < this.request.route().maxAttempts() && (this.request.route().idempotent() || !this.ran);
 	}
 
-	/**
-	 * Sends the request, or the rest of it, to the best chain.
-	 */
+	// Sends the request, or the rest of it, to the best chain.
 	private boolean send(String reason) {
 		if (this.sends >= MAX_SENDS) {
 			return false;
@@ -412,9 +410,7 @@
 		return goOn("stalled", "the chain waits for " + diagnosis.faultyAddress());
 	}
 
-	/**
-	 * Ends the attempt and goes on at another chain, or gives up.
-	 */
+	// Ends the attempt and goes on at another chain, or gives up.
 	private String goOn(String event, String reason) throws IOException {
 		this.lastFailure = reason;
 		this.services.log()
