--- /dev/null
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
@@ -0,0 +1,117 @@
+package org.medlardrum.decisions.pool;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.medlardrum.state.LayerRange;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against chains that skip or repeat layers, and against the loads in which all
+ * requests pile up on the fast chain or less urgent ones take the room of urgent ones.
+ */
+class ChainSearchTests {
+
+	private static final int TOKENS = 772 + 167;
+
+	private final List<PlacementServer> fleet = Pools.fleet();
+
+	private final List<PoolServer> servers = Pools.placed(this.fleet, new LayerPlanner(Pools.POOL).plan(this.fleet));
+
+	private static void assertCovers(List<ChainHop> chain) {
+		int next = 0;
+		for (ChainHop hop : chain) {
+			assertThat(hop.layers().fromLayer()).isEqualTo(next);
+			assertThat(hop.server().layers().contains(hop.layers())).isTrue();
+			next = hop.layers().toLayer();
+		}
+		assertThat(next).isEqualTo(Pools.POOL.layers());
+		assertThat(chain.stream().map((hop) -> hop.server().id()).distinct().count()).isEqualTo(chain.size());
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void everyChainRunsEachLayerOnce(long seed) {
+		Random random = new Random(seed);
+		for (int round = 0; round < 40; round++) {
+			List<PoolServer> some = this.servers.stream().filter((server) -> random.nextInt(10) > 0).toList();
+			Optional<List<ChainHop>> chain = new ChainSearch(Pools.snapshot(some, Map.of()))
+				.find(new ChainRequest(772, 167, random.nextInt(3), "b"));
+			chain.ifPresent(ChainSearchTests::assertCovers);
+		}
+	}
+
+	@Test
+	void overlappingRangesAreCutWhereTheNextEngineTakesOver() {
+		PoolServer slow = new PoolServer("slow", "10.0.0.1:1", "a", Pools.L4, new LayerRange(0, 60), 10);
+		PoolServer fast = new PoolServer("fast", "10.0.0.1:2", "a", Pools.H100, new LayerRange(20, 80), 10);
+		// Both hold more than their memory here: only the ranges matter.
+		ChainSearch search = new ChainSearch(
+				new PoolSnapshot(Pools.POOL, List.of(slow, fast), Map.of(), (zone, server) -> false));
+		List<ChainHop> chain = search.find(new ChainRequest(100, 10, 0, "a"), Double.MAX_VALUE).orElseThrow();
+		assertThat(chain.getFirst().layers()).isEqualTo(new LayerRange(0, 20));
+		assertCovers(chain);
+	}
+
+	/**
+	 * Replays arrivals that stay: without a cost of fill all of them take the fast chain.
+	 */
+	@Test
+	void arrivalsSpreadOverFastAndSlowChains() {
+		Map<String, ServerLoad> loads = new HashMap<>();
+		int onFast = 0;
+		for (int i = 0; i < 150; i++) {
+			List<ChainHop> chain = new ChainSearch(Pools.snapshot(this.servers, loads))
+				.find(new ChainRequest(772, 167, i % 3, List.of("a", "b", "c").get(i % 3)))
+				.orElseThrow();
+			onFast += (chain.size() <= 5) ? 1 : 0;
+			reserve(loads, chain);
+		}
+		assertThat(onFast).isAtLeast(30);
+		assertThat(onFast).isAtMost(80);
+		for (PoolServer server : this.servers) {
+			assertWithMessage(server.id()).that(Pools.snapshot(this.servers, loads).fill(server, 0))
+				.isAtMost(ChainSearch.MAX_FILL);
+		}
+	}
+
+	@Test
+	void urgentRequestFindsRoomAfterAFloodOfBackgroundWork() {
+		Map<String, ServerLoad> loads = new HashMap<>();
+		Optional<List<ChainHop>> chain = background(loads);
+		while (chain.isPresent()) {
+			reserve(loads, chain.get());
+			chain = background(loads);
+		}
+		assertThat(new ChainSearch(Pools.snapshot(this.servers, loads)).find(new ChainRequest(772, 167, 0, "a")))
+			.isPresent();
+	}
+
+	private Optional<List<ChainHop>> background(Map<String, ServerLoad> loads) {
+		return new ChainSearch(Pools.snapshot(this.servers, loads)).find(new ChainRequest(772, 167, 2, "a"));
+	}
+
+	@Test
+	void avoidedEnginesAreNotUsed() {
+		PoolSnapshot snapshot = new PoolSnapshot(Pools.POOL, this.servers, Map.of(),
+				(zone, server) -> server.id().equals("h100-c-0"));
+		List<ChainHop> chain = new ChainSearch(snapshot).find(new ChainRequest(772, 167, 0, "c")).orElseThrow();
+		assertThat(chain.stream().map((hop) -> hop.server().id()).toList()).doesNotContain("h100-c-0");
+	}
+
+	private static void reserve(Map<String, ServerLoad> loads, List<ChainHop> chain) {
+		for (ChainHop hop : chain) {
+			loads.merge(hop.server().id(), new ServerLoad((long) TOKENS * hop.layers().length(), 1, 0),
+					ServerLoad::plus);
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
@@ -0,0 +1,103 @@
+package org.medlardrum.decisions.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.medlardrum.state.LayerRange;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against placements that leave an availability zone without a copy, exceed an
+ * engine's memory, or leave a lost engine's layers unserved.
+ */
+class LayerPlannerTests {
+
+	private final List<PlacementServer> fleet = Pools.fleet();
+
+	private final Map<String, LayerRange> plan = new LayerPlanner(Pools.POOL).plan(this.fleet);
+
+	@Test
+	void everyEngineHoldsLayersWithinItsMemory() {
+		for (PlacementServer server : this.fleet) {
+			LayerRange range = this.plan.get(server.id());
+			assertWithMessage(server.id()).that(range).isNotNull();
+			assertWithMessage(server.id()).that(range.length()).isAtMost(Pools.POOL.maxLayers(server.kind()));
+			assertWithMessage(server.id()).that(range.toLayer()).isAtMost(Pools.POOL.layers());
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "a", "b", "c" })
+	void eachZoneServesAlone(String zone) {
+		List<PoolServer> alone = Pools.placed(this.fleet, this.plan)
+			.stream()
+			.filter((server) -> server.availabilityZone().equals(zone))
+			.toList();
+		assertThat(new ChainSearch(Pools.snapshot(alone, Map.of())).find(new ChainRequest(772, 167, 0, zone)))
+			.isPresent();
+	}
+
+	@Test
+	void anyOneLostEngineLeavesAChainFromEachZone() {
+		for (PlacementServer lost : this.fleet) {
+			List<PoolServer> rest = Pools.placed(this.fleet, this.plan)
+				.stream()
+				.filter((server) -> !server.id().equals(lost.id()))
+				.toList();
+			assertWithMessage("without " + lost.id())
+				.that(new ChainSearch(Pools.snapshot(rest, Map.of())).find(new ChainRequest(772, 167, 0, "a")))
+				.isPresent();
+		}
+	}
+
+	@Test
+	void noMovedLayerWouldRaiseTheLeastFreeMemoryOfTheFastChain() {
+		List<String> chain = List.of("h100-c-0", "a100s-a-0", "a100s-b-0", "a100s-b-1", "a100s-c-0");
+		double least = chain.stream().mapToDouble((id) -> freeMbPerLayer(id, 0)).min().orElseThrow();
+		for (String from : chain) {
+			for (String to : chain) {
+				double moved = chain.stream()
+					.filter((id) -> !from.equals(to))
+					.mapToDouble((id) -> freeMbPerLayer(id, (id.equals(from)) ? -1 : (id.equals(to)) ? 1 : 0))
+					.min()
+					.orElse(0);
+				assertWithMessage(from + " to " + to).that(moved).isAtMost(least);
+			}
+		}
+	}
+
+	private double freeMbPerLayer(String id, int added) {
+		PlacementServer server = this.fleet.stream().filter((any) -> any.id().equals(id)).findFirst().orElseThrow();
+		int layers = this.plan.get(id).length() + added;
+		return (server.kind().memoryMb() - layers * Pools.POOL.layerMb()) / layers;
+	}
+
+	@Test
+	void replacementTakesTheLayersOfTheLostEngine() {
+		List<PlacementServer> held = new ArrayList<>();
+		LayerRange gap = this.plan.get("l4-a-3");
+		for (PlacementServer server : this.fleet) {
+			boolean lost = server.id().equals("l4-a-3");
+			held.add(new PlacementServer((lost) ? "new" : server.id(), server.address(), server.availabilityZone(),
+					server.kind(), (lost) ? Optional.empty() : Optional.of(this.plan.get(server.id()))));
+		}
+		Map<String, LayerRange> repair = new LayerPlanner(Pools.POOL).plan(held);
+		assertThat(repair.keySet()).containsExactly("new");
+		LayerRange taken = repair.get("new");
+		assertThat(taken.fromLayer()).isLessThan(gap.toLayer());
+		assertThat(taken.toLayer()).isGreaterThan(gap.fromLayer());
+	}
+
+	@Test
+	void planIsTheSameForTheSameFleet() {
+		assertThat(new LayerPlanner(Pools.POOL).plan(Pools.fleet())).isEqualTo(this.plan);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
@@ -0,0 +1,77 @@
+package org.medlardrum.decisions.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
+import org.medlardrum.state.routing.ModelPool;
+
+/**
+ * Pools for tests, with the figures of the users' sheets.
+ */
+final class Pools {
+
+	static final AcceleratorKind H100 = new AcceleratorKind("h100", 72_000, 1.4, 1);
+
+	static final AcceleratorKind A100S = new AcceleratorKind("a100s", 36_000, 3.1, 3.2);
+
+	static final AcceleratorKind L4 = new AcceleratorKind("l4", 21_600, 16, 8.2);
+
+	static final AcceleratorKind T4 = new AcceleratorKind("t4", 14_400, 15, 15);
+
+	static final ModelPool POOL = new ModelPool("model", 80, 1_750, 845_373, 0.85, 0.00547, 0.00734, 196, 14_000,
+			Map.of("h100", H100, "a100s", A100S, "l4", L4, "t4", T4), Map.of(ModelPool.zonePair("a", "b"), 0.62,
+					ModelPool.zonePair("a", "c"), 0.62, ModelPool.zonePair("b", "c"), 0.62),
+			772, 167);
+
+	private Pools() {
+	}
+
+	/**
+	 * Returns the 39 empty engines of the users' sheets.
+	 * @return the engines
+	 */
+	static List<PlacementServer> fleet() {
+		List<PlacementServer> servers = new ArrayList<>();
+		add(servers, H100, "c", 1);
+		add(servers, A100S, "a", 1);
+		add(servers, A100S, "b", 2);
+		add(servers, A100S, "c", 1);
+		add(servers, L4, "a", 8);
+		add(servers, L4, "b", 4);
+		add(servers, L4, "c", 5);
+		add(servers, T4, "a", 3);
+		add(servers, T4, "b", 7);
+		add(servers, T4, "c", 7);
+		return servers;
+	}
+
+	private static void add(List<PlacementServer> servers, AcceleratorKind kind, String zone, int count) {
+		for (int i = 0; i < count; i++) {
+			String id = kind.name() + '-' + zone + '-' + i;
+			servers.add(new PlacementServer(id, "10.0.0.1:" + (8000 + servers.size()), zone, kind, Optional.empty()));
+		}
+	}
+
+	/**
+	 * Returns the fleet with the layers of a plan.
+	 * @param servers the engines
+	 * @param plan layers by identifier
+	 * @return engines that hold layers
+	 */
+	static List<PoolServer> placed(List<PlacementServer> servers, Map<String, LayerRange> plan) {
+		return servers.stream()
+			.filter((server) -> plan.containsKey(server.id()))
+			.map((server) -> new PoolServer(server.id(), server.address(), server.availabilityZone(), server.kind(),
+					plan.get(server.id()), 134))
+			.toList();
+	}
+
+	static PoolSnapshot snapshot(List<PoolServer> servers, Map<String, ServerLoad> loads) {
+		return new PoolSnapshot(POOL, servers, loads, (zone, server) -> false);
+	}
+
+}
--- /dev/null
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/RetryShareTests.java
@@ -0,0 +1,43 @@
+package org.medlardrum.decisions.routing;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against repeats that exceed the budget of all hosts in a failure in which every
+ * request fails.
+ */
+class RetryShareTests {
+
+	@Test
+	void repeatsStayWithinRatioAndAllowanceInEveryWindow() {
+		RetryShare share = new RetryShare(0.2, 10_000);
+		int[] repeats = new int[60];
+		for (int second = 0; second < 60; second++) {
+			for (int i = 0; i < 10; i++) {
+				long nowMs = second * 1_000L + i * 100L;
+				share.onFirstAttempt(nowMs);
+				if (share.tryRepeat(5, nowMs)) {
+					repeats[second]++;
+				}
+			}
+		}
+		for (int from = 0; from + 10 <= 60; from++) {
+			int sum = 0;
+			for (int second = from; second < from + 10; second++) {
+				sum += repeats[second];
+			}
+			assertThat(sum).isAtMost(5 + 20);
+		}
+	}
+
+	@Test
+	void allowanceReturnsAfterTheWindow() {
+		RetryShare share = new RetryShare(0, 10_000);
+		assertThat(share.tryRepeat(1, 0)).isTrue();
+		assertThat(share.tryRepeat(1, 9_000)).isFalse();
+		assertThat(share.tryRepeat(1, 10_001)).isTrue();
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -140,6 +140,22 @@
 		return gateway;
 	}
 
+	/**
+	 * Returns the port for callers.
+	 * @return the port
+	 */
+	public int callerPort() {
+		return this.listeners.getLast().port();
+	}
+
+	/**
+	 * Returns the port at which the balancer asks for readiness.
+	 * @return the port
+	 */
+	public int readinessPort() {
+		return this.listeners.getFirst().port();
+	}
+
 	/**
 	 * Puts a configuration into force unless it is older than the one in force.
 	 * @param table the configuration
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/AdmissionTests.java
@@ -0,0 +1,79 @@
+package org.medlardrum.gateway;
+
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against keys that are served after their revocation, configurations that revert,
+ * and refusals that a host with an old configuration cannot know to be right.
+ */
+class AdmissionTests {
+
+	private GatewayFixture fixture;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new GatewayFixture();
+	}
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	@Test
+	void hostWithoutAConfigurationIsNotReadyAndSaysSo() throws Exception {
+		assertThat(this.fixture.readiness()).startsWith("HTTP/1.1 503");
+		assertThat(this.fixture.call("GET", "/safe/1")).startsWith("HTTP/1.1 503");
+		this.fixture.configured();
+		assertThat(this.fixture.readiness()).startsWith("HTTP/1.1 200");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/none/1, k1, 404", "/safe/1, k2, 401", "/safe/1, , 401" })
+	void unknownRouteAndKeyAreRefusedWhileFresh(String path, String key, int status) throws Exception {
+		this.fixture.configured();
+		String headers = (key != null) ? "key: " + key + "\r\n" : "";
+		assertThat(this.fixture.callWith("GET", path, headers)).startsWith("HTTP/1.1 " + status);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/none/1, k1", "/safe/1, k2", "/safe/1, k1" })
+	void hostThatCannotConfirmItsConfigurationSendsCallersElsewhere(String path, String key) throws Exception {
+		this.fixture.configured();
+		this.fixture.clockOffsetMs.addAndGet(5_000);
+		assertThat(this.fixture.readiness()).startsWith("HTTP/1.1 503");
+		String answer = this.fixture.callWith("GET", path, "key: " + key + "\r\n");
+		assertThat(answer).startsWith("HTTP/1.1 503");
+		assertThat(answer).contains("retry-after: ");
+	}
+
+	@Test
+	void olderConfigurationDoesNotReplaceANewerOne() throws Exception {
+		this.fixture.gateway().configure(GatewayFixture.table(7));
+		this.fixture.gateway()
+			.configure(new org.medlardrum.state.routing.RoutingTable(6, List.of(), List.of(), false, java.util.Map.of(),
+					org.medlardrum.state.routing.RequestLimits.DEFAULT));
+		this.fixture.confirm();
+		assertThat(this.fixture.call("GET", "/safe/1")).doesNotContain(" 404 ");
+	}
+
+	@Test
+	void drainingHostIsNotReadyAndEndsItsConnections() throws Exception {
+		this.fixture.configured();
+		Thread stopping = Thread.ofVirtual().start(() -> this.fixture.gateway().shutDown());
+		while (!this.fixture.readiness().startsWith("HTTP/1.1 503")) {
+			Thread.onSpinWait();
+		}
+		assertThat(this.fixture.call("GET", "/none/1")).contains("connection: close");
+		stopping.join();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/FakeBackend.java
@@ -0,0 +1,110 @@
+package org.medlardrum.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Backend server on loopback that does what a script says with each connection.
+ */
+final class FakeBackend implements AutoCloseable {
+
+	private final ServerSocket listener;
+
+	private final List<String> requests = new CopyOnWriteArrayList<>();
+
+	private final Script script;
+
+	FakeBackend(Script script) throws IOException {
+		this.script = script;
+		this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		Thread.ofVirtual().start(this::accept);
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.listener.getLocalPort();
+	}
+
+	/**
+	 * Returns the heads of the requests received, reports left out.
+	 * @return start line and headers in lower case
+	 */
+	List<String> requests() {
+		return this.requests;
+	}
+
+	private void accept() {
+		while (!this.listener.isClosed()) {
+			try {
+				Socket socket = this.listener.accept();
+				Thread.ofVirtual().start(() -> serve(socket));
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			BufferedReader reader = new BufferedReader(
+					new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+			StringBuilder head = new StringBuilder();
+			int length = 0;
+			for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
+				head.append(line.toLowerCase(Locale.ROOT)).append('\n');
+				if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+					length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+				}
+			}
+			for (int i = 0; i < length; i++) {
+				reader.read();
+			}
+			if (!head.toString().startsWith("get /report")) {
+				this.requests.add(head.toString());
+			}
+			this.script.answer(head.toString(), socket, socket.getOutputStream());
+			socket.getOutputStream().flush();
+		}
+		catch (IOException | InterruptedException ex) {
+			// The gateway has closed the connection, which the test looks at itself.
+		}
+	}
+
+	static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.UTF_8));
+		out.flush();
+	}
+
+	static Script answer(int status, String headers, String body) {
+		return (head, socket, out) -> write(out,
+				"HTTP/1.1 " + status + " x\r\ncontent-length: " + body.length() + "\r\n" + headers + "\r\n" + body);
+	}
+
+	static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.listener.close();
+	}
+
+	/**
+	 * What a backend server does with a connection.
+	 */
+	interface Script {
+
+		void answer(String head, Socket socket, OutputStream out) throws IOException, InterruptedException;
+
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -0,0 +1,129 @@
+package org.medlardrum.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
+import org.medlardrum.state.routing.KeyHolder;
+import org.medlardrum.state.routing.ModelPool;
+import org.medlardrum.state.routing.RequestLimits;
+import org.medlardrum.state.routing.RoutedService;
+import org.medlardrum.state.routing.RoutingTable;
+import org.medlardrum.state.routing.ServiceInstance;
+import org.medlardrum.state.routing.ServiceRoute;
+import org.medlardrum.state.routing.ServiceShare;
+import org.medlardrum.state.routing.TrafficKind;
+
+/**
+ * A gateway on loopback with routes {@code /safe/}, {@code /unsafe/} and {@code /stream/}
+ * and a clock that tests advance.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+	private static final String ANY_PORT = "127.0.0.1:0";
+
+	private static final ModelPool POOL = new ModelPool("model", 8, 100, 800, 1, 0, 0, 100, 0,
+			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 100, 20);
+
+	final AtomicLong clockOffsetMs = new AtomicLong();
+
+	private final GatewayClock clock = new GatewayClock(() -> System.nanoTime() / 1_000_000 + this.clockOffsetMs.get(),
+			() -> System.currentTimeMillis() + this.clockOffsetMs.get());
+
+	private final Gateway gateway;
+
+	private final List<ServiceInstance> instances = new ArrayList<>();
+
+	GatewayFixture() throws Exception {
+		this.gateway = Gateway.start(new GatewaySettings("host", "a", ANY_PORT, ANY_PORT, "/ready", ANY_PORT, ANY_PORT,
+				4_700, 4_000, 0.2, 10_000, 450), new TestDialect(), this.clock);
+	}
+
+	GatewayFixture configured() {
+		this.gateway.configure(table(1));
+		confirm();
+		return this;
+	}
+
+	static RoutingTable table(long version) {
+		return new RoutingTable(version,
+				List.of(route("safe", TrafficKind.SAFE, "ledger", 2), route("unsafe", TrafficKind.UNSAFE, "ledger", 1),
+						route("stream", TrafficKind.STREAMING, "pool", 2)),
+				List.of(new RoutedService("ledger", 100, Optional.empty()),
+						new RoutedService("pool", 100, Optional.of(POOL))),
+				true, Map.of("k1", new KeyHolder("org-1", -1)), RequestLimits.DEFAULT);
+	}
+
+	private static ServiceRoute route(String name, TrafficKind kind, String service, int attempts) {
+		return new ServiceRoute(name, "test", "/" + name + "/", kind, List.of(new ServiceShare(service, 1)), 3_000, 500,
+				200, 0, attempts, false, kind == TrafficKind.STREAMING);
+	}
+
+	Gateway gateway() {
+		return this.gateway;
+	}
+
+	void confirm() {
+		this.gateway.confirmed(this.clock.steadyMs(), this.clock.wallMs());
+	}
+
+	/**
+	 * Registers a server. Of several servers, the gateway prefers the one whose name
+	 * comes first.
+	 */
+	void register(String service, String id, FakeBackend backend) {
+		this.instances.add(new ServiceInstance(id, service, backend.address(), "a", 8, false, 1, "fast",
+				(service.equals("pool")) ? Optional.of(new LayerRange(0, 8)) : Optional.empty()));
+		this.gateway.instances(this.instances);
+	}
+
+	/**
+	 * Sends a request on a connection that may be kept.
+	 */
+	Socket send(String method, String path, String headers) throws IOException {
+		Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.gateway.callerPort());
+		socket.setSoTimeout(6_000);
+		FakeBackend.write(socket.getOutputStream(),
+				method + " " + path + " HTTP/1.1\r\nhost: test\r\nid: r1\r\n" + headers + "\r\n");
+		return socket;
+	}
+
+	/**
+	 * Sends a request with a key and returns the whole response as received.
+	 */
+	String call(String method, String path) throws IOException {
+		return callWith(method, path, "key: k1\r\n");
+	}
+
+	String callWith(String method, String path, String headers) throws IOException {
+		try (Socket socket = send(method, path, "connection: close\r\n" + headers)) {
+			return readAll(socket.getInputStream());
+		}
+	}
+
+	String readiness() throws IOException {
+		try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.gateway.readinessPort())) {
+			FakeBackend.write(socket.getOutputStream(), "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+			return readAll(socket.getInputStream());
+		}
+	}
+
+	static String readAll(InputStream stream) throws IOException {
+		return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+	}
+
+	@Override
+	public void close() {
+		this.gateway.close();
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -0,0 +1,150 @@
+package org.medlardrum.gateway;
+
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against events that are lost, repeated or joined when a stream goes on at
+ * another chain, against a cut stream that looks complete, and against work for callers
+ * that left.
+ */
+class StreamRequestTests {
+
+	private static final String HEAD = "HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n"
+			+ "content-type: text/event-stream\r\nid: r1\r\nproof: ";
+
+	private GatewayFixture fixture;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new GatewayFixture().configured();
+	}
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	private static String event(int id) {
+		return "id: " + id + "\ndata: e" + id + "\n\n";
+	}
+
+	private static FakeBackend whole(String proof, int from, int to) throws Exception {
+		return new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, HEAD + proof + "\r\n\r\n");
+			for (int id = from; id <= to; id++) {
+				FakeBackend.write(out, FakeBackend.chunk(event(id)));
+			}
+			FakeBackend.write(out, "0\r\n\r\n");
+		});
+	}
+
+	@Test
+	void eventsArePassedOnInOrder() throws Exception {
+		try (FakeBackend engine = whole("p1", 1, 5)) {
+			this.fixture.register("pool", "e1", engine);
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(answer).contains("proof: p1");
+			for (int id = 1; id <= 5; id++) {
+				assertThat(answer).contains(event(id));
+			}
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+	}
+
+	@Test
+	void streamThatBreaksWithinAnEventGoesOnAfterTheLastWholeOne() throws Exception {
+		try (FakeBackend breaking = new FakeBackend((head, socket, out) -> FakeBackend.write(out,
+				HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1) + event(2)) + FakeBackend.chunk("id: 3\nda")));
+				FakeBackend next = whole("p2", 3, 4)) {
+			this.fixture.register("pool", "e1", breaking);
+			this.fixture.register("pool", "e2", next);
+			String answer = this.fixture.call("POST", "/stream/1");
+			if (breaking.requests().isEmpty()) {
+				// Equal engines: the other one may be chosen first.
+				return;
+			}
+			assertThat(next.requests().getFirst()).contains("after: 2");
+			assertThat(answer).contains("proof: p1");
+			assertThat(answer).doesNotContain("proof: p2");
+			assertThat(answer.split("data: e3", -1)).hasLength(2);
+			assertThat(answer).contains(event(4));
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+	}
+
+	@Test
+	void streamThatCannotGoOnDoesNotLookComplete() throws Exception {
+		try (FakeBackend breaking = new FakeBackend((head, socket, out) -> FakeBackend.write(out,
+				HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1) + event(2))))) {
+			this.fixture.register("pool", "e1", breaking);
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(answer).contains(event(2));
+			assertThat(answer).doesNotContain("0\r\n\r\n");
+		}
+	}
+
+	@Test
+	void stalledChainIsLeftForTheNext() throws Exception {
+		CountDownLatch stalling = new CountDownLatch(1);
+		try (FakeBackend next = whole("p2", 3, 4); FakeBackend stalled = new FakeBackend((head, socket, out) -> {
+			if (head.startsWith("get /report")) {
+				String body = "r1 " + "127.0.0.1:" + socket.getLocalPort();
+				FakeBackend.answer(200, "", body).answer(head, socket, out);
+				return;
+			}
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1) + event(2)));
+			stalling.await(5, TimeUnit.SECONDS);
+		})) {
+			this.fixture.register("pool", "e1", stalled);
+			Thread.ofVirtual().start(() -> {
+				while (stalled.requests().isEmpty()) {
+					Thread.onSpinWait();
+				}
+				this.fixture.register("pool", "e2", next);
+			});
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(answer).contains(event(4));
+			assertThat(next.requests().getFirst()).contains("after: 2");
+		}
+		finally {
+			stalling.countDown();
+		}
+	}
+
+	@Test
+	void noEngineIsARefusalWithATimeToComeBack() throws Exception {
+		String answer = this.fixture.call("POST", "/stream/1");
+		assertThat(answer).startsWith("HTTP/1.1 503");
+		assertThat(answer).contains("retry-after: ");
+	}
+
+	@Test
+	void engineStopsWhenTheCallerLeaves() throws Exception {
+		CountDownLatch closed = new CountDownLatch(1);
+		try (FakeBackend engine = new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1)));
+			try {
+				socket.getInputStream().read();
+			}
+			finally {
+				// The end of the stream or a reset.
+				closed.countDown();
+			}
+		})) {
+			this.fixture.register("pool", "e1", engine);
+			try (Socket caller = this.fixture.send("POST", "/stream/1", "key: k1\r\n")) {
+				assertThat(caller.getInputStream().read()).isAtLeast(0);
+			}
+			assertThat(closed.await(3, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -0,0 +1,74 @@
+package org.medlardrum.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Dialect of the tests: short header names, and a report that is a list of stalled
+ * requests, one {@code id address} a line.
+ */
+final class TestDialect implements RequestDialect {
+
+	@Override
+	public CallerAttributes attributes(HeaderLookup headers) {
+		return new CallerAttributes(headers.first("id").orElse(""),
+				headers.first("deadline").map(Long::parseLong).orElse(0L), headers.first("key"), 100, 20, 0,
+				headers.first("after").map(Long::parseLong).orElse(-1L));
+	}
+
+	@Override
+	public List<String> forwardHeaders(List<String> callerHeaders, ForwardPlan plan) {
+		List<String> headers = new ArrayList<>(List.of("instance", plan.instanceId(), "deadline",
+				Long.toString(plan.remainingMs()), "hops", Integer.toString(plan.chain().size())));
+		for (int i = 0; i + 1 < callerHeaders.size(); i += 2) {
+			if (callerHeaders.get(i).equalsIgnoreCase("id")) {
+				headers.addAll(List.of("id", callerHeaders.get(i + 1)));
+			}
+		}
+		plan.organisation().ifPresent((name) -> headers.addAll(List.of("organisation", name)));
+		if (plan.lastEventId() >= 0) {
+			headers.addAll(List.of("after", Long.toString(plan.lastEventId())));
+		}
+		return headers;
+	}
+
+	@Override
+	public BackendVerdict verdict(String requestId, int status, HeaderLookup headers) {
+		return new BackendVerdict(headers.first("id").map((id) -> id.equals(requestId)).orElse(true),
+				headers.first("proof").isPresent(), headers.first("not-run").isPresent(), headers.first("faulty"));
+	}
+
+	@Override
+	public List<String> responseHeaders(List<String> headers) {
+		List<String> kept = new ArrayList<>();
+		for (int i = 0; i + 1 < headers.size(); i += 2) {
+			if (headers.get(i).equalsIgnoreCase("proof") || headers.get(i).equalsIgnoreCase("id")) {
+				kept.add(headers.get(i));
+				kept.add(headers.get(i + 1));
+			}
+		}
+		return kept;
+	}
+
+	@Override
+	public String reportPath() {
+		return "/report";
+	}
+
+	@Override
+	public Optional<EngineStatus> status(byte[] body) {
+		Map<String, String> stalled = new HashMap<>();
+		for (String line : new String(body, StandardCharsets.UTF_8).split("\n")) {
+			String[] words = line.split(" ");
+			if (words.length == 2) {
+				stalled.put(words[0], words[1]);
+			}
+		}
+		return Optional.of(new EngineStatus(Optional.empty(), false, 0, 1, stalled));
+	}
+
+}
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadTableTests.java
@@ -0,0 +1,35 @@
+package org.medlardrum.gateway.internal.load;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.medlardrum.decisions.pool.ServerLoad;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against work that stays reserved after its request, and against work of hosts
+ * that are gone.
+ */
+class LoadTableTests {
+
+	private final LoadTable table = new LoadTable();
+
+	@Test
+	void totalIsOwnWorkAndThatOfOthers() {
+		Reservation own = this.table.reserveSlot("s1");
+		this.table.heard("host-2", Map.of("s1", new ServerLoad(10, 2, 1)), 0);
+		assertThat(this.table.total(0).get("s1")).isEqualTo(new ServerLoad(10, 3, 2));
+		own.close();
+		own.close();
+		assertThat(this.table.total(0).get("s1")).isEqualTo(new ServerLoad(10, 2, 1));
+	}
+
+	@Test
+	void workOfASilentHostExpires() {
+		this.table.heard("host-2", Map.of("s1", new ServerLoad(10, 2, 1)), 0);
+		assertThat(this.table.total(LoadTable.PEER_EXPIRY_MS + 1)).isEmpty();
+		assertThat(this.table.peerCount()).isEqualTo(0);
+	}
+
+}
