--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -5,6 +5,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import org.medlardrum.gateway.internal.http.EventLoopServer;
 import org.medlardrum.gateway.internal.http.GatewayHandler;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
 import org.medlardrum.gateway.internal.http.MetricsHandler;
@@ -25,8 +28,6 @@
 import org.medlardrum.transport.peer.PeerOptions;
 import org.medlardrum.transport.peer.PeerServer;
 import org.medlardrum.transport.peer.ThriftPeerNetwork;
-import org.medlardrum.transport.server.HttpListener;
-import org.medlardrum.transport.server.ServerLimits;
 
 /**
  * An entry host that passes requests through to backend servers.
@@ -49,17 +50,8 @@
 	/** Connections of callers; with their descriptors they fit the users' small hosts. */
 	private static final int MAX_CONNECTIONS = 1_200;
 
-	private static final int MAX_HEADER_BYTES = 32_768;
-
-	/**
-	 * Time after which an idle connection of a caller is closed. Callers reuse
-	 * connections for up to four fifths of 15 s.
-	 */
-	private static final long IDLE_TIMEOUT_MS = 20_000;
-
-	private static final long BODY_TIMEOUT_MS = 10_000;
-
-	private static final long WRITE_TIMEOUT_MS = 5_000;
+	/** Connections of the balancer and of those who read metrics. */
+	private static final int MAX_OWN_CONNECTIONS = 64;
 
 	/**
 	 * Shortest time between the request to stop and the end: the balancer asks every
@@ -85,14 +77,17 @@
 
 	private final PeerServer peerServer;
 
-	private final List<HttpListener> listeners;
+	private final IoExecutor executor;
+
+	private final List<EventLoopServer> servers;
 
 	private Gateway(GatewaySettings settings, RequestDialect dialect, GatewayClock clock, DecisionLog log)
 			throws Exception {
 		this.settings = settings;
 		this.log = log;
 		this.state = new GatewayState(clock, log, settings.keyFreshnessMs());
-		this.clients = new HttpClientPool(CONNECT_TIMEOUT_MS);
+		this.executor = NettyIoExecutors.createIoExecutor(1, "gateway-io");
+		this.clients = new HttpClientPool(CONNECT_TIMEOUT_MS, this.executor, false);
 		LoadTable loads = new LoadTable();
 		PeerOptions peerOptions = PeerOptions.of(List.of(CidrRange.parse("0.0.0.0/0")));
 		this.network = new ThriftPeerNetwork(peerOptions);
@@ -102,8 +97,8 @@
 				peerOptions);
 		GatewayMetrics metrics = new GatewayMetrics();
 		RetryLedger retries = new RetryLedger(settings, this.exchange::peerCount);
-		this.handler = new GatewayHandler(new RequestServices(settings, this.state, loads, retries, this.clients,
-				dialect, log, metrics, RandomGenerator.getDefault()));
+		this.handler = new GatewayHandler(new RequestServices(settings, this.state, loads, retries, this.executor,
+				this.clients, dialect, log, metrics, RandomGenerator.getDefault()));
 		metrics.gauge("medlardrum_gateway_in_progress", "Requests in progress", this.handler::inProgress);
 		metrics.gauge("medlardrum_gateway_config_version", "Version of the configuration in force, 0 for none",
 				() -> (this.state.table() != null) ? this.state.table().version() : 0);
@@ -111,19 +106,16 @@
 				this.state::confirmationAgeMs);
 		metrics.gauge("medlardrum_gateway_dropped_log_lines", "Log lines that found the ring full", log::dropped);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
-		this.listeners = List.of(
-				HttpListener.start(settings.readinessAddress(), limits(64),
+		this.servers = List.of(
+				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
 						new ReadinessHandler(this.state, log, settings.readinessPath())),
-				HttpListener.start(settings.metricsAddress(), limits(64), new MetricsHandler(metrics)),
-				HttpListener.start(settings.callerAddress(), limits(MAX_CONNECTIONS), this.handler));
+				EventLoopServer.start(settings.metricsAddress(), this.executor, MAX_OWN_CONNECTIONS,
+						new MetricsHandler(metrics)),
+				EventLoopServer.start(settings.callerAddress(), this.executor, MAX_CONNECTIONS, this.handler));
 		this.peerServer.start();
 		this.exchange.start();
 	}
 
-	private static ServerLimits limits(int maxConnections) {
-		return new ServerLimits(maxConnections, MAX_HEADER_BYTES, IDLE_TIMEOUT_MS, BODY_TIMEOUT_MS, WRITE_TIMEOUT_MS);
-	}
-
 	/**
 	 * Starts a gateway, which is ready once it has a configuration that is confirmed.
 	 * @param settings the settings
@@ -145,7 +137,7 @@
 	 * @return the port
 	 */
 	public int callerPort() {
-		return this.listeners.getLast().port();
+		return this.servers.getLast().port();
 	}
 
 	/**
@@ -153,7 +145,7 @@
 	 * @return the port
 	 */
 	public int readinessPort() {
-		return this.listeners.getFirst().port();
+		return this.servers.getFirst().port();
 	}
 
 	/**
@@ -228,10 +220,11 @@
 	@Override
 	public void close() {
 		this.exchange.close();
-		this.listeners.reversed().forEach(HttpListener::close);
+		this.servers.reversed().forEach(EventLoopServer::close);
 		this.peerServer.close();
 		this.network.close();
 		this.clients.close();
+		this.executor.closeAsyncGracefully().subscribe();
 		this.log.close();
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -1,21 +1,19 @@
 package org.medlardrum.gateway.internal.call;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.SourceAdapters;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import org.medlardrum.gateway.internal.request.HeaderList;
 import org.medlardrum.transport.internal.Failures;
 import org.medlardrum.transport.internal.HttpClientPool;
 
@@ -32,6 +30,8 @@
 
 	private final String address;
 
+	private final Executor executor;
+
 	private final Consumer<Signal> sink;
 
 	private Cancellable pending;
@@ -40,8 +40,11 @@
 
 	private boolean closed;
 
-	private BackendCall(String address, Consumer<Signal> sink) {
+	private boolean sending = true;
+
+	private BackendCall(String address, Executor executor, Consumer<Signal> sink) {
 		this.address = address;
+		this.executor = executor;
 		this.sink = sink;
 	}
 
@@ -53,8 +56,8 @@
 	 * @return the call
 	 */
 	public static BackendCall send(HttpClientPool clients, BackendRequest request, Consumer<Signal> sink) {
-		BackendCall call = new BackendCall(request.address(), sink);
 		StreamingHttpClient client = clients.client(request.address()).asStreamingClient();
+		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink);
 		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
 		for (int i = 0; i + 1 < request.headers().size(); i += 2) {
 			http.addHeader(request.headers().get(i), request.headers().get(i + 1));
@@ -66,8 +69,8 @@
 		if (request.body().length > 0 || !request.method().equals("GET")) {
 			http.setHeader("content-length", Integer.toString(request.body().length));
 		}
-		http.context().put(HttpClientPool.HEADER_TIMEOUT, Duration.ofMillis(Math.max(1, request.headerTimeoutMs())));
 		SourceAdapters.toSource(client.request(http)).subscribe(call.new HeaderSubscriber());
+		call.sending = false;
 		return call;
 	}
 
@@ -114,19 +117,14 @@
 		return this.closed;
 	}
 
+	// A call that fails at once must not signal before its owner knows it.
 	private void deliver(Signal signal) {
-		if (!isClosed()) {
-			this.sink.accept(signal);
+		if (this.sending) {
+			this.executor.execute(() -> deliver(signal));
 		}
-	}
-
-	private static List<String> headers(StreamingHttpResponse response) {
-		List<String> headers = new ArrayList<>();
-		for (Map.Entry<CharSequence, CharSequence> header : response.headers()) {
-			headers.add(header.getKey().toString());
-			headers.add(header.getValue().toString());
+		else if (!isClosed()) {
+			this.sink.accept(signal);
 		}
-		return headers;
 	}
 
 	private final class HeaderSubscriber implements SingleSource.Subscriber<StreamingHttpResponse> {
@@ -144,7 +142,7 @@
 
 		@Override
 		public void onSuccess(StreamingHttpResponse response) {
-			deliver(new Signal.Header(BackendCall.this, response.status().code(), headers(response)));
+			deliver(new Signal.Header(BackendCall.this, response.status().code(), HeaderList.of(response.headers())));
 			SourceAdapters.toSource(response.payloadBody()).subscribe(new BodySubscriber());
 		}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendRequest.java
@@ -10,8 +10,6 @@
  * @param target path and query
  * @param headers names and values in turn
  * @param body the body, empty for none
- * @param headerTimeoutMs longest time until the header of the response
  */
-public record BackendRequest(String address, String method, String target, List<String> headers, byte[] body,
-		long headerTimeoutMs) {
+public record BackendRequest(String address, String method, String target, List<String> headers, byte[] body) {
 }
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -0,0 +1,178 @@
+package org.medlardrum.gateway.internal.http;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.servicetalk.concurrent.api.Completable;
+import io.servicetalk.http.api.DelegatingHttpServiceContext;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.ConnectionContext;
+import io.servicetalk.transport.api.ConnectionInfo;
+import io.servicetalk.transport.api.EarlyConnectionAcceptor;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import org.medlardrum.transport.internal.Addresses;
+
+import java.net.InetSocketAddress;
+
+/**
+ * HTTP/1.1 server whose service runs on the event loop. Passing an event on to another
+ * thread and back costs more than the work on it.
+ */
+public final class EventLoopServer implements AutoCloseable {
+
+	/** Longest start line and header field, twice the users' limit. */
+	private static final int MAX_HEADER_BYTES = 32_768;
+
+	/**
+	 * Time after which a connection without bytes in either direction is closed. Callers
+	 * reuse connections for up to four fifths of 15 s.
+	 */
+	private static final long IDLE_TIMEOUT_MS = 25_000;
+
+	private static final long CLOSE_TIMEOUT_MS = 400;
+
+	private final HttpServerContext server;
+
+	private EventLoopServer(HttpServerContext server) {
+		this.server = server;
+	}
+
+	/**
+	 * Starts a server.
+	 * @param address {@code ip:port} to listen on, port 0 for any
+	 * @param executor the event loop
+	 * @param maxConnections connections at the same time; further ones are closed at once
+	 * @param service handles the requests; must not block
+	 * @return the running server
+	 * @throws Exception if the address cannot be used
+	 */
+	public static EventLoopServer start(String address, IoExecutor executor, int maxConnections,
+			StreamingHttpService service) throws Exception {
+		return new EventLoopServer(HttpServers.forAddress(Addresses.parse(address))
+			.ioExecutor(executor)
+			.executionStrategy(HttpExecutionStrategies.offloadNone())
+			.protocols(HttpProtocolConfigs.h1()
+				.maxStartLineLength(MAX_HEADER_BYTES)
+				.maxHeaderFieldLength(MAX_HEADER_BYTES)
+				.build())
+			.socketOption(ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MS)
+			.appendEarlyConnectionAcceptor(new Acceptor(maxConnections))
+			.listenStreamingAndAwait(service));
+	}
+
+	/**
+	 * Sets what to do when the peer closes its side of the connection during a request.
+	 * @param context context of the request
+	 * @param action the action, run on the event loop
+	 */
+	static void onPeerClosed(HttpServiceContext context, Runnable action) {
+		PeerCloseHandler handler = channel(context).pipeline().get(PeerCloseHandler.class);
+		if (handler != null) {
+			handler.set(action);
+		}
+	}
+
+	private static Channel channel(ConnectionContext context) {
+		ConnectionContext inner = context;
+		while (inner instanceof DelegatingHttpServiceContext delegating) {
+			inner = delegating.delegate();
+		}
+		return ((NettyConnectionContext) inner).nettyChannel();
+	}
+
+	/**
+	 * Returns the port that the server listens on.
+	 * @return the port
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.server.listenAddress()).getPort();
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.server.closeAsyncGracefully().toFuture().get(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			this.server.closeAsync().subscribe();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			this.server.closeAsync().subscribe();
+		}
+	}
+
+	private static final class Acceptor implements EarlyConnectionAcceptor {
+
+		private final int maxConnections;
+
+		private final AtomicInteger connections = new AtomicInteger();
+
+		Acceptor(int maxConnections) {
+			this.maxConnections = maxConnections;
+		}
+
+		@Override
+		public Completable accept(ConnectionInfo info) {
+			return Completable.failed(new IllegalStateException("connection without a context"));
+		}
+
+		@Override
+		public Completable accept(ConnectionContext context) {
+			if (this.connections.incrementAndGet() > this.maxConnections) {
+				this.connections.decrementAndGet();
+				return Completable.failed(new IllegalStateException("too many connections"));
+			}
+			context.onClose().subscribe(this.connections::decrementAndGet);
+			if (context instanceof NettyConnectionContext netty) {
+				netty.nettyChannel().pipeline().addFirst(new PeerCloseHandler());
+			}
+			return Completable.completed();
+		}
+
+	}
+
+	/**
+	 * Sees the end of the peer's side of a connection. The library reports it only when
+	 * no response is due, and for a request with {@code Connection: close} also without
+	 * it.
+	 */
+	private static final class PeerCloseHandler extends ChannelInboundHandlerAdapter {
+
+		private Runnable action = () -> {
+		};
+
+		void set(Runnable next) {
+			this.action = next;
+		}
+
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof ChannelInputShutdownEvent) {
+				this.action.run();
+			}
+			context.fireUserEventTriggered(event);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			this.action.run();
+			context.fireChannelInactive();
+		}
+
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -1,16 +1,28 @@
 package org.medlardrum.gateway.internal.http;
 
-import java.io.IOException;
+import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
-
+import java.util.function.Consumer;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.concurrent.api.SourceAdapters;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
 import org.medlardrum.decisions.routing.ReturnTime;
 import org.medlardrum.gateway.CallerAttributes;
-import org.medlardrum.gateway.internal.call.Mailbox;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.plain.PlainRun;
 import org.medlardrum.gateway.internal.request.CallerResponse;
+import org.medlardrum.gateway.internal.request.CallerExchange;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
+import org.medlardrum.gateway.internal.request.RequestRun;
 import org.medlardrum.gateway.internal.request.RequestServices;
 import org.medlardrum.gateway.internal.stream.StreamRun;
 import org.medlardrum.protocol.problem.ProblemType;
@@ -19,14 +31,11 @@
 import org.medlardrum.state.routing.RoutedService;
 import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServiceRoute;
-import org.medlardrum.transport.server.BodyResult;
-import org.medlardrum.transport.server.HttpHandler;
-import org.medlardrum.transport.server.HttpServerExchange;
 
 /**
  * Handles the requests of callers: finds route and organisation, or refuses.
  */
-public final class GatewayHandler implements HttpHandler {
+public final class GatewayHandler implements StreamingHttpService {
 
 	private static final int UNKNOWN_RANK = -1;
 
@@ -53,56 +62,59 @@
 	}
 
 	@Override
-	public void handle(HttpServerExchange exchange) throws Exception {
+	public Single<StreamingHttpResponse> handle(HttpServiceContext context, StreamingHttpRequest request,
+			StreamingHttpResponseFactory responses) {
 		this.inProgress.incrementAndGet();
 		long arrivedMs = this.services.nowMs();
+		CallerExchange exchange = new CallerExchange(context, request, responses);
+		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
 		CallerAttributes attributes = this.services.dialect().attributes(exchange::header);
-		String kind = "none";
-		String outcome = "caller-gone";
+		RoutingTable table = this.services.state().table();
+		int maxBytes = ((table != null) ? table.limits() : RequestLimits.DEFAULT).bodyBytes();
+		SourceAdapters
+			.toSource(request.payloadBody()
+				.collect(ByteArrayOutputStream::new, (content, buffer) -> append(content, buffer, maxBytes)))
+			.subscribe(new BodySubscriber(exchange, attributes, arrivedMs, maxBytes));
+		return exchange.response();
+	}
+
+	private static ByteArrayOutputStream append(ByteArrayOutputStream content, Buffer buffer, int maxBytes) {
+		byte[] part = new byte[buffer.readableBytes()];
+		buffer.readBytes(part);
+		if (content.size() <= maxBytes) {
+			content.writeBytes(part);
+		}
+		return content;
+	}
+
+	private void begin(CallerExchange exchange, CallerAttributes attributes, long arrivedMs, byte[] body) {
 		try {
-			Admission admission = admit(exchange, attributes, arrivedMs);
-			kind = admission.kind();
-			outcome = admission.outcome();
-			if (admission.request() != null) {
-				outcome = serve(exchange, admission.request());
+			Admission admission = admit(exchange, attributes, arrivedMs, body);
+			if (admission.request() == null) {
+				ended(attributes, "none", admission.outcome(), arrivedMs);
+				return;
 			}
-		}
-		catch (IOException ex) {
-			outcome = "caller-gone";
+			serve(exchange, admission.request());
 		}
 		catch (RuntimeException ex) {
-			outcome = "internal-error";
 			this.services.log().event(PART, "internal-error", "id", attributes.requestId(), "error", ex);
-			if (exchange.isStarted()) {
-				exchange.abort();
-			}
-			else {
-				new CallerResponse(exchange, this.services.state()).fail(ProblemType.BACKEND_FAILED, "Internal error",
-						UNKNOWN_RANK);
-			}
-		}
-		finally {
-			this.inProgress.decrementAndGet();
-			this.services.metrics().request(kind, outcome);
-			this.services.log()
-				.event(PART, "end", "id", attributes.requestId(), "kind", kind, "outcome", outcome, "tookMs",
-						this.services.nowMs() - arrivedMs);
+			new CallerResponse(exchange, this.services.state()).fail(ProblemType.BACKEND_FAILED, "Internal error",
+					UNKNOWN_RANK);
+			ended(attributes, "none", "internal-error", arrivedMs);
 		}
 	}
 
-	private Admission admit(HttpServerExchange exchange, CallerAttributes attributes, long arrivedMs)
-			throws IOException {
+	private void ended(CallerAttributes attributes, String kind, String outcome, long arrivedMs) {
+		this.inProgress.decrementAndGet();
+		this.services.metrics().request(kind, outcome);
+		this.services.log()
+			.event(PART, "end", "id", attributes.requestId(), "kind", kind, "outcome", outcome, "tookMs",
+					this.services.nowMs() - arrivedMs);
+	}
+
+	private Admission admit(CallerExchange exchange, CallerAttributes attributes, long arrivedMs, byte[] body) {
 		CallerResponse response = new CallerResponse(exchange, this.services.state());
 		RoutingTable table = this.services.state().table();
-		RequestLimits limits = (table != null) ? table.limits() : RequestLimits.DEFAULT;
-		BodyResult body = exchange.readBody(limits.bodyBytes());
-		if (body instanceof BodyResult.TooLarge large) {
-			response.refuse(ProblemType.BODY_TOO_LARGE, "Body exceeds " + large.maxBytes() + " bytes", UNKNOWN_RANK, 0);
-			return Admission.refused("body-too-large");
-		}
-		if (!(body instanceof BodyResult.Complete complete)) {
-			return Admission.refused("body-incomplete");
-		}
 		if (table == null) {
 			response.refuse(ProblemType.NOT_READY, "No configuration is known yet", UNKNOWN_RANK, otherHostMs());
 			return Admission.refused("no-configuration");
@@ -119,11 +131,11 @@
 		if (keyed && holder.isEmpty()) {
 			return unknown(response, ProblemType.UNKNOWN_KEY, "The key belongs to no organisation", attributes);
 		}
-		return route(exchange, attributes, arrivedMs, table, route.get(), holder, complete.bytes());
+		return route(exchange, attributes, arrivedMs, table, route.get(), holder, body);
 	}
 
-	private Admission route(HttpServerExchange exchange, CallerAttributes attributes, long arrivedMs,
-			RoutingTable table, ServiceRoute route, Optional<KeyHolder> holder, byte[] body) throws IOException {
+	private Admission route(CallerExchange exchange, CallerAttributes attributes, long arrivedMs, RoutingTable table,
+			ServiceRoute route, Optional<KeyHolder> holder, byte[] body) {
 		int rank = holder.map(KeyHolder::rank).filter((ofHolder) -> ofHolder >= 0).orElse(route.rank());
 		Optional<RoutedService> service = table.service(route.service(this.services.random().nextDouble()));
 		if (service.isEmpty()) {
@@ -139,7 +151,7 @@
 				"admitted");
 	}
 
-	private Admission stale(CallerResponse response, CallerAttributes attributes) throws IOException {
+	private Admission stale(CallerResponse response, CallerAttributes attributes) {
 		this.services.log()
 			.event(PART, "refuse", "id", attributes.requestId(), "reason", "configuration-not-confirmed",
 					"confirmedMsAgo", this.services.state().confirmationAgeMs());
@@ -150,8 +162,7 @@
 
 	// Answers for a route or key that the configuration does not have. A host whose
 	// configuration may be old does not know that for certain.
-	private Admission unknown(CallerResponse response, ProblemType type, String detail, CallerAttributes attributes)
-			throws IOException {
+	private Admission unknown(CallerResponse response, ProblemType type, String detail, CallerAttributes attributes) {
 		if (!this.services.state().isFresh()) {
 			return stale(response, attributes);
 		}
@@ -163,14 +174,59 @@
 		return ReturnTime.otherHostMs(this.services.random());
 	}
 
-	private String serve(HttpServerExchange exchange, GatewayRequest request) throws IOException {
-		Mailbox mailbox = new Mailbox();
-		exchange.onDisconnect(() -> mailbox.offer(new Signal.CallerLeft()));
+	private void serve(CallerExchange exchange, GatewayRequest request) {
 		CallerResponse response = new CallerResponse(exchange, this.services.state());
-		if (request.service().pool().isPresent()) {
-			return new StreamRun(this.services, request, response, mailbox).run();
+		Consumer<String> listener = (outcome) -> ended(request.attributes(), request.kind(), outcome,
+				request.arrivedMs());
+		RequestRun run = (request.service().pool().isPresent())
+				? new StreamRun(this.services, request, response, listener)
+				: new PlainRun(this.services, request, response, listener);
+		exchange.onCallerLeft(() -> run.on(new Signal.CallerLeft()));
+		run.start();
+	}
+
+	/**
+	 * Starts a request when its body is whole.
+	 */
+	private final class BodySubscriber implements SingleSource.Subscriber<ByteArrayOutputStream> {
+
+		private final CallerExchange exchange;
+
+		private final CallerAttributes attributes;
+
+		private final long arrivedMs;
+
+		private final int maxBytes;
+
+		BodySubscriber(CallerExchange exchange, CallerAttributes attributes, long arrivedMs, int maxBytes) {
+			this.exchange = exchange;
+			this.attributes = attributes;
+			this.arrivedMs = arrivedMs;
+			this.maxBytes = maxBytes;
 		}
-		return new PlainRun(this.services, request, response, mailbox).run();
+
+		@Override
+		public void onSubscribe(Cancellable cancellable) {
+			// A body that does not arrive ends with its connection.
+		}
+
+		@Override
+		public void onSuccess(ByteArrayOutputStream content) {
+			if (content.size() > this.maxBytes) {
+				new CallerResponse(this.exchange, GatewayHandler.this.services.state())
+					.refuse(ProblemType.BODY_TOO_LARGE, "Body exceeds " + this.maxBytes + " bytes", UNKNOWN_RANK, 0);
+				ended(this.attributes, "none", "body-too-large", this.arrivedMs);
+				return;
+			}
+			begin(this.exchange, this.attributes, this.arrivedMs, content.toByteArray());
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+			this.exchange.drop();
+			ended(this.attributes, "none", "body-incomplete", this.arrivedMs);
+		}
+
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/MetricsHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/MetricsHandler.java
@@ -1,12 +1,20 @@
 package org.medlardrum.gateway.internal.http;
 
-import org.medlardrum.transport.server.HttpHandler;
-import org.medlardrum.transport.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.List;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+import org.medlardrum.gateway.internal.request.CallerExchange;
 
 /**
  * Serves the metrics.
  */
-public final class MetricsHandler implements HttpHandler {
+public final class MetricsHandler implements StreamingHttpService {
 
 	private static final int OK = 200;
 
@@ -21,8 +29,17 @@
 	}
 
 	@Override
-	public void handle(HttpServerExchange exchange) throws Exception {
-		exchange.respond(OK, "text/plain; version=0.0.4; charset=utf-8", this.metrics.text());
+	public Single<StreamingHttpResponse> handle(HttpServiceContext context, StreamingHttpRequest request,
+			StreamingHttpResponseFactory responses) {
+		CallerExchange exchange = new CallerExchange(context, request, responses);
+		try {
+			exchange.respond(OK, List.of("content-type", "text/plain; version=0.0.4; charset=utf-8"),
+					this.metrics.text());
+			return exchange.response();
+		}
+		catch (IOException ex) {
+			return Single.failed(ex);
+		}
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ReadinessHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ReadinessHandler.java
@@ -1,17 +1,23 @@
 package org.medlardrum.gateway.internal.http;
 
 import java.nio.charset.StandardCharsets;
-
+import java.util.List;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
 import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.gateway.internal.request.CallerExchange;
 import org.medlardrum.gateway.internal.state.GatewayState;
-import org.medlardrum.transport.server.HttpHandler;
-import org.medlardrum.transport.server.HttpServerExchange;
 
 /**
  * Answers whether the balancer may send new connections to this host, and whether the
  * process lives.
  */
-public final class ReadinessHandler implements HttpHandler {
+public final class ReadinessHandler implements StreamingHttpService {
 
 	private static final int OK = 200;
 
@@ -44,7 +50,9 @@
 	}
 
 	@Override
-	public void handle(HttpServerExchange exchange) throws Exception {
+	public Single<StreamingHttpResponse> handle(HttpServiceContext context, StreamingHttpRequest request,
+			StreamingHttpResponseFactory responses) {
+		CallerExchange exchange = new CallerExchange(context, request, responses);
 		String path = exchange.path();
 		if (path.equals(LIVENESS_PATH)) {
 			respond(exchange, OK, "live");
@@ -61,6 +69,7 @@
 		else {
 			respond(exchange, NOT_FOUND, "unknown path");
 		}
+		return exchange.response();
 	}
 
 	private String notReady() {
@@ -73,8 +82,8 @@
 		return (this.state.isFresh()) ? "" : "configuration not confirmed";
 	}
 
-	private static void respond(HttpServerExchange exchange, int status, String text) throws Exception {
-		exchange.respond(status, "text/plain", text.getBytes(StandardCharsets.UTF_8));
+	private static void respond(CallerExchange exchange, int status, String text) {
+		exchange.respond(status, List.of("content-type", "text/plain"), text.getBytes(StandardCharsets.UTF_8));
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -28,7 +28,7 @@
 	 * Time between two digests while there is work. In it all hosts together start about
 	 * a tenth of what one chain holds.
 	 */
-	static final long BUSY_INTERVAL_MS = 200;
+	static final long BUSY_INTERVAL_MS = 300;
 
 	/** Time between two digests of an idle host, below the expiry of its work. */
 	static final long IDLE_INTERVAL_MS = 1_000;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/log/DecisionLog.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/log/DecisionLog.java
@@ -23,7 +23,7 @@
 	private static final int RING_LINES = 4096;
 
 	/** Longest wait of the writer for new lines. */
-	private static final long IDLE_WAIT_MS = 100;
+	private static final long IDLE_WAIT_MS = 250;
 
 	/** Longest wait for the output when the process ends. */
 	private static final long CLOSE_WAIT_MS = 300;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
@@ -1,12 +1,12 @@
 package org.medlardrum.gateway.internal.plain;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.ReturnTime;
@@ -15,11 +15,11 @@
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
-import org.medlardrum.gateway.internal.call.Mailbox;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.HeaderList;
+import org.medlardrum.gateway.internal.request.RequestRun;
 import org.medlardrum.gateway.internal.request.RequestServices;
 import org.medlardrum.protocol.problem.ProblemType;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -30,7 +30,7 @@
  * idempotent one is also sent to a second server when the first is silent for a part of
  * the target.
  */
-public final class PlainRun {
+public final class PlainRun extends RequestRun {
 
 	/**
 	 * Part of the target latency after which a silent server gets a second one beside it;
@@ -54,8 +54,6 @@
 
 	private final CallerResponse response;
 
-	private final Mailbox mailbox;
-
 	private final List<PlainAttempt> active = new ArrayList<>();
 
 	private final Set<String> tried = new HashSet<>();
@@ -76,50 +74,31 @@
 	 * @param services what all requests share
 	 * @param request the request
 	 * @param response the response
-	 * @param mailbox signals of the request
+	 * @param outcomeListener receives the outcome for logs and metrics
 	 */
-	public PlainRun(RequestServices services, GatewayRequest request, CallerResponse response, Mailbox mailbox) {
+	public PlainRun(RequestServices services, GatewayRequest request, CallerResponse response,
+			Consumer<String> outcomeListener) {
+		super(services, outcomeListener);
 		this.services = services;
 		this.request = request;
 		this.response = response;
-		this.mailbox = mailbox;
 	}
 
-	/**
-	 * Serves the request.
-	 * @return outcome for logs and metrics
-	 * @throws IOException if the caller does not take the response
-	 */
-	public String run() throws IOException {
-		try {
-			this.services.retries().onFirstAttempt(this.request.service().name(), this.services.nowMs());
-			if (!send("first")) {
-				return refuseBusy("no server of the service is registered");
-			}
-			if (this.request.route().idempotent()) {
-				this.hedgeAtMs = this.request.arrivedMs()
-						+ (long) (this.request.route().targetLatencyMs() * HEDGE_PART_OF_TARGET);
-			}
-			String outcome = null;
-			while (outcome == null) {
-				outcome = step();
-			}
-			return outcome;
+	@Override
+	protected String begin() {
+		this.services.retries().onFirstAttempt(this.request.service().name(), this.services.nowMs());
+		if (!send("first")) {
+			return refuseBusy("no server of the service is registered");
 		}
-		finally {
-			this.active.forEach(PlainAttempt::close);
+		if (this.request.route().idempotent()) {
+			this.hedgeAtMs = this.request.arrivedMs()
+					+ (long) (this.request.route().targetLatencyMs() * HEDGE_PART_OF_TARGET);
 		}
+		return null;
 	}
 
-	private String step() throws IOException {
-		long nowMs = this.services.nowMs();
-		if (nowMs >= this.request.endMs()) {
-			return timedOut();
-		}
-		Signal signal = this.mailbox.poll(Math.min(this.request.endMs(), this.hedgeAtMs) - nowMs);
-		if (signal == null) {
-			return hedge();
-		}
+	@Override
+	protected String handle(Signal signal) {
 		return switch (signal) {
 			case Signal.CallerLeft left -> "caller-left";
 			case Signal.Header header -> onHeader(header);
@@ -130,12 +109,25 @@
 		};
 	}
 
+	@Override
+	protected long dueAtMs() {
+		return Math.min(this.request.endMs(), this.hedgeAtMs);
+	}
+
+	@Override
+	protected String onTimer(long nowMs) {
+		return (nowMs >= this.request.endMs()) ? timedOut() : hedge();
+	}
+
+	@Override
+	protected void close() {
+		this.active.forEach(PlainAttempt::close);
+	}
+
 	private String hedge() {
-		if (this.services.nowMs() >= this.hedgeAtMs) {
-			this.hedgeAtMs = Long.MAX_VALUE;
-			if (mayRunAgain()) {
-				send("silent");
-			}
+		this.hedgeAtMs = Long.MAX_VALUE;
+		if (mayRunAgain()) {
+			send("silent");
 		}
 		return null;
 	}
@@ -169,11 +161,8 @@
 		List<String> headers = this.services.dialect().forwardHeaders(this.request.headers(), plan);
 		PlainAttempt attempt = new PlainAttempt(server, this.services.loads().reserveSlot(server.id()));
 		this.active.add(attempt);
-		attempt.started(
-				BackendCall.send(
-						this.services.clients(), new BackendRequest(server.address(), this.request.method(),
-								this.request.target(), headers, this.request.body(), remainingMs),
-						this.mailbox::offer));
+		attempt.started(BackendCall.send(this.services.clients(), new BackendRequest(server.address(),
+				this.request.method(), this.request.target(), headers, this.request.body()), this::on));
 		this.services.metrics().attempt(this.request.kind(), reason);
 		this.services.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "server", server.id(), "address",
@@ -202,7 +191,7 @@
 		attempt.close();
 	}
 
-	private String onHeader(Signal.Header header) throws IOException {
+	private String onHeader(Signal.Header header) {
 		PlainAttempt attempt = attempt(header.call());
 		if (attempt == null) {
 			return null;
@@ -216,7 +205,7 @@
 		return null;
 	}
 
-	private String onData(Signal.Data data) throws IOException {
+	private String onData(Signal.Data data) {
 		PlainAttempt attempt = attempt(data.call());
 		if (attempt == null) {
 			return null;
@@ -225,7 +214,7 @@
 		return (attempt.bodySize() > MAX_BODY_BYTES) ? lost(attempt, "the response is too large") : null;
 	}
 
-	private String onEnd(BackendCall call) throws IOException {
+	private String onEnd(BackendCall call) {
 		PlainAttempt attempt = attempt(call);
 		if (attempt == null || !attempt.hasHeader()) {
 			return null;
@@ -243,7 +232,7 @@
 		return deliver(attempt);
 	}
 
-	private String serverError(PlainAttempt attempt) throws IOException {
+	private String serverError(PlainAttempt attempt) {
 		this.lastFailure = "status " + attempt.status() + " of " + attempt.server().id();
 		this.failureAnswer = attempt;
 		end(attempt);
@@ -253,7 +242,7 @@
 		return (this.active.isEmpty()) ? deliver(attempt) : null;
 	}
 
-	private String deliver(PlainAttempt attempt) throws IOException {
+	private String deliver(PlainAttempt attempt) {
 		end(attempt);
 		long tookMs = this.services.nowMs() - this.request.arrivedMs();
 		this.services.metrics().whole(this.request.kind(), tookMs);
@@ -262,7 +251,7 @@
 		return (attempt.status() >= SERVER_ERROR) ? "server-error" : "answered";
 	}
 
-	private String onFailed(Signal.Failed failed) throws IOException {
+	private String onFailed(Signal.Failed failed) {
 		PlainAttempt attempt = attempt(failed.call());
 		if (attempt == null) {
 			return null;
@@ -275,7 +264,7 @@
 	}
 
 	// Goes on after an attempt that did not run.
-	private String notExecuted(PlainAttempt attempt, String reason) throws IOException {
+	private String notExecuted(PlainAttempt attempt, String reason) {
 		this.lastFailure = reason;
 		this.runs--;
 		end(attempt);
@@ -288,7 +277,7 @@
 	}
 
 	// Goes on after an attempt that may have run.
-	private String lost(PlainAttempt attempt, String reason) throws IOException {
+	private String lost(PlainAttempt attempt, String reason) {
 		this.lastFailure = reason;
 		end(attempt);
 		this.services.log()
@@ -299,7 +288,7 @@
 		return giveUp();
 	}
 
-	private String giveUp() throws IOException {
+	private String giveUp() {
 		if (this.failureAnswer != null) {
 			return deliver(this.failureAnswer);
 		}
@@ -310,13 +299,13 @@
 		return "answer-lost";
 	}
 
-	private String refuseBusy(String detail) throws IOException {
+	private String refuseBusy(String detail) {
 		long retryAfterMs = ReturnTime.busyMs(0, this.request.endMs() - this.services.nowMs(), this.services.random());
 		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(), retryAfterMs);
 		return "refused";
 	}
 
-	private String timedOut() throws IOException {
+	private String timedOut() {
 		if (this.failureAnswer != null) {
 			return deliver(this.failureAnswer);
 		}
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -0,0 +1,205 @@
+package org.medlardrum.gateway.internal.request;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Processors;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.concurrent.api.SourceAdapters;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+
+/**
+ * A caller's request and its response. Used on the event loop only.
+ */
+public final class CallerExchange {
+
+	/**
+	 * Parts of a response that may wait for a slow caller; a stream of the users has 209
+	 * events at most.
+	 */
+	private static final int MAX_WAITING_PARTS = 1_024;
+
+	private final StreamingHttpRequest request;
+
+	private final StreamingHttpResponseFactory responses;
+
+	private final BufferAllocator allocator;
+
+	private final SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> head = Processors
+		.newSingleProcessor();
+
+	private PublisherSource.Processor<Buffer, Buffer> body;
+
+	private Runnable callerLeft = () -> {
+	};
+
+	private boolean started;
+
+	private boolean left;
+
+	/**
+	 * Creates an exchange.
+	 * @param context context of the request
+	 * @param request the request
+	 * @param responses creates the response
+	 */
+	public CallerExchange(HttpServiceContext context, StreamingHttpRequest request,
+			StreamingHttpResponseFactory responses) {
+		this.request = request;
+		this.responses = responses;
+		this.allocator = context.executionContext().bufferAllocator();
+	}
+
+	/**
+	 * Returns the response for the server.
+	 * @return the response
+	 */
+	public Single<StreamingHttpResponse> response() {
+		return SourceAdapters.fromSource(this.head).beforeCancel(this::peerClosed);
+	}
+
+	/**
+	 * Sets what to do when the caller leaves before its response is complete.
+	 * @param action the action, run at most once
+	 */
+	public void onCallerLeft(Runnable action) {
+		this.callerLeft = action;
+		if (this.left) {
+			action.run();
+		}
+	}
+
+	/**
+	 * Records that the caller has closed its connection.
+	 */
+	public void peerClosed() {
+		if (!this.left) {
+			this.left = true;
+			this.callerLeft.run();
+		}
+	}
+
+	/**
+	 * Returns the HTTP method.
+	 * @return the method
+	 */
+	public String method() {
+		return this.request.method().name();
+	}
+
+	/**
+	 * Returns the path, percent-encoded as received.
+	 * @return the path
+	 */
+	public String path() {
+		return this.request.rawPath();
+	}
+
+	/**
+	 * Returns path and query as received.
+	 * @return the request target
+	 */
+	public String target() {
+		return this.request.requestTarget();
+	}
+
+	/**
+	 * Returns the first value of a header.
+	 * @param name name of the header
+	 * @return the value
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.request.headers().get(name)).map(CharSequence::toString);
+	}
+
+	/**
+	 * Returns all headers.
+	 * @return names and values in turn
+	 */
+	public List<String> headers() {
+		return HeaderList.of(this.request.headers());
+	}
+
+	/**
+	 * Returns whether the header of the response has been sent.
+	 * @return {@code true} after {@link #respond} or {@link #startStream}
+	 */
+	public boolean isStarted() {
+		return this.started;
+	}
+
+	/**
+	 * Sends a whole response.
+	 * @param status status of the response
+	 * @param headers names and values in turn
+	 * @param content the body
+	 */
+	public void respond(int status, List<String> headers, byte[] content) {
+		StreamingHttpResponse response = head(status, headers);
+		response.setHeader("content-length", Integer.toString(content.length));
+		if (content.length > 0) {
+			response.payloadBody(Publisher.from(this.allocator.wrap(content)));
+		}
+		this.head.onSuccess(response);
+	}
+
+	/**
+	 * Sends the header of a stream.
+	 * @param status status of the response
+	 * @param headers names and values in turn
+	 */
+	public void startStream(int status, List<String> headers) {
+		this.body = Processors.newPublisherProcessor(MAX_WAITING_PARTS);
+		this.head.onSuccess(
+				head(status, headers).payloadBody(SourceAdapters.fromSource(this.body).beforeCancel(this::peerClosed)));
+	}
+
+	private StreamingHttpResponse head(int status, List<String> headers) {
+		this.started = true;
+		StreamingHttpResponse response = this.responses.newResponse(HttpResponseStatus.of(status, ""));
+		for (int i = 0; i + 1 < headers.size(); i += 2) {
+			response.addHeader(headers.get(i), headers.get(i + 1));
+		}
+		return response;
+	}
+
+	/**
+	 * Sends a part of a stream.
+	 * @param part the part
+	 */
+	public void write(byte[] part) {
+		this.body.onNext(this.allocator.wrap(part));
+	}
+
+	/**
+	 * Ends a stream that is complete.
+	 */
+	public void finish() {
+		this.body.onComplete();
+	}
+
+	/**
+	 * Ends a stream so that the caller sees that it is incomplete.
+	 */
+	public void abort() {
+		this.body.onError(new IOException("the stream is incomplete"));
+	}
+
+	/**
+	 * Closes the connection without a response.
+	 */
+	public void drop() {
+		this.head.onError(new IOException("no response is due"));
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/HeaderList.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/HeaderList.java
@@ -1,8 +1,11 @@
 package org.medlardrum.gateway.internal.request;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
+import io.servicetalk.http.api.HttpHeaders;
 import org.medlardrum.gateway.HeaderLookup;
 
 /**
@@ -13,6 +16,20 @@
 	private HeaderList() {
 	}
 
+	/**
+	 * Copies headers.
+	 * @param headers the headers
+	 * @return names and values in turn
+	 */
+	public static List<String> of(HttpHeaders headers) {
+		List<String> list = new ArrayList<>(2 * headers.size());
+		for (Map.Entry<CharSequence, CharSequence> header : headers) {
+			list.add(header.getKey().toString());
+			list.add(header.getValue().toString());
+		}
+		return list;
+	}
+
 	/**
 	 * Returns a view for look-ups by name.
 	 * @param headers names and values in turn
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
@@ -0,0 +1,120 @@
+package org.medlardrum.gateway.internal.request;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.transport.api.IoExecutor;
+import org.medlardrum.gateway.internal.call.Signal;
+
+/**
+ * One request as a state machine on the event loop: it handles signals and a timer until
+ * a step returns an outcome. One timer is armed at a time; when it fires early it is
+ * armed again, so that a due time that moves with each event costs no timer for each.
+ */
+public abstract class RequestRun {
+
+	private final IoExecutor executor;
+
+	private final RequestServices services;
+
+	private final Consumer<String> outcomeListener;
+
+	private Cancellable timer;
+
+	private long timerAtMs = Long.MAX_VALUE;
+
+	private boolean ended;
+
+	/**
+	 * Creates a run.
+	 * @param services what all requests share
+	 * @param outcomeListener receives the outcome
+	 */
+	protected RequestRun(RequestServices services, Consumer<String> outcomeListener) {
+		this.services = services;
+		this.executor = services.executor();
+		this.outcomeListener = outcomeListener;
+	}
+
+	/**
+	 * Starts the request.
+	 */
+	public final void start() {
+		after(begin());
+	}
+
+	/**
+	 * Takes a signal.
+	 * @param signal the signal
+	 */
+	public final void on(Signal signal) {
+		if (!this.ended) {
+			after(handle(signal));
+		}
+	}
+
+	/**
+	 * Makes the first step.
+	 * @return the outcome, {@code null} while the request goes on
+	 */
+	protected abstract String begin();
+
+	/**
+	 * Handles a signal.
+	 * @param signal the signal
+	 * @return the outcome, {@code null} while the request goes on
+	 */
+	protected abstract String handle(Signal signal);
+
+	/**
+	 * Does what is due.
+	 * @param nowMs clock reading
+	 * @return the outcome, {@code null} while the request goes on
+	 */
+	protected abstract String onTimer(long nowMs);
+
+	/**
+	 * Returns when the next work is due.
+	 * @return clock reading
+	 */
+	protected abstract long dueAtMs();
+
+	// Ends all calls and reservations.
+	protected abstract void close();
+
+	private void after(String outcome) {
+		if (this.ended) {
+			return;
+		}
+		if (outcome != null) {
+			this.ended = true;
+			if (this.timer != null) {
+				this.timer.cancel();
+			}
+			close();
+			this.outcomeListener.accept(outcome);
+			return;
+		}
+		long dueAtMs = dueAtMs();
+		if (dueAtMs < this.timerAtMs) {
+			if (this.timer != null) {
+				this.timer.cancel();
+			}
+			this.timerAtMs = dueAtMs;
+			this.timer = this.executor.schedule(this::fire, Math.max(1, dueAtMs - this.services.nowMs()),
+					TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void fire() {
+		if (this.ended) {
+			return;
+		}
+		this.timer = null;
+		this.timerAtMs = Long.MAX_VALUE;
+		long nowMs = this.services.nowMs();
+		after((nowMs >= dueAtMs()) ? onTimer(nowMs) : null);
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestServices.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestServices.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 
+import io.servicetalk.transport.api.IoExecutor;
 import org.medlardrum.gateway.GatewaySettings;
 import org.medlardrum.gateway.RequestDialect;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
@@ -17,14 +18,15 @@
  * @param state routes and backend servers
  * @param loads work at the backend servers
  * @param retries shares of the retry budgets
- * @param clients clients by address
+ * @param executor the event loop
+ * @param clients clients by address, on the event loop
  * @param dialect names of headers and documents
  * @param log the log
  * @param metrics the metrics
  * @param random random source
  */
 public record RequestServices(GatewaySettings settings, GatewayState state, LoadTable loads, RetryLedger retries,
-		HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
+		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
 		RandomGenerator random) {
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/SilenceProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/SilenceProbe.java
@@ -3,12 +3,13 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 import org.medlardrum.gateway.EngineStatus;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
-import org.medlardrum.gateway.internal.call.Mailbox;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.RequestServices;
 
@@ -25,19 +26,19 @@
 
 	private final RequestServices services;
 
-	private final Mailbox mailbox;
+	private final Consumer<Signal> sink;
 
-	SilenceProbe(RequestServices services, Mailbox mailbox) {
+	SilenceProbe(RequestServices services, Consumer<Signal> sink) {
 		this.services = services;
-		this.mailbox = mailbox;
+		this.sink = sink;
 	}
 
 	void ask(BackendCall silent, String requestId) {
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		AtomicBoolean answered = new AtomicBoolean();
 		int[] status = new int[1];
-		BackendCall.send(this.services.clients(), new BackendRequest(silent.address(), "GET",
-				this.services.dialect().reportPath(), List.of(), new byte[0], TIMEOUT_MS), (signal) -> {
+		BackendCall call = BackendCall.send(this.services.clients(), new BackendRequest(silent.address(), "GET",
+				this.services.dialect().reportPath(), List.of(), new byte[0]), (signal) -> {
 					switch (signal) {
 						case Signal.Header header -> status[0] = header.status();
 						case Signal.Data data -> body.writeBytes(data.bytes());
@@ -48,7 +49,7 @@
 						}
 						case Signal.Failed failed -> {
 							if (answered.compareAndSet(false, true)) {
-								this.mailbox.offer(new Signal.Diagnosis(silent, silent.address()));
+								this.sink.accept(new Signal.Diagnosis(silent, silent.address()));
 							}
 						}
 						case Signal.CallerLeft left -> {
@@ -57,12 +58,18 @@
 						}
 					}
 				});
+		this.services.executor().schedule(() -> {
+			if (answered.compareAndSet(false, true)) {
+				call.close();
+				this.sink.accept(new Signal.Diagnosis(silent, silent.address()));
+			}
+		}, TIMEOUT_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private void report(BackendCall silent, String requestId, int status, byte[] body) {
 		Optional<EngineStatus> report = (status == OK) ? this.services.dialect().status(body) : Optional.empty();
 		String faulty = report.map((known) -> known.stalled().getOrDefault(requestId, "")).orElse("");
-		this.mailbox.offer(new Signal.Diagnosis(silent, faulty));
+		this.sink.accept(new Signal.Diagnosis(silent, faulty));
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -1,12 +1,13 @@
 package org.medlardrum.gateway.internal.stream;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
+import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.routing.ReturnTime;
 import org.medlardrum.gateway.BackendVerdict;
@@ -14,11 +15,11 @@
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
-import org.medlardrum.gateway.internal.call.Mailbox;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.HeaderList;
+import org.medlardrum.gateway.internal.request.RequestRun;
 import org.medlardrum.gateway.internal.request.RequestServices;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.protocol.problem.ProblemType;
@@ -30,7 +31,7 @@
  * a chain breaks, stalls or loses an engine that leaves, the stream goes on at another
  * chain after the last event that the caller has.
  */
-public final class StreamRun {
+public final class StreamRun extends RequestRun {
 
 	/** Silence before the first event after which the chain is asked for its state. */
 	private static final long FIRST_SILENCE_MS = 450;
@@ -76,8 +77,6 @@
 
 	private final CallerResponse response;
 
-	private final Mailbox mailbox;
-
 	private final ChainChooser chooser;
 
 	private final SilenceProbe probe;
@@ -116,55 +115,39 @@
 
 	private String lastFailure = "none";
 
+	/** Why another chain is wanted, {@code null} while an attempt runs. */
+	private String searchEvent;
+
+	private long searchAtMs;
+
+	private long searchUntilMs;
+
 	/**
 	 * Creates a run.
 	 * @param services what all requests share
 	 * @param request the request
 	 * @param response the response
-	 * @param mailbox signals of the request
+	 * @param outcomeListener receives the outcome for logs and metrics
 	 */
-	public StreamRun(RequestServices services, GatewayRequest request, CallerResponse response, Mailbox mailbox) {
+	public StreamRun(RequestServices services, GatewayRequest request, CallerResponse response,
+			Consumer<String> outcomeListener) {
+		super(services, outcomeListener);
 		this.services = services;
 		this.request = request;
 		this.response = response;
-		this.mailbox = mailbox;
 		this.chooser = new ChainChooser(services);
-		this.probe = new SilenceProbe(services, mailbox);
+		this.probe = new SilenceProbe(services, this::on);
 		this.lastEventId = request.attributes().lastEventId();
 	}
 
-	/**
-	 * Serves the request.
-	 * @return outcome for logs and metrics
-	 * @throws IOException if the caller does not take the response
-	 */
-	public String run() throws IOException {
-		try {
-			this.services.retries().onFirstAttempt(this.request.service().name(), this.services.nowMs());
-			if (!send("first")) {
-				return giveUp("no chain has room");
-			}
-			String outcome = null;
-			while (outcome == null) {
-				outcome = step();
-			}
-			return outcome;
-		}
-		finally {
-			endAttempt();
-		}
+	@Override
+	protected String begin() {
+		this.services.retries().onFirstAttempt(this.request.service().name(), this.services.nowMs());
+		return (send("first")) ? null : giveUp("no chain has room");
 	}
 
-	private String step() throws IOException {
-		long nowMs = this.services.nowMs();
-		if (nowMs >= this.request.endMs()) {
-			return timedOut();
-		}
-		Signal signal = this.mailbox.poll(Math.min(this.request.endMs(), this.askAtMs) - nowMs);
-		if (signal == null) {
-			askWhenSilent();
-			return moveFromLeaving();
-		}
+	@Override
+	protected String handle(Signal signal) {
 		return switch (signal) {
 			case Signal.CallerLeft left -> "caller-left";
 			case Signal.Header header -> (header.call() == this.call) ? onHeader(header) : null;
@@ -175,6 +158,28 @@
 		};
 	}
 
+	@Override
+	protected long dueAtMs() {
+		return Math.min(this.request.endMs(), (this.searchEvent != null) ? this.searchAtMs : this.askAtMs);
+	}
+
+	@Override
+	protected String onTimer(long nowMs) {
+		if (nowMs >= this.request.endMs()) {
+			return timedOut();
+		}
+		if (this.searchEvent != null) {
+			return search(nowMs);
+		}
+		askWhenSilent();
+		return moveFromLeaving();
+	}
+
+	@Override
+	protected void close() {
+		endAttempt();
+	}
+
 	private void askWhenSilent() {
 		long nowMs = this.services.nowMs();
 		if (nowMs >= this.askAtMs) {
@@ -186,7 +191,7 @@
 		}
 	}
 
-	private String moveFromLeaving() throws IOException {
+	private String moveFromLeaving() {
 		Optional<String> leaving = this.services.state().leavingLongerThan(this.chain.ids(), LEAVING_GRACE_MS);
 		if (leaving.isEmpty() || !mayRunAgain()) {
 			return null;
@@ -230,9 +235,8 @@
 				this.chain.hops(), this.request.rank(), this.lastEventId);
 		this.call = BackendCall.send(this.services.clients(),
 				new BackendRequest(address, this.request.method(), this.request.target(),
-						this.services.dialect().forwardHeaders(this.request.headers(), plan), this.request.body(),
-						remainingMs),
-				this.mailbox::offer);
+						this.services.dialect().forwardHeaders(this.request.headers(), plan), this.request.body()),
+				this::on);
 		this.services.metrics().attempt(this.request.kind(), reason);
 		logSend(reason, remainingMs);
 		return true;
@@ -272,7 +276,7 @@
 		}
 	}
 
-	private String onHeader(Signal.Header header) throws IOException {
+	private String onHeader(Signal.Header header) {
 		BackendVerdict verdict = this.services.dialect()
 			.verdict(this.request.id(), header.status(), HeaderList.lookup(header.headers()));
 		if (!verdict.belongsToRequest()) {
@@ -295,7 +299,7 @@
 		return null;
 	}
 
-	private String onNotExecuted(int refusedStatus, BackendVerdict verdict) throws IOException {
+	private String onNotExecuted(int refusedStatus, BackendVerdict verdict) {
 		this.runs--;
 		Optional<ServiceInstance> faulty = verdict.faultyAddress()
 			.flatMap((address) -> this.services.state().fleet().atAddress(address));
@@ -304,7 +308,7 @@
 				"status " + refusedStatus + " from " + verdict.faultyAddress().orElse(this.call.address()));
 	}
 
-	private String onData(byte[] bytes) throws IOException {
+	private String onData(byte[] bytes) {
 		this.call.consumed();
 		if (this.plainBody != null) {
 			this.plainBody.writeBytes(bytes);
@@ -316,7 +320,7 @@
 		return moveFromLeaving();
 	}
 
-	private void deliver(StreamedEvent event) throws IOException {
+	private void deliver(StreamedEvent event) {
 		this.ran = true;
 		long nowMs = this.services.nowMs();
 		this.progressAtMs = nowMs;
@@ -336,7 +340,7 @@
 		this.eventsDelivered++;
 	}
 
-	private String onEnd() throws IOException {
+	private String onEnd() {
 		if (!this.headerSeen) {
 			return goOn("broken", "the response has no header");
 		}
@@ -354,7 +358,7 @@
 		return "answered";
 	}
 
-	private String onServerFailure() throws IOException {
+	private String onServerFailure() {
 		byte[] body = this.plainBody.toByteArray();
 		if (this.status >= SERVER_ERROR && this.request.route().idempotent()) {
 			this.ran = true;
@@ -372,7 +376,7 @@
 		return "server-error";
 	}
 
-	private String onFailed(Signal.Failed failed) throws IOException {
+	private String onFailed(Signal.Failed failed) {
 		this.excluded.add(this.chain.ids().getFirst());
 		if (failed.notSent()) {
 			this.runs--;
@@ -391,12 +395,12 @@
 			.ifPresent((server) -> this.services.state().suspect(this.services.settings().availabilityZone(), server));
 	}
 
-	private String onDiagnosis(Signal.Diagnosis diagnosis) throws IOException {
+	private String onDiagnosis(Signal.Diagnosis diagnosis) {
 		if (diagnosis.faultyAddress().isEmpty() || this.services.nowMs() - this.progressAtMs < EVENT_SILENCE_MS) {
 			return null;
 		}
 		String before = this.services.settings().availabilityZone();
-		for (org.medlardrum.decisions.pool.ChainHop hop : this.chain.hops()) {
+		for (ChainHop hop : this.chain.hops()) {
 			if (hop.server().address().equals(diagnosis.faultyAddress())) {
 				this.excluded.add(hop.server().id());
 				Optional<ServiceInstance> server = this.services.state().fleet().instance(hop.server().id());
@@ -411,7 +415,7 @@
 	}
 
 	// Ends the attempt and goes on at another chain, or gives up.
-	private String goOn(String event, String reason) throws IOException {
+	private String goOn(String event, String reason) {
 		this.lastFailure = reason;
 		this.services.log()
 			.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered, "runs",
@@ -420,16 +424,19 @@
 		if (this.runs > 0 && !mayRunAgain() && !firstEngineGone()) {
 			return giveUp(reason);
 		}
-		long untilMs = this.services.nowMs() + ((this.started) ? RESUME_SEARCH_MS : 0);
-		while (!send(event)) {
-			if (this.services.nowMs() >= untilMs) {
-				return giveUp(reason);
-			}
-			if (this.mailbox.poll(LOOK_AGAIN_MS) instanceof Signal.CallerLeft) {
-				return "caller-left";
-			}
+		long nowMs = this.services.nowMs();
+		this.searchEvent = event;
+		this.searchUntilMs = nowMs + ((this.started) ? RESUME_SEARCH_MS : 0);
+		return search(nowMs);
+	}
+
+	private String search(long nowMs) {
+		if (send(this.searchEvent)) {
+			this.searchEvent = null;
+			return null;
 		}
-		return null;
+		this.searchAtMs = nowMs + LOOK_AGAIN_MS;
+		return (nowMs >= this.searchUntilMs) ? giveUp(this.lastFailure) : null;
 	}
 
 	// An engine that has ended does not count towards the attempts of the route.
@@ -441,7 +448,7 @@
 							this.chain.hops().getFirst().server().availabilityZone()));
 	}
 
-	private String giveUp(String reason) throws IOException {
+	private String giveUp(String reason) {
 		if (this.started) {
 			this.response.abort();
 			return "broken-off";
@@ -460,7 +467,7 @@
 		return "refused";
 	}
 
-	private String timedOut() throws IOException {
+	private String timedOut() {
 		if (this.started) {
 			this.response.abort();
 			return "broken-off";
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -126,8 +128,9 @@
 		assertThat(answer).contains("retry-after: ");
 	}
 
-	@Test
-	void engineStopsWhenTheCallerLeaves() throws Exception {
+	@ParameterizedTest
+	@ValueSource(strings = { "", "connection: close\r\n" })
+	void engineStopsWhenTheCallerLeaves(String header) throws Exception {
 		CountDownLatch closed = new CountDownLatch(1);
 		try (FakeBackend engine = new FakeBackend((head, socket, out) -> {
 			FakeBackend.write(out, HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1)));
@@ -140,7 +143,7 @@
 			}
 		})) {
 			this.fixture.register("pool", "e1", engine);
-			try (Socket caller = this.fixture.send("POST", "/stream/1", "key: k1\r\n")) {
+			try (Socket caller = this.fixture.send("POST", "/stream/1", "key: k1\r\n" + header)) {
 				assertThat(caller.getInputStream().read()).isAtLeast(0);
 			}
 			assertThat(closed.await(3, TimeUnit.SECONDS)).isTrue();
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -12,6 +12,7 @@
 import io.servicetalk.http.api.FilterableStreamingHttpLoadBalancedConnection;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpRequestMetaData;
+import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
 import io.servicetalk.http.netty.DefaultHttpLoadBalancerFactory;
 import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
@@ -41,12 +42,29 @@
 
 	private final int connectTimeoutMs;
 
+	private final IoExecutor executor;
+
+	private final boolean limitsHeaderTime;
+
 	/**
-	 * Creates an empty pool.
+	 * Creates an empty pool on the event loops of the process.
 	 * @param connectTimeoutMs longest time to set up a connection
 	 */
 	public HttpClientPool(int connectTimeoutMs) {
+		this(connectTimeoutMs, ioExecutor(), true);
+	}
+
+	/**
+	 * Creates an empty pool.
+	 * @param connectTimeoutMs longest time to set up a connection
+	 * @param executor event loops of the clients
+	 * @param limitsHeaderTime whether requests end after {@link #HEADER_TIMEOUT}; callers
+	 * that keep their own time need no second timer
+	 */
+	public HttpClientPool(int connectTimeoutMs, IoExecutor executor, boolean limitsHeaderTime) {
 		this.connectTimeoutMs = connectTimeoutMs;
+		this.executor = executor;
+		this.limitsHeaderTime = limitsHeaderTime;
 	}
 
 	/**
@@ -88,16 +106,19 @@
 	}
 
 	private BlockingStreamingHttpClient create(String address) {
-		return HttpClients.forResolvedAddress(Addresses.parse(address))
-			.ioExecutor(ioExecutor())
+		SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> builder = HttpClients
+			.forResolvedAddress(Addresses.parse(address))
+			.ioExecutor(this.executor)
 			.executionStrategy(HttpExecutionStrategies.offloadNone())
 			.protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, this.connectTimeoutMs)
 			.loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder.from(withoutHealthChecks()).build())
-			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
-			.appendClientFilter(
-					new TimeoutHttpRequesterFilter((request, clock) -> HttpClientPool.headerTimeout(request), false))
-			.buildBlockingStreaming();
+			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
+		if (this.limitsHeaderTime) {
+			builder.appendClientFilter(
+					new TimeoutHttpRequesterFilter((request, clock) -> HttpClientPool.headerTimeout(request), false));
+		}
+		return builder.buildBlockingStreaming();
 	}
 
 	// The library stops connecting to an address for several seconds after five refused
