--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/ChangeFeed.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/ChangeFeed.java
@@ -24,4 +24,11 @@
 	 */
 	StoreResult<StoreChanges> changes(String prefix, long afterRevision, long waitMs);
 
+	/**
+	 * Reads the store's revision. The result is linearizable: every change acknowledged
+	 * before the call has at most this revision.
+	 * @return the revision
+	 */
+	StoreResult<Long> revision();
+
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/FollowerOptions.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/FollowerOptions.java
@@ -3,11 +3,13 @@
 /**
  * Settings of {@link StoreFollower}.
  *
- * @param waitMs longest wait of one call; a longer one costs fewer calls but confirms the
- * copy later
+ * @param waitMs longest wait of one call for changes
  * @param pauseMs time between an answer with changes and the next call, so that a burst
  * of changes costs few calls
+ * @param confirmMs time between two confirmations
+ * @param catchUpMs time in which the call for changes brings a change that a confirmation
+ * found; after it everything is read
  * @param returnMs time after the store's return in which lapsed entries come back
  */
-public record FollowerOptions(long waitMs, long pauseMs, long returnMs) {
+public record FollowerOptions(long waitMs, long pauseMs, long confirmMs, long catchUpMs, long returnMs) {
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.medlardrum.coordination.ChangeFeed;
@@ -14,10 +15,10 @@
 import org.medlardrum.coordination.internal.DutyThread;
 
 /**
- * Keeps a copy of the store's keys by one waiting call at a time, and tells for how long
- * the copy was current. A wait that ends without a change confirms the copy up to the end
- * of the wait, measured from before the call, so a delayed answer never confirms too
- * much.
+ * Keeps a copy of the store's keys and tells for how long the copy was current. One
+ * thread waits for changes. Another one confirms the copy by reading the store's
+ * revision: a call for changes that hears nothing proves nothing, as its connection may
+ * be dead or the store may have dropped its history.
  *
  * <p>
  * Entries whose leases ran out while the store was away come back when their owners reach
@@ -39,15 +40,26 @@
 
 	private final FollowerOptions options;
 
-	private final DutyThread thread = new DutyThread("store-follower", this::step);
+	private final DutyThread follower = new DutyThread("store-follower", this::followStep);
+
+	private final DutyThread confirmer = new DutyThread("store-confirmer", this::confirmStep);
 
 	private final Map<String, String> values = new HashMap<>();
 
 	/** Removed keys whose removal is held back. */
 	private final Set<String> heldBack = new HashSet<>();
 
+	/** Revision of the copy, negative before the first read. */
 	private long revision = -1;
 
+	/** Revision of the last read of everything; older changes are in it. */
+	private long readRevision = -1;
+
+	private boolean historyLost;
+
+	/** Time of the next confirmation; used by its thread only. */
+	private long confirmDueMs = Long.MIN_VALUE;
+
 	private boolean away;
 
 	private long answeredAtMs;
@@ -75,32 +87,34 @@
 	}
 
 	/**
-	 * Starts the thread that follows the store.
+	 * Starts the threads that follow the store.
 	 */
 	public void start() {
-		this.thread.start();
+		this.follower.start();
+		this.confirmer.start();
 	}
 
 	@Override
 	public void close() {
-		this.thread.close();
+		this.follower.close();
+		this.confirmer.close();
 	}
 
 	/**
-	 * Makes one call to the store. Called by the thread of this responsibility, or by a
-	 * test instead of it.
+	 * Reads everything, or waits for changes. Called by its thread, or by a test instead
+	 * of it.
 	 * @return time until the next call, in milliseconds
 	 */
-	public long step() {
-		long sentMs = this.steadyMs.getAsLong();
-		long sentWallMs = this.wallMs.getAsLong();
-		boolean first = this.revision < 0;
-		long waitMs = waitMs(sentMs);
-		StoreResult<StoreChanges> result = (first) ? this.feed.read("") : this.feed.changes("", this.revision, waitMs);
+	public long followStep() {
+		long after = revision();
+		if (after < 0) {
+			return (readAll()) ? 0 : retryDelayMs();
+		}
+		StoreResult<StoreChanges> result = this.feed.changes("", after, this.options.waitMs());
 		return switch (result) {
-			case StoreResult.Ok<StoreChanges> ok -> take(ok.value(), first, sentMs, sentWallMs, waitMs);
+			case StoreResult.Ok<StoreChanges> ok -> takeChanges(ok.value());
 			case StoreResult.NotFound<StoreChanges> compacted -> {
-				this.revision = -1;
+				forgetRevision();
 				yield 0;
 			}
 			case StoreResult.Conflict<StoreChanges> conflict -> failed("unexpected conflict");
@@ -109,53 +123,115 @@
 		};
 	}
 
-	private long waitMs(long nowMs) {
-		long untilReleaseMs = this.holdUntilMs - nowMs;
-		boolean holding = !this.heldBack.isEmpty() && untilReleaseMs > 0;
-		return (holding) ? Math.min(this.options.waitMs(), untilReleaseMs) : this.options.waitMs();
+	/**
+	 * Confirms the copy. Called by its thread, or by a test instead of it.
+	 * @return time until the next confirmation, in milliseconds
+	 */
+	public long confirmStep() {
+		if (revision() < 0) {
+			return FIRST_RETRY_MS;
+		}
+		long sentMs = this.steadyMs.getAsLong();
+		if (sentMs < this.confirmDueMs) {
+			return this.confirmDueMs - sentMs;
+		}
+		long sentWallMs = this.wallMs.getAsLong();
+		return switch (this.feed.revision()) {
+			case StoreResult.Ok<Long> ok -> confirm(ok.value(), sentMs, sentWallMs);
+			case StoreResult.NotFound<Long> none -> failed("the store has no revision");
+			case StoreResult.Conflict<Long> conflict -> failed("unexpected conflict");
+			case StoreResult.Unavailable<Long> unavailable -> failed(unavailable.reason());
+			case StoreResult.Unknown<Long> unknown -> failed(unknown.reason());
+		};
 	}
 
-	private long take(StoreChanges changes, boolean first, long sentMs, long sentWallMs, long waitMs) {
-		long nowMs = this.steadyMs.getAsLong();
-		if (this.away) {
-			this.away = false;
-			this.holdUntilMs = nowMs + this.options.returnMs();
-			this.listener.regained(nowMs - this.answeredAtMs);
+	private long confirm(long newest, long sentMs, long sentWallMs) {
+		answered();
+		releaseHeldBack();
+		if (newest > revision()) {
+			pause(this.options.catchUpMs());
 		}
-		this.answeredAtMs = nowMs;
-		this.retryMs = FIRST_RETRY_MS;
-		boolean changed = (first) ? replace(changes, nowMs) : apply(changes, nowMs);
-		changed |= releaseHeldBack(nowMs);
-		this.revision = changes.revision();
-		if (changed) {
-			this.listener.changed(Map.copyOf(this.values));
+		if (newest <= revision()) {
+			this.listener.confirmed(sentMs, sentWallMs);
+		}
+		else if (!readAll()) {
+			return retryDelayMs();
 		}
-		boolean waited = !first && changes.changes().isEmpty() && nowMs - sentMs >= waitMs;
-		long confirmedAfterMs = (waited) ? waitMs : 0;
-		this.listener.confirmed(sentMs + confirmedAfterMs, sentWallMs + confirmedAfterMs);
-		return (changes.changes().isEmpty() || first) ? 0 : this.options.pauseMs();
+		this.confirmDueMs = sentMs + this.options.confirmMs();
+		return this.options.confirmMs();
 	}
 
-	private boolean replace(StoreChanges changes, long nowMs) {
+	private void pause(long ms) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private boolean readAll() {
+		long sentMs = this.steadyMs.getAsLong();
+		long sentWallMs = this.wallMs.getAsLong();
+		StoreResult<StoreChanges> result = this.feed.read("");
+		if (result instanceof StoreResult.Ok<StoreChanges> ok) {
+			replace(ok.value());
+			this.listener.confirmed(sentMs, sentWallMs);
+			return true;
+		}
+		failed(reason(result));
+		return false;
+	}
+
+	private static String reason(StoreResult<StoreChanges> result) {
+		return switch (result) {
+			case StoreResult.Unavailable<StoreChanges> unavailable -> unavailable.reason();
+			case StoreResult.Unknown<StoreChanges> unknown -> unknown.reason();
+			default -> "unexpected result";
+		};
+	}
+
+	private synchronized long revision() {
+		return (this.historyLost) ? -1 : this.revision;
+	}
+
+	private synchronized void forgetRevision() {
+		this.historyLost = true;
+	}
+
+	private synchronized void replace(StoreChanges all) {
+		answered();
 		Set<String> present = new HashSet<>();
-		changes.changes().forEach((change) -> present.add(change.key()));
+		all.changes().forEach((change) -> present.add(change.key()));
 		Set<String> missing = new HashSet<>(this.values.keySet());
 		missing.removeAll(present);
-		missing.forEach((key) -> remove(key, nowMs));
-		changes.changes().forEach(this::put);
-		return true;
+		missing.forEach(this::remove);
+		all.changes().forEach(this::put);
+		this.historyLost = false;
+		this.readRevision = all.revision();
+		this.revision = all.revision();
+		this.listener.changed(Map.copyOf(this.values));
 	}
 
-	private boolean apply(StoreChanges changes, long nowMs) {
+	private synchronized long takeChanges(StoreChanges changes) {
+		answered();
+		boolean changed = false;
 		for (StoreChange change : changes.changes()) {
-			if (change.value() != null) {
-				put(change);
-			}
-			else {
-				remove(change.key(), nowMs);
+			if (change.revision() > this.readRevision) {
+				changed = true;
+				if (change.value() != null) {
+					put(change);
+				}
+				else {
+					remove(change.key());
+				}
 			}
 		}
-		return !changes.changes().isEmpty();
+		this.revision = Math.max(this.revision, changes.revision());
+		if (changed) {
+			this.listener.changed(Map.copyOf(this.values));
+		}
+		return (changed) ? this.options.pauseMs() : 0;
 	}
 
 	private void put(StoreChange change) {
@@ -163,8 +239,8 @@
 		this.heldBack.remove(change.key());
 	}
 
-	private void remove(String key, long nowMs) {
-		if (nowMs < this.holdUntilMs && this.values.containsKey(key)) {
+	private void remove(String key) {
+		if (this.steadyMs.getAsLong() < this.holdUntilMs && this.values.containsKey(key)) {
 			this.heldBack.add(key);
 		}
 		else {
@@ -172,23 +248,37 @@
 		}
 	}
 
-	private boolean releaseHeldBack(long nowMs) {
-		if (this.heldBack.isEmpty() || nowMs < this.holdUntilMs) {
-			return false;
+	private synchronized void releaseHeldBack() {
+		if (this.heldBack.isEmpty() || this.steadyMs.getAsLong() < this.holdUntilMs) {
+			return;
 		}
 		this.heldBack.forEach(this.values::remove);
 		this.heldBack.clear();
-		return true;
+		this.listener.changed(Map.copyOf(this.values));
+	}
+
+	private synchronized void answered() {
+		long nowMs = this.steadyMs.getAsLong();
+		if (this.away) {
+			this.away = false;
+			this.holdUntilMs = nowMs + this.options.returnMs();
+			this.listener.regained(nowMs - this.answeredAtMs);
+		}
+		this.answeredAtMs = nowMs;
+		this.retryMs = FIRST_RETRY_MS;
 	}
 
-	private long failed(String reason) {
+	private synchronized long failed(String reason) {
 		if (!this.away) {
 			this.away = true;
 			this.listener.lost(reason);
 		}
-		long waitMs = this.retryMs;
 		this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
-		return waitMs;
+		return this.retryMs / 2;
+	}
+
+	private synchronized long retryDelayMs() {
+		return this.retryMs;
 	}
 
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -7,31 +7,35 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.medlardrum.state.LayerRange;
 import org.medlardrum.state.routing.AcceleratorKind;
 import org.medlardrum.state.routing.ModelPool;
 
 /**
- * Decides which layers each engine holds. Engines of similar speed form chains; slow
- * engines form chains within one availability zone, so that each zone that is cut off
- * still serves. Within a chain the layers are in proportion to memory, because the engine
- * with the least free memory for each layer bounds the chain. An engine that comes later
- * takes the layers that the fewest tokens fit on.
+ * Decides which layers each engine holds. The engines of an availability zone, fast and
+ * slow ones, form one chain or a few, so that a zone that is cut off still serves, and a
+ * token seldom crosses zones. Few chains leave more memory for requests than many: the
+ * weights of a chain of its own for the fast engines would take a third of what all
+ * chains have left, while every stream would still wait for its slowest engine. Within a
+ * chain the layers are in proportion to memory, because the engine with the least free
+ * memory for each layer bounds the chain. An engine that comes later takes the layers
+ * that the fewest tokens fit on.
  */
 public final class LayerPlanner {
 
-	/** Engines whose step factors differ by less than this share a chain. */
-	private static final double SAME_SPEED_FACTOR = 4;
-
 	/**
 	 * Memory of a chain relative to the weights. With less, more than four fifths of the
 	 * memory would hold weights and the chain would run a few requests only.
 	 */
 	private static final double MIN_CHAIN_MEMORY = 1.25;
 
-	/** Memory of a second chain of the same engines relative to the weights. */
-	private static final double MEMORY_PER_CHAIN = 1.5;
+	/**
+	 * Memory for each chain of a zone relative to the weights, so that more than half of
+	 * it holds requests.
+	 */
+	private static final double MEMORY_PER_CHAIN = 2.4;
 
 	/** Part of an engine's memory that weights may take. */
 	private static final double MAX_WEIGHT_MEMORY = 0.9;
@@ -64,15 +68,7 @@
 	private Map<String, LayerRange> planChains(List<PlacementServer> empty) {
 		Map<String, LayerRange> plan = new LinkedHashMap<>();
 		List<PlacementServer> rest = new ArrayList<>();
-		for (List<PlacementServer> tier : tiers(empty)) {
-			boolean slowest = tier == tiers(empty).getLast() || isSlowest(tier, empty);
-			if (slowest) {
-				byZone(tier).values().forEach((zone) -> placeGroup(zone, plan, rest));
-			}
-			else {
-				placeGroup(tier, plan, rest);
-			}
-		}
+		byZone(empty).values().forEach((zone) -> placeGroup(zone, plan, rest));
 		placeGroup(rest, plan, new ArrayList<>());
 		List<PlacementServer> known = new ArrayList<>();
 		List<PlacementServer> left = new ArrayList<>();
@@ -80,7 +76,7 @@
 			LayerRange range = plan.get(server.id());
 			if (range != null) {
 				known.add(new PlacementServer(server.id(), server.address(), server.availabilityZone(), server.kind(),
-						java.util.Optional.of(range)));
+						Optional.of(range)));
 			}
 			else {
 				left.add(server);
@@ -92,28 +88,6 @@
 		return plan;
 	}
 
-	private static boolean isSlowest(List<PlacementServer> tier, List<PlacementServer> all) {
-		double slowest = all.stream().mapToDouble((server) -> server.kind().stepFactor()).max().orElse(0);
-		return tier.stream().anyMatch((server) -> server.kind().stepFactor() == slowest);
-	}
-
-	private static List<List<PlacementServer>> tiers(List<PlacementServer> servers) {
-		List<PlacementServer> sorted = servers.stream()
-			.sorted(Comparator.comparingDouble((PlacementServer server) -> server.kind().stepFactor())
-				.thenComparing(PlacementServer::id))
-			.toList();
-		List<List<PlacementServer>> tiers = new ArrayList<>();
-		double fastest = 0;
-		for (PlacementServer server : sorted) {
-			if (tiers.isEmpty() || server.kind().stepFactor() >= fastest * SAME_SPEED_FACTOR) {
-				tiers.add(new ArrayList<>());
-				fastest = server.kind().stepFactor();
-			}
-			tiers.getLast().add(server);
-		}
-		return tiers;
-	}
-
 	private static Map<String, List<PlacementServer>> byZone(List<PlacementServer> servers) {
 		Map<String, List<PlacementServer>> zones = new LinkedHashMap<>();
 		servers.stream()
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -1,5 +1,6 @@
 package org.medlardrum.gateway.internal.http;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -25,8 +26,6 @@
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import org.medlardrum.transport.internal.Addresses;
 
-import java.net.InetSocketAddress;
-
 /**
  * HTTP/1.1 server whose service runs on the event loop. Passing an event on to another
  * thread and back costs more than the work on it.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -19,8 +19,8 @@
 import org.medlardrum.gateway.CallerAttributes;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.plain.PlainRun;
-import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.CallerExchange;
+import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.RequestRun;
 import org.medlardrum.gateway.internal.request.RequestServices;
@@ -39,6 +39,12 @@
 
 	private static final int UNKNOWN_RANK = -1;
 
+	/**
+	 * Time after the request to stop in which requests are still admitted. The balancer
+	 * needs 2 s to notice, and what is admitted must end within the grace period of 8 s.
+	 */
+	private static final long MAX_DRAINING_ADMISSION_MS = 2_900;
+
 	private static final String PART = "request";
 
 	private final RequestServices services;
@@ -119,6 +125,10 @@
 			response.refuse(ProblemType.NOT_READY, "No configuration is known yet", UNKNOWN_RANK, otherHostMs());
 			return Admission.refused("no-configuration");
 		}
+		if (this.services.state().drainingForMs() > MAX_DRAINING_ADMISSION_MS) {
+			response.refuse(ProblemType.DRAINING, "The host is about to stop", UNKNOWN_RANK, otherHostMs());
+			return Admission.refused("draining");
+		}
 		Optional<ServiceRoute> route = table.route(exchange.header("host").orElse(""), exchange.path());
 		if (route.isEmpty()) {
 			return unknown(response, ProblemType.UNKNOWN_ROUTE, "No route matches", attributes);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.medlardrum.decisions.routing.ConfigFreshness;
 import org.medlardrum.decisions.routing.ServerSuspicions;
@@ -39,7 +38,8 @@
 
 	private final ServerSuspicions heardSuspicions = new ServerSuspicions();
 
-	private final AtomicBoolean draining = new AtomicBoolean();
+	/** Steady time of the request to stop, {@link Long#MAX_VALUE} before it. */
+	private volatile long drainingSinceMs = Long.MAX_VALUE;
 
 	private volatile RoutingTable table;
 
@@ -229,7 +229,7 @@
 	 * Marks the host as draining.
 	 */
 	public void drain() {
-		this.draining.set(true);
+		this.drainingSinceMs = this.clock.steadyMs();
 	}
 
 	/**
@@ -237,7 +237,15 @@
 	 * @return {@code true} after {@link #drain}
 	 */
 	public boolean isDraining() {
-		return this.draining.get();
+		return this.drainingSinceMs != Long.MAX_VALUE;
+	}
+
+	/**
+	 * Returns for how long the host has been draining.
+	 * @return the time in milliseconds, 0 if it is not
+	 */
+	public long drainingForMs() {
+		return Math.max(0, this.clock.steadyMs() - this.drainingSinceMs);
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -218,6 +218,7 @@
 		}
 		if (this.sends > 0 && !this.services.retries().tryRepeat(service, nowMs)) {
 			choice.get().reservation().close();
+			this.searchUntilMs = nowMs;
 			this.services.log().event(PART, "budget-used", "id", this.request.id(), "service", service);
 			return false;
 		}
