--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/CommandLine.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/CommandLine.java
@@ -42,6 +42,7 @@
 		this.commands.put("explain", new ExplainCommand());
 		this.commands.put("quarantine", new QuarantineCommand());
 		this.commands.put("replay", new ReplayCommand());
+		this.commands.put("story", new StoryCommand());
 		this.commands.put("burn", new BurnCommand());
 		JCommander.Builder builder = JCommander.newBuilder()
 			.programName("medlardrum")
--- /dev/null
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/StoryCommand.java
@@ -0,0 +1,118 @@
+package org.medlardrum.cli.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+
+/**
+ * Prints what the logs of an entry host say of one request.
+ */
+@Parameters(commandDescription = "Print the story of one request from the logs of its entry host")
+final class StoryCommand extends Command {
+
+	/** Longest time around a request that can be asked for: an hour. */
+	private static final long MAX_AROUND_MS = 3_600_000;
+
+	private static final Map<String, String> MEANINGS = Map.ofEntries(
+			Map.entry("answered", "The caller got the whole answer."),
+			Map.entry("refused", "It did not run; the caller was told when to come back. Look at the last reason."),
+			Map.entry("configuration-not-confirmed",
+					"The host could not confirm its configuration at the store in time; it did not run. Look for part=store."),
+			Map.entry("no-configuration", "The host had just started and knew no configuration; it did not run."),
+			Map.entry("unknown-key",
+					"No organisation holds the key in the configuration in force. Look for part=config."),
+			Map.entry("unknown-route", "No route matches in the configuration in force. Look for part=config."),
+			Map.entry("draining", "The host was about to stop; it did not run."),
+			Map.entry("answer-lost", "A server may have run it and its answer was lost; it was not repeated."),
+			Map.entry("broken-off", "The stream broke after its start and no chain could go on with it."),
+			Map.entry("timed-out", "The time limit of caller or route passed while a server worked on it."),
+			Map.entry("server-error", "The server answered with a failure of its own."),
+			Map.entry("caller-left", "The caller closed its connection first."));
+
+	@Parameter(names = "--id", description = "Identifier of the request")
+	String id = "";
+
+	@Parameter(names = "--around-ms",
+			description = "Time around the request in which lines about servers, store and configuration are shown too")
+	String aroundMs = "2000";
+
+	@Parameter(description = "<log file> ...")
+	List<String> files = new ArrayList<>();
+
+	@Override
+	CommandResult run(Session session) {
+		if (this.id.isEmpty()) {
+			throw badValue("--id", this.id, "the identifier of a request");
+		}
+		if (this.files.isEmpty()) {
+			throw new ParameterException("expected a log file, found none");
+		}
+		long around = wholeNumber("--around-ms", this.aroundMs, 0, MAX_AROUND_MS);
+		List<LogLine> lines = new ArrayList<>();
+		for (String file : this.files) {
+			try (var text = Files.lines(Path.of(file))) {
+				text.forEach((line) -> LogLine.parse(line).ifPresent(lines::add));
+			}
+			catch (IOException ex) {
+				return CommandResult.failure(ExitCode.FAILED, "file " + file + " cannot be read: " + ex);
+			}
+		}
+		List<LogLine> own = lines.stream().filter((line) -> line.get("id").equals(this.id)).toList();
+		if (own.isEmpty()) {
+			return CommandResult.failure(ExitCode.FAILED, "no line names request " + this.id);
+		}
+		return story(lines, own, around);
+	}
+
+	private CommandResult story(List<LogLine> lines, List<LogLine> own, long around) {
+		long from = own.stream().mapToLong(LogLine::atMs).min().orElse(0) - around;
+		long to = own.stream().mapToLong(LogLine::atMs).max().orElse(0) + around;
+		List<LogLine> story = lines.stream()
+			.filter((line) -> own.contains(line) || (line.isSurrounding() && line.atMs() >= from && line.atMs() <= to))
+			.sorted(Comparator.comparingLong(LogLine::atMs))
+			.toList();
+		String outcome = own.stream()
+			.filter((line) -> line.get("event").equals("end"))
+			.map((line) -> line.get("outcome"))
+			.findFirst()
+			.orElse("none logged");
+		String meaning = MEANINGS.getOrDefault(outcome,
+				"The logs hold no end of the request; the process may have ended.");
+		List<String> text = new ArrayList<>();
+		text.add("request " + this.id + ": " + outcome + ". " + meaning);
+		long start = own.getFirst().atMs();
+		story.forEach((line) -> text.add(describe(line, start)));
+		JsonObject json = new JsonObject();
+		json.addProperty("outcome", outcome);
+		json.add("lines", new Gson().toJsonTree(story.stream().map(LogLine::fields).toList()));
+		return CommandResult.of(ExitCode.OK, json, String.join("\n", text));
+	}
+
+	private String describe(LogLine line, long start) {
+		StringBuilder text = new StringBuilder(
+				String.format("%+7d ms %s ", line.atMs() - start, (line.get("id").equals(this.id)) ? "*" : " "));
+		text.append(line.get("part")).append(' ').append(line.get("event"));
+		line.fields().forEach((name, value) -> {
+			if (!List.of("t", "part", "event", "id").contains(name)) {
+				text.append(' ').append(name).append('=').append(value);
+			}
+		});
+		return text.toString();
+	}
+
+	@Override
+	String example() {
+		return "story --id 9c41d07be2a35f68 entry-host.log";
+	}
+
+}
