Keep chains within an availability zone: count the link between zones in the cost of a chain

Change: a chain costs the time that it occupies links, times 60. Test: a replay of the calm load stays within zones (it failed before).

--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementIssuerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementIssuerTests.java
@@ -28,7 +28,7 @@
 	private static final AcceleratorKind KIND = new AcceleratorKind("k", 1_000, 1, 1);
 
 	private static final ModelPool POOL = new ModelPool("model", 8, 100, 1_000, 1, 0, 0, 100, 0, Map.of("k", KIND),
-			Map.of(), 100, 20);
+			Map.of(), 0, 0, 100, 20);
 
 	private static final OrderOptions OPTIONS = new OrderOptions(3_000, 500, 400, 500, 6_000, 1);
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -51,6 +51,14 @@
 	/** Cost of entering a chain in another availability zone, as a part of the whole. */
 	static final double OTHER_ZONE_COST = 0.04;
 
+	/**
+	 * Cost of the time for which a request occupies the link between zones, relative to a
+	 * time that it spends alone. The prompts of all requests cross one after another:
+	 * with two crossings for each request the users' links are full at a fifth of their
+	 * load.
+	 */
+	static final double ZONE_LINK_COST = 60;
+
 	private final PoolSnapshot snapshot;
 
 	private final ModelPool pool;
@@ -160,7 +168,8 @@
 			boolean otherZone = !zone.equals(server.availabilityZone());
 			return delayMs + ((otherZone) ? OTHER_ZONE_COST * request.answerTokens() * this.pool.stepMs() : 0);
 		}
-		return delayMs * request.answerTokens();
+		double transferMs = this.pool.transferMs(request.tokensAtEnd(), zone, server.availabilityZone());
+		return delayMs * request.answerTokens() + transferMs * ZONE_LINK_COST;
 	}
 
 	// Time that an engine spends on a request: one step for each token written and the
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
@@ -97,6 +97,22 @@
 		return new ChainSearch(Pools.snapshot(this.servers, loads)).find(new ChainRequest(772, 167, 2, "a"));
 	}
 
+	/**
+	 * Replays the calm load in which chains crossed zones five times each and the links
+	 * between zones were full.
+	 */
+	@Test
+	void chainsStayWithinAZoneWhileOneHasRoom() {
+		Map<String, ServerLoad> loads = new HashMap<>();
+		for (int i = 0; i < 150; i++) {
+			List<ChainHop> chain = new ChainSearch(Pools.snapshot(this.servers, loads))
+				.find(new ChainRequest(772, 167, i % 3, List.of("a", "b", "c").get(i % 3)))
+				.orElseThrow();
+			assertThat(chain.stream().map((hop) -> hop.server().availabilityZone()).distinct().count()).isEqualTo(1);
+			reserve(loads, chain);
+		}
+	}
+
 	@Test
 	void avoidedEnginesAreNotUsed() {
 		PoolSnapshot snapshot = new PoolSnapshot(Pools.POOL, this.servers, Map.of(),
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -32,7 +32,7 @@
 	private static final String ANY_PORT = "127.0.0.1:0";
 
 	private static final ModelPool POOL = new ModelPool("model", 8, 100, 800, 1, 0, 0, 100, 0,
-			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 100, 20);
+			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 0, 0, 100, 20);
 
 	final AtomicLong clockOffsetMs = new AtomicLong();
 
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/ModelPool.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/ModelPool.java
@@ -16,16 +16,23 @@
  * @param loadMs time to load all layers
  * @param kinds kinds of accelerators by name
  * @param zoneDelayMs one-way delay between availability zones, by {@link #zonePair}
+ * @param activationBytes bytes that a token sends from one engine of a chain to the next
+ * @param zoneLinkMbps bandwidth between availability zones, shared by all, in megabits
+ * per second, 0 for no limit
  * @param usualPromptTokens mean length of a prompt
  * @param usualAnswerTokens mean length of an answer
  */
 public record ModelPool(String model, int layers, double layerMb, double kvBytesPerToken, double stepMs,
 		double perSequenceMs, double contextMsPerKiloToken, double readTokensPerMs, double loadMs,
-		Map<String, AcceleratorKind> kinds, Map<String, Double> zoneDelayMs, int usualPromptTokens,
-		int usualAnswerTokens) {
+		Map<String, AcceleratorKind> kinds, Map<String, Double> zoneDelayMs, double activationBytes,
+		double zoneLinkMbps, int usualPromptTokens, int usualAnswerTokens) {
 
 	private static final double BYTES_PER_MB = 1_000_000;
 
+	private static final double BITS_PER_BYTE = 8;
+
+	private static final double BITS_PER_MS_AT_1_MBPS = 1_000;
+
 	/** One-way delay assumed inside of an availability zone, from the users' sheet. */
 	private static final double SAME_ZONE_DELAY_MS = 0.2;
 
@@ -63,6 +70,20 @@
 		return this.zoneDelayMs.getOrDefault(zonePair(one, other), UNKNOWN_ZONE_DELAY_MS);
 	}
 
+	/**
+	 * Returns the time for which tokens occupy the link between two availability zones.
+	 * @param tokens number of tokens
+	 * @param one an availability zone
+	 * @param other an availability zone
+	 * @return the time, in milliseconds, 0 within a zone
+	 */
+	public double transferMs(int tokens, String one, String other) {
+		if (one.equals(other) || this.zoneLinkMbps <= 0) {
+			return 0;
+		}
+		return tokens * this.activationBytes * BITS_PER_BYTE / (this.zoneLinkMbps * BITS_PER_MS_AT_1_MBPS);
+	}
+
 	/**
 	 * Returns how many layers the memory of an accelerator holds.
 	 * @param kind the accelerator
