See that a caller leaves before its first event

Cause: a caller that closes its connection without a reset while the engine is silent was noticed with the next write only: the library reads on demand, and the handler that sees the end was not installed on these connections. Change: the handler is installed with the first request and the connection is read on behind a complete request. Test: silentEngineStopsWhenTheCallerLeavesWithoutAReset failed before.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.http.api.DelegatingHttpServiceContext;
@@ -78,10 +79,22 @@
 	 * @param action the action, run on the event loop
 	 */
 	static void onPeerClosed(HttpServiceContext context, Runnable action) {
-		PeerCloseHandler handler = channel(context).pipeline().get(PeerCloseHandler.class);
-		if (handler != null) {
-			handler.set(action);
+		ChannelPipeline pipeline = channel(context).pipeline();
+		PeerCloseHandler handler = pipeline.get(PeerCloseHandler.class);
+		if (handler == null) {
+			handler = new PeerCloseHandler();
+			pipeline.addFirst(handler);
 		}
+		handler.set(action);
+	}
+
+	/**
+	 * Reads on behind a complete request. The library reads only when it expects bytes,
+	 * so that the end of a connection would be seen with the next write to it.
+	 * @param context context of the request
+	 */
+	static void watchPeer(HttpServiceContext context) {
+		channel(context).read();
 	}
 
 	private static Channel channel(ConnectionContext context) {
@@ -136,9 +149,6 @@
 				return Completable.failed(new IllegalStateException("too many connections"));
 			}
 			context.onClose().subscribe(this.connections::decrementAndGet);
-			if (context instanceof NettyConnectionContext netty) {
-				netty.nettyChannel().pipeline().addFirst(new PeerCloseHandler());
-			}
 			return Completable.completed();
 		}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -80,7 +80,7 @@
 		SourceAdapters
 			.toSource(request.payloadBody()
 				.collect(ByteArrayOutputStream::new, (content, buffer) -> append(content, buffer, maxBytes)))
-			.subscribe(new BodySubscriber(exchange, attributes, arrivedMs, maxBytes));
+			.subscribe(new BodySubscriber(context, exchange, attributes, arrivedMs, maxBytes));
 		return exchange.response();
 	}
 
@@ -200,6 +200,8 @@
 	 */
 	private final class BodySubscriber implements SingleSource.Subscriber<ByteArrayOutputStream> {
 
+		private final HttpServiceContext context;
+
 		private final CallerExchange exchange;
 
 		private final CallerAttributes attributes;
@@ -208,7 +210,9 @@
 
 		private final int maxBytes;
 
-		BodySubscriber(CallerExchange exchange, CallerAttributes attributes, long arrivedMs, int maxBytes) {
+		BodySubscriber(HttpServiceContext context, CallerExchange exchange, CallerAttributes attributes, long arrivedMs,
+				int maxBytes) {
+			this.context = context;
 			this.exchange = exchange;
 			this.attributes = attributes;
 			this.arrivedMs = arrivedMs;
@@ -229,6 +233,7 @@
 				return;
 			}
 			begin(this.exchange, this.attributes, this.arrivedMs, content.toByteArray());
+			this.context.executionContext().ioExecutor().execute(() -> EventLoopServer.watchPeer(this.context));
 		}
 
 		@Override
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -150,4 +150,30 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "", "connection: close\r\n" })
+	void silentEngineStopsWhenTheCallerLeavesWithoutAReset(String header) throws Exception {
+		CountDownLatch received = new CountDownLatch(1);
+		CountDownLatch closed = new CountDownLatch(1);
+		try (FakeBackend engine = new FakeBackend((head, socket, out) -> {
+			if (head.startsWith("get /report")) {
+				FakeBackend.answer(200, "", "").answer(head, socket, out);
+				return;
+			}
+			received.countDown();
+			try {
+				socket.getInputStream().read();
+			}
+			finally {
+				closed.countDown();
+			}
+		})) {
+			this.fixture.register("pool", "e1", engine);
+			try (Socket caller = this.fixture.send("POST", "/stream/1", "key: k1\r\n" + header)) {
+				assertThat(received.await(3, TimeUnit.SECONDS)).isTrue();
+			}
+			assertThat(closed.await(400, TimeUnit.MILLISECONDS)).isTrue();
+		}
+	}
+
 }
