Repair the chain of a zone: new engines take its gaps, redundant ones move there

Change: placement looks at the engines of one zone; a new engine waits 1.5 s for its predecessor to leave; an engine whose layers others hold moves to a gap. Tests: replacementsKeepEachZoneWhole and redundantEngineMovesToAGap failed before.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.internal.DutyThread;
@@ -34,6 +35,9 @@
 	 */
 	private static final long SETTLE_MS = 6_000;
 
+	/** Time in which the predecessor of a new engine announces that it leaves. */
+	private static final long NEW_SERVER_WAIT_MS = 1_500;
+
 	/** Hosts that see the lease free try to take it within this time. */
 	private static final long ACQUIRE_SPREAD_MS = 1_500;
 
@@ -59,6 +63,8 @@
 
 	private final Map<String, LayerRange> lastByAddress = new HashMap<>();
 
+	private final Map<String, Long> firstSeenMs = new HashMap<>();
+
 	private long acquireAtMs = -1;
 
 	/**
@@ -151,20 +157,24 @@
 
 	private void place(PoolPlacement placement) {
 		long nowMs = this.clock.millis();
+		LayerPlanner planner = new LayerPlanner(placement.pool());
 		List<PlacementServer> believed = new ArrayList<>();
 		for (PlacementServer server : placement.servers()) {
-			server.layers().ifPresent((layers) -> {
-				this.ordered.remove(server.id());
-				this.lastByAddress.put(server.address(), layers);
-			});
+			this.firstSeenMs.putIfAbsent(server.id(), nowMs);
+			settle(server, nowMs);
 			believed.add(believed(server));
 		}
-		Map<String, LayerRange> plan = new LayerPlanner(placement.pool()).plan(believed);
+		this.firstSeenMs.keySet()
+			.retainAll(placement.servers().stream().map(PlacementServer::id).collect(Collectors.toSet()));
+		List<PlacementServer> ready = believed.stream()
+			.filter((server) -> server.layers().isPresent() || isDue(server, planner, believed, nowMs))
+			.toList();
+		Map<String, LayerRange> plan = planner.plan(ready);
 		for (PlacementServer server : placement.servers()) {
 			Ordered order = this.ordered.get(server.id());
 			LayerRange wanted = wanted(server, order, plan);
 			boolean due = order == null || nowMs - order.atMs >= SETTLE_MS;
-			if (server.layers().isEmpty() && wanted != null && due) {
+			if (wanted != null && due && !server.layers().equals(Optional.of(wanted))) {
 				if (!this.lease.maySend(false)) {
 					return;
 				}
@@ -174,22 +184,44 @@
 		}
 	}
 
+	// An order is over when the registry shows its layers, or when it is given up because
+	// the engine shows others for long.
+	private void settle(PlacementServer server, long nowMs) {
+		Ordered order = this.ordered.get(server.id());
+		if (order != null && server.layers().isPresent()
+				&& (server.layers().get().equals(order.layers) || nowMs - order.atMs >= SETTLE_MS)) {
+			this.ordered.remove(server.id());
+		}
+		server.layers().ifPresent((layers) -> this.lastByAddress.put(server.address(), layers));
+	}
+
+	// A new engine often replaces another one that is about to leave: it waits for the
+	// gap unless there is one already, or until most engines are empty.
+	private boolean isDue(PlacementServer server, LayerPlanner planner, List<PlacementServer> all, long nowMs) {
+		return nowMs - this.firstSeenMs.get(server.id()) >= NEW_SERVER_WAIT_MS || planner.hasGap(server, all);
+	}
+
 	private LayerRange wanted(PlacementServer server, Ordered order, Map<String, LayerRange> plan) {
 		if (order != null) {
 			return order.layers;
 		}
-		return this.lastByAddress.getOrDefault(server.address(), plan.get(server.id()));
+		if (server.layers().isEmpty() && this.lastByAddress.containsKey(server.address())) {
+			return this.lastByAddress.get(server.address());
+		}
+		return plan.get(server.id());
 	}
 
-	// Adds to an engine without layers those that it has been ordered to hold, or those
-	// that its address held before its restart.
+	// Adds the layers that an engine has been ordered to hold, or those that its address
+	// held before its restart.
 	private PlacementServer believed(PlacementServer server) {
-		if (server.layers().isPresent()) {
-			return server;
-		}
 		Ordered order = this.ordered.get(server.id());
-		LayerRange before = this.lastByAddress.get(server.address());
-		Optional<LayerRange> layers = Optional.ofNullable((order != null) ? order.layers : before);
+		Optional<LayerRange> layers = server.layers();
+		if (order != null) {
+			layers = Optional.of(order.layers);
+		}
+		else if (layers.isEmpty()) {
+			layers = Optional.ofNullable(this.lastByAddress.get(server.address()));
+		}
 		return new PlacementServer(server.id(), server.address(), server.availabilityZone(), server.kind(), layers);
 	}
 
@@ -199,8 +231,11 @@
 			Logger.info("placement: {} at {} does not answer", server.id(), server.address());
 			return;
 		}
-		if (report.get().busy() || report.get().layers().isPresent()) {
-			this.ordered.put(server.id(), new Ordered(report.get().layers().orElse(wanted), this.clock.millis()));
+		if (report.get().busy()) {
+			return;
+		}
+		if (report.get().layers().equals(Optional.of(wanted))) {
+			remember(server, wanted);
 			return;
 		}
 		OrderResult result = this.engines.place(server.address(), wanted, report.get().orders(),
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,17 +50,51 @@
 	}
 
 	/**
-	 * Returns the layers of engines that hold none.
-	 * @param servers all engines that take requests
-	 * @return layers by identifier of the engine, for engines without layers only
+	 * Returns the layers that engines are to hold instead of none or of their present
+	 * ones. Engines without layers get some. While a group has layers that no engine
+	 * holds, one engine whose layers others hold as well moves there.
+	 * @param servers all engines that take requests, with the layers that they are
+	 * believed to hold soon
+	 * @return new layers by identifier of the engine
 	 */
 	public Map<String, LayerRange> plan(Collection<PlacementServer> servers) {
-		List<PlacementServer> empty = new ArrayList<>(
-				servers.stream().filter((server) -> server.layers().isEmpty()).toList());
+		List<PlacementServer> empty = servers.stream().filter((server) -> server.layers().isEmpty()).toList();
 		if (empty.size() * 2 > servers.size()) {
 			return planChains(empty);
 		}
-		return fill(servers, empty);
+		Map<String, LayerRange> plan = new LinkedHashMap<>();
+		groups(servers).forEach((group) -> plan.putAll(fill(group, servers)));
+		return plan;
+	}
+
+	/**
+	 * Returns whether some layers are held by no engine of a server's group.
+	 * @param server the server
+	 * @param servers all engines that take requests
+	 * @return {@code true} if the group cannot serve alone
+	 */
+	public boolean hasGap(PlacementServer server, Collection<PlacementServer> servers) {
+		return groups(servers).stream()
+			.filter((group) -> group.stream().anyMatch((other) -> other.id().equals(server.id())))
+			.anyMatch((group) -> hasGap(coverage(group)));
+	}
+
+	// A zone whose engines can hold the model serves alone; the others serve together.
+	private List<List<PlacementServer>> groups(Collection<PlacementServer> servers) {
+		List<List<PlacementServer>> groups = new ArrayList<>();
+		List<PlacementServer> rest = new ArrayList<>();
+		for (List<PlacementServer> zone : byZone(List.copyOf(servers)).values()) {
+			if (memoryMb(zone) >= MIN_CHAIN_MEMORY * this.pool.layers() * this.pool.layerMb()) {
+				groups.add(zone);
+			}
+			else {
+				rest.addAll(zone);
+			}
+		}
+		if (!rest.isEmpty()) {
+			groups.add(rest);
+		}
+		return groups;
 	}
 
 	// Places whole chains on empty engines.
@@ -82,8 +115,9 @@
 				left.add(server);
 			}
 		}
-		if (!known.isEmpty()) {
-			plan.putAll(fill(known, left));
+		if (!known.isEmpty() && !left.isEmpty()) {
+			known.addAll(left);
+			plan.putAll(plan(known));
 		}
 		return plan;
 	}
@@ -171,29 +205,83 @@
 		return ranges;
 	}
 
-	// Places single engines where the fewest tokens fit.
-	private Map<String, LayerRange> fill(Collection<PlacementServer> servers, List<PlacementServer> empty) {
+	// Places single engines where the fewest tokens of their group fit.
+	private Map<String, LayerRange> fill(List<PlacementServer> group, Collection<PlacementServer> all) {
+		double[] tokens = coverage(group);
+		Map<String, LayerRange> plan = new LinkedHashMap<>();
+		for (PlacementServer server : group) {
+			if (server.layers().isEmpty()) {
+				place(server, all, tokens).ifPresent((range) -> {
+					plan.put(server.id(), range);
+					add(tokens, server.kind(), range);
+				});
+			}
+		}
+		if (plan.isEmpty() && hasGap(tokens)) {
+			redundant(group).ifPresent((server) -> {
+				remove(tokens, server.kind(), server.layers().orElseThrow());
+				place(server, all, tokens).filter((range) -> !range.equals(server.layers().orElseThrow()))
+					.ifPresent((range) -> plan.put(server.id(), range));
+			});
+		}
+		return plan;
+	}
+
+	private Optional<LayerRange> place(PlacementServer server, Collection<PlacementServer> all, double[] tokens) {
+		int length = usualLength(server.kind(), all);
+		return (length < 1) ? Optional.empty() : Optional.of(weakest(tokens, length));
+	}
+
+	private Optional<PlacementServer> redundant(List<PlacementServer> group) {
+		return group.stream()
+			.filter((server) -> server.layers().isPresent())
+			.filter((server) -> isCoveredByOthers(server, group))
+			.max(Comparator.comparingDouble((PlacementServer server) -> server.kind().memoryMb())
+				.thenComparing(PlacementServer::id));
+	}
+
+	private boolean isCoveredByOthers(PlacementServer server, List<PlacementServer> group) {
+		double[] tokens = coverage(group);
+		LayerRange range = server.layers().orElseThrow();
+		remove(tokens, server.kind(), range);
+		for (int layer = range.fromLayer(); layer < Math.min(range.toLayer(), tokens.length); layer++) {
+			if (tokens[layer] <= 0) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private double[] coverage(Collection<PlacementServer> servers) {
 		double[] tokens = new double[this.pool.layers()];
 		for (PlacementServer server : servers) {
 			server.layers().ifPresent((range) -> add(tokens, server.kind(), range));
 		}
-		Map<String, LayerRange> plan = new HashMap<>();
-		for (PlacementServer server : empty) {
-			int length = usualLength(server.kind(), servers);
-			if (length < 1) {
-				continue;
+		return tokens;
+	}
+
+	private static boolean hasGap(double[] tokens) {
+		for (double each : tokens) {
+			if (each <= 0) {
+				return true;
 			}
-			LayerRange range = weakest(tokens, length);
-			plan.put(server.id(), range);
-			add(tokens, server.kind(), range);
 		}
-		return plan;
+		return false;
+	}
+
+	private void remove(double[] tokens, AcceleratorKind kind, LayerRange range) {
+		add(tokens, kind, range, -1);
 	}
 
 	private void add(double[] tokens, AcceleratorKind kind, LayerRange range) {
-		double each = (double) this.pool.tokenLayerCapacity(kind, range.length()) / range.length();
+		add(tokens, kind, range, 1);
+	}
+
+	private void add(double[] tokens, AcceleratorKind kind, LayerRange range, int sign) {
+		// Counted in whole tokens, so that what is added and removed again leaves zero.
+		long each = Math.max(1, this.pool.tokenLayerCapacity(kind, range.length()) / range.length());
 		for (int layer = range.fromLayer(); layer < Math.min(range.toLayer(), tokens.length); layer++) {
-			tokens[layer] += each;
+			tokens[layer] += sign * each;
 		}
 	}
 
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
@@ -1,6 +1,7 @@
 package org.medlardrum.decisions.pool;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -99,6 +100,56 @@
 		assertThat(taken.toLayer()).isGreaterThan(gap.fromLayer());
 	}
 
+	/**
+	 * Replays a replacement of servers one after the other, in which new engines took
+	 * layers that other zones held seldom and their own zone lost its chain.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "a", "b", "c" })
+	void replacementsKeepEachZoneWhole(String zone) {
+		Map<String, PlacementServer> servers = new LinkedHashMap<>();
+		this.fleet.forEach((server) -> servers.put(server.id(), holding(server, this.plan.get(server.id()))));
+		int next = 0;
+		for (PlacementServer old : this.fleet) {
+			if (!old.availabilityZone().equals(zone)) {
+				continue;
+			}
+			servers.remove(old.id());
+			String id = "new-" + next++;
+			servers.put(id, new PlacementServer(id, "10.0.1.1:" + next, zone, old.kind(), Optional.empty()));
+			for (int round = 0; round < 3; round++) {
+				new LayerPlanner(Pools.POOL).plan(servers.values())
+					.forEach((placed, range) -> servers.put(placed, holding(servers.get(placed), range)));
+			}
+			List<PoolServer> alone = servers.values()
+				.stream()
+				.filter((server) -> server.availabilityZone().equals(zone) && server.layers().isPresent())
+				.map((server) -> new PoolServer(server.id(), server.address(), zone, server.kind(),
+						server.layers().get(), 134))
+				.toList();
+			assertWithMessage("after " + old.id())
+				.that(new ChainSearch(Pools.snapshot(alone, Map.of())).find(new ChainRequest(772, 167, 0, zone)))
+				.isPresent();
+		}
+	}
+
+	@Test
+	void redundantEngineMovesToAGap() {
+		Map<String, PlacementServer> servers = new LinkedHashMap<>();
+		this.fleet.forEach((server) -> servers.put(server.id(), holding(server, this.plan.get(server.id()))));
+		LayerRange gap = this.plan.get("l4-a-3");
+		servers.put("l4-a-3", holding(servers.get("l4-a-3"), this.plan.get("l4-a-4")));
+		Map<String, LayerRange> moves = new LayerPlanner(Pools.POOL).plan(servers.values());
+		assertThat(moves).hasSize(1);
+		assertThat(moves.values()).containsExactly(gap);
+		assertThat(moves.keySet().iterator().next()).isIn(List.of("l4-a-3", "l4-a-4"));
+	}
+
+	private static PlacementServer holding(PlacementServer server, LayerRange range) {
+		return new PlacementServer(server.id(), server.address(), server.availabilityZone(), server.kind(),
+				Optional.of(range));
+	}
+
 	@Test
 	void planIsTheSameForTheSameFleet() {
 		assertThat(new LayerPlanner(Pools.POOL).plan(Pools.fleet())).isEqualTo(this.plan);
