Prefer chains of the own zone, avoid servers that refused their part, log gaps of streams

Change: entering another zone costs a quarter of a stream's time; a server that refused its part is avoided for 1 s by all hosts; the end of a stream logs its first event and longest gap.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -48,8 +48,13 @@
 	/** Additional growth of the cost for each rank. */
 	static final double FILL_COST_PER_RANK = 3;
 
-	/** Cost of entering a chain in another availability zone, as a part of the whole. */
-	static final double OTHER_ZONE_COST = 0.04;
+	/**
+	 * Cost of entering a chain in another availability zone for each token written, in
+	 * milliseconds: a quarter of what a chain of a zone takes. A stream across zones
+	 * breaks when they are cut off from each other, and its events cost bytes between
+	 * them.
+	 */
+	static final double OTHER_ZONE_COST_MS = 3;
 
 	/**
 	 * Cost of the time for which a request occupies the link between zones, relative to a
@@ -166,7 +171,7 @@
 		double delayMs = this.pool.delayMs(zone, server.availabilityZone());
 		if (partial.hop == null) {
 			boolean otherZone = !zone.equals(server.availabilityZone());
-			return delayMs + ((otherZone) ? OTHER_ZONE_COST * request.answerTokens() * this.pool.stepMs() : 0);
+			return delayMs + ((otherZone) ? OTHER_ZONE_COST_MS * request.answerTokens() : 0);
 		}
 		double transferMs = this.pool.transferMs(request.tokensAtEnd(), zone, server.availabilityZone());
 		return delayMs * request.answerTokens() + transferMs * ZONE_LINK_COST;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -25,6 +25,12 @@
 	 */
 	public static final long SUSPICION_MS = 4_000;
 
+	/**
+	 * Time for which a server that refused its part of a chain is not used: a load of a
+	 * tenth of the model, during which every chain through it would be refused.
+	 */
+	private static final long REFUSAL_MS = 1_000;
+
 	/** Time for which a removed server is remembered; longer than any stream lasts. */
 	private static final long LEAVING_MEMORY_MS = 30_000;
 
@@ -163,10 +169,23 @@
 	 * @param server the server
 	 */
 	public void suspect(String fromZone, ServiceInstance server) {
+		suspect(fromZone, server, SUSPICION_MS);
+	}
+
+	/**
+	 * Suspects a server that refused its part of a chain, for a short time: it may be
+	 * loading layers, leaving, or short of memory.
+	 * @param fromZone availability zone of what waited for the server
+	 * @param server the server
+	 */
+	public void refused(String fromZone, ServiceInstance server) {
+		suspect(fromZone, server, REFUSAL_MS);
+	}
+
+	private void suspect(String fromZone, ServiceInstance server, long forMs) {
 		this.log.event("fleet", "suspect", "server", server.id(), "address", server.address(), "zone",
-				server.availabilityZone(), "seenFrom", fromZone, "forMs", SUSPICION_MS);
-		this.ownSuspicions.suspect(fromZone, server.id(), server.availabilityZone(),
-				this.clock.steadyMs() + SUSPICION_MS);
+				server.availabilityZone(), "seenFrom", fromZone, "forMs", forMs);
+		this.ownSuspicions.suspect(fromZone, server.id(), server.availabilityZone(), this.clock.steadyMs() + forMs);
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -105,6 +105,12 @@
 
 	private int eventsDelivered;
 
+	private long firstEventMs;
+
+	private long deliveredAtMs;
+
+	private long longestGapMs;
+
 	private int sends;
 
 	private int runs;
@@ -305,10 +311,22 @@
 		Optional<ServiceInstance> faulty = verdict.faultyAddress()
 			.flatMap((address) -> this.services.state().fleet().atAddress(address));
 		this.excluded.add(faulty.map(ServiceInstance::id).orElse(this.chain.ids().getFirst()));
+		faulty.ifPresent((server) -> this.services.state().refused(zoneBefore(server.id()), server));
 		return goOn("not-executed",
 				"status " + refusedStatus + " from " + verdict.faultyAddress().orElse(this.call.address()));
 	}
 
+	private String zoneBefore(String serverId) {
+		String before = this.services.settings().availabilityZone();
+		for (ChainHop hop : this.chain.hops()) {
+			if (hop.server().id().equals(serverId)) {
+				return before;
+			}
+			before = hop.server().availabilityZone();
+		}
+		return before;
+	}
+
 	private String onData(byte[] bytes) {
 		this.call.consumed();
 		if (this.plainBody != null) {
@@ -335,8 +353,13 @@
 		if (!this.started) {
 			this.started = true;
 			this.response.startStream(this.status, this.headers);
-			this.services.metrics().firstByte(this.request.kind(), nowMs - this.request.arrivedMs());
+			this.firstEventMs = nowMs - this.request.arrivedMs();
+			this.services.metrics().firstByte(this.request.kind(), this.firstEventMs);
+		}
+		else {
+			this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.deliveredAtMs);
 		}
+		this.deliveredAtMs = nowMs;
 		this.response.write(event.bytes());
 		this.eventsDelivered++;
 	}
@@ -355,6 +378,9 @@
 			this.response.startStream(this.status, this.headers);
 		}
 		this.response.finish();
+		this.services.log()
+			.event(PART, "whole", "id", this.request.id(), "firstMs", this.firstEventMs, "longestGapMs",
+					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.sends);
 		this.services.metrics().whole(this.request.kind(), this.services.nowMs() - this.request.arrivedMs());
 		return "answered";
 	}
@@ -400,17 +426,10 @@
 		if (diagnosis.faultyAddress().isEmpty() || this.services.nowMs() - this.progressAtMs < EVENT_SILENCE_MS) {
 			return null;
 		}
-		String before = this.services.settings().availabilityZone();
-		for (ChainHop hop : this.chain.hops()) {
-			if (hop.server().address().equals(diagnosis.faultyAddress())) {
-				this.excluded.add(hop.server().id());
-				Optional<ServiceInstance> server = this.services.state().fleet().instance(hop.server().id());
-				if (server.isPresent()) {
-					this.services.state().suspect(before, server.get());
-				}
-			}
-			before = hop.server().availabilityZone();
-		}
+		this.services.state().fleet().atAddress(diagnosis.faultyAddress()).ifPresent((server) -> {
+			this.excluded.add(server.id());
+			this.services.state().suspect(zoneBefore(server.id()), server);
+		});
 		this.ran = true;
 		return goOn("stalled", "the chain waits for " + diagnosis.faultyAddress());
 	}
