Move a silent stream in time for its target

Change: a stream that is silent for four of its usual pauses and 0.55 of its target goes on at a chain without any of its engines, where one is filled below 0.7; below that the engine is asked as before. Test: silentStreamGoesOnInTimeForItsTarget.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -24,6 +24,12 @@
 	/** Fill up to which a stream that has begun may take an engine's KV cache. */
 	private static final double RESUME_FILL = 0.97;
 
+	/**
+	 * Fill up to which a chain takes streams that may only be slow where they are; above
+	 * it their move would slow down others.
+	 */
+	private static final double SPARE_FILL = 0.7;
+
 	private final RequestServices services;
 
 	ChainChooser(RequestServices services) {
@@ -39,17 +45,7 @@
 	 * @return the chain, empty when none has room
 	 */
 	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
-		GatewayState state = this.services.state();
-		List<PoolServer> servers = state.fleet()
-			.poolServers(service)
-			.stream()
-			.filter((server) -> !excluded.contains(server.id()))
-			.toList();
-		Map<String, Boolean> suspects = new HashMap<>();
-		PoolSnapshot snapshot = new PoolSnapshot(service.pool().orElseThrow(), servers,
-				this.services.loads().total(this.services.nowMs()),
-				(zone, server) -> suspects.computeIfAbsent(zone + '|' + server.id(),
-						(key) -> state.isSuspect(zone, server.id(), server.availabilityZone())));
+		PoolSnapshot snapshot = snapshot(service, excluded);
 		ChainSearch search = new ChainSearch(snapshot);
 		Optional<List<ChainHop>> chain = (resumes) ? search.find(request, RESUME_FILL) : search.find(request);
 		return chain.map((hops) -> {
@@ -62,6 +58,31 @@
 		});
 	}
 
+	/**
+	 * Returns whether a chain with much room exists.
+	 * @param service the service
+	 * @param request what the chain is needed for
+	 * @param excluded identifiers of engines that must not be used
+	 * @return {@code true} if a chain stays well below full
+	 */
+	boolean hasMuchRoom(RoutedService service, ChainRequest request, Set<String> excluded) {
+		return new ChainSearch(snapshot(service, excluded)).find(request, SPARE_FILL).isPresent();
+	}
+
+	private PoolSnapshot snapshot(RoutedService service, Set<String> excluded) {
+		GatewayState state = this.services.state();
+		List<PoolServer> servers = state.fleet()
+			.poolServers(service)
+			.stream()
+			.filter((server) -> !excluded.contains(server.id()))
+			.toList();
+		Map<String, Boolean> suspects = new HashMap<>();
+		return new PoolSnapshot(service.pool().orElseThrow(), servers,
+				this.services.loads().total(this.services.nowMs()),
+				(zone, server) -> suspects.computeIfAbsent(zone + '|' + server.id(),
+						(key) -> state.isSuspect(zone, server.id(), server.availabilityZone())));
+	}
+
 	/**
 	 * A chain that is reserved until it is closed.
 	 *
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -33,10 +33,20 @@
  */
 public final class StreamRun extends RequestRun {
 
-	/** Silence before the first event after which the chain is asked for its state. */
-	private static final long FIRST_SILENCE_MS = 450;
+	/**
+	 * Part of the target for the first event or for pauses after which a silent stream
+	 * goes on at a chain without any of its engines, if one has much room. The rest is
+	 * for the first event there, which takes 65 ms on the users' engines.
+	 */
+	private static final double SILENT_PART_OF_TARGET = 0.55;
+
+	/** Silence that is unusual, relative to the stream's mean pause. */
+	private static final double UNUSUAL_PAUSES = 4;
 
-	/** Silence between events after which the chain is asked for its state. */
+	/** Events after which the mean pause of a stream is known. */
+	private static final int KNOWN_EVENTS = 4;
+
+	/** Silence after which the chain is asked for its state; reports lag 200 ms. */
 	private static final long EVENT_SILENCE_MS = 250;
 
 	/** Time between two questions during one silence; reports lag 200 ms. */
@@ -105,6 +115,13 @@
 
 	private int eventsDelivered;
 
+	private int attemptEvents;
+
+	private long attemptStartMs;
+
+	/** Whether this silence has led to a look for another chain. */
+	private boolean moved;
+
 	private long firstEventMs;
 
 	private long deliveredAtMs;
@@ -177,6 +194,17 @@
 		if (this.searchEvent != null) {
 			return search(nowMs);
 		}
+		if (nowMs < this.askAtMs) {
+			return moveFromLeaving();
+		}
+		String outcome = moveWhenSilent(nowMs);
+		if (outcome != null || this.progressAtMs == nowMs || this.searchEvent != null) {
+			return outcome;
+		}
+		if (nowMs - this.progressAtMs < EVENT_SILENCE_MS) {
+			this.askAtMs = this.progressAtMs + EVENT_SILENCE_MS;
+			return null;
+		}
 		askWhenSilent();
 		return moveFromLeaving();
 	}
@@ -186,6 +214,35 @@
 		endAttempt();
 	}
 
+	// A stream whose usual pauses are near the target cannot be told from a stalled one.
+	private long unusualSilenceMs() {
+		long targetMs = (long) (this.request.route().gapTargetMs() * SILENT_PART_OF_TARGET);
+		if (this.attemptEvents < KNOWN_EVENTS || targetMs <= 0) {
+			return EVENT_SILENCE_MS;
+		}
+		double meanMs = (double) (this.progressAtMs - this.attemptStartMs) / (this.attemptEvents - 1);
+		long unusualMs = Math.max(targetMs, (long) (meanMs * UNUSUAL_PAUSES));
+		return Math.min(EVENT_SILENCE_MS, unusualMs);
+	}
+
+	/**
+	 * Moves a silent stream to a chain without any of its present engines, in time for
+	 * its target. Which engine is at fault is known only later.
+	 */
+	private String moveWhenSilent(long nowMs) {
+		if (this.moved || !mayRunAgain() || nowMs - this.progressAtMs >= EVENT_SILENCE_MS && this.eventsDelivered > 0) {
+			return null;
+		}
+		this.moved = true;
+		Set<String> others = new HashSet<>(this.excluded);
+		others.addAll(this.chain.ids());
+		if (!this.chooser.hasMuchRoom(this.request.service(), chainRequest(), others)) {
+			return null;
+		}
+		this.excluded.addAll(this.chain.ids());
+		return goOn("silent-moved", "no event for " + (nowMs - this.progressAtMs) + " ms");
+	}
+
 	private void askWhenSilent() {
 		long nowMs = this.services.nowMs();
 		if (nowMs >= this.askAtMs) {
@@ -235,7 +292,10 @@
 		this.plainBody = null;
 		this.headerSeen = false;
 		this.progressAtMs = nowMs;
-		this.askAtMs = nowMs + FIRST_SILENCE_MS;
+		this.attemptEvents = 0;
+		this.attemptStartMs = nowMs;
+		this.moved = false;
+		this.askAtMs = nowMs + (long) (this.request.route().targetLatencyMs() * SILENT_PART_OF_TARGET);
 		String address = this.chain.hops().getFirst().server().address();
 		long remainingMs = this.request.endMs() - nowMs;
 		ForwardPlan plan = new ForwardPlan(remainingMs, this.chain.ids().getFirst(), this.request.organisation(),
@@ -342,8 +402,12 @@
 	private void deliver(StreamedEvent event) {
 		this.ran = true;
 		long nowMs = this.services.nowMs();
+		if (this.attemptEvents++ == 0) {
+			this.attemptStartMs = nowMs;
+		}
 		this.progressAtMs = nowMs;
-		this.askAtMs = nowMs + EVENT_SILENCE_MS;
+		this.moved = false;
+		this.askAtMs = nowMs + unusualSilenceMs();
 		if (event.id() != StreamedEvent.NO_ID) {
 			if (event.id() <= this.lastEventId) {
 				return;
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -176,4 +176,39 @@
 		}
 	}
 
+	/**
+	 * Replays the loss of an engine in the middle of a chain: its report names the engine
+	 * only after the longest pause that is on time.
+	 */
+	@Test
+	void silentStreamGoesOnInTimeForItsTarget() throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		try (FakeBackend next = whole("p2", 7, 9); FakeBackend silent = new FakeBackend((head, socket, out) -> {
+			if (head.startsWith("get /report")) {
+				FakeBackend.answer(200, "", "").answer(head, socket, out);
+				return;
+			}
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
+			for (int id = 1; id <= 6; id++) {
+				FakeBackend.write(out, FakeBackend.chunk(event(id)));
+				Thread.sleep(10);
+			}
+			end.await(5, TimeUnit.SECONDS);
+		})) {
+			this.fixture.register("pool", "e1", silent);
+			Thread.ofVirtual().start(() -> {
+				while (silent.requests().isEmpty()) {
+					Thread.onSpinWait();
+				}
+				this.fixture.register("pool", "e2", next);
+			});
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(answer).contains(event(9));
+			assertThat(next.requests().getFirst()).contains("after: 6");
+		}
+		finally {
+			end.countDown();
+		}
+	}
+
 }
