--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RetryLedger.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RetryLedger.java
@@ -16,7 +16,7 @@
 	 * Part of the common allowance that is given out. The rest covers hosts that have not
 	 * yet heard of each other.
 	 */
-	private static final double GIVEN_OUT = 0.7;
+	private static final double GIVEN_OUT = 0.9;
 
 	/** Hosts assumed until more are known, the smaller of the users' two fleets. */
 	private static final int MIN_HOSTS = 15;
