--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -225,10 +225,8 @@
 		return Math.min(EVENT_SILENCE_MS, unusualMs);
 	}
 
-	/**
-	 * Moves a silent stream to a chain without any of its present engines, in time for
-	 * its target. Which engine is at fault is known only later.
-	 */
+	// Moves a silent stream to a chain without any of its present engines, in time for
+	// its target. Which engine is at fault is known only later.
 	private String moveWhenSilent(long nowMs) {
 		if (this.moved || !mayRunAgain() || nowMs - this.progressAtMs >= EVENT_SILENCE_MS && this.eventsDelivered > 0) {
 			return null;
