End a request whose step fails instead of leaving its caller without an answer

A failure in a callback of the event loop went to the library only: the caller would have waited for its timeout with the engine at work. It is logged with the request's identifier and answered.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -238,6 +238,8 @@
 
 		@Override
 		public void onError(Throwable failure) {
+			GatewayHandler.this.services.log()
+				.event(PART, "body-incomplete", "id", this.attributes.requestId(), "reason", failure);
 			this.exchange.drop();
 			ended(this.attributes, "none", "body-incomplete", this.arrivedMs);
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
@@ -119,6 +119,16 @@
 		return (nowMs >= this.request.endMs()) ? timedOut() : hedge();
 	}
 
+	@Override
+	protected String requestId() {
+		return this.request.id();
+	}
+
+	@Override
+	protected void abandon() {
+		this.response.abandon(this.request.rank());
+	}
+
 	@Override
 	protected void close() {
 		this.active.forEach(PlainAttempt::close);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -192,7 +192,9 @@
 	 * Ends a stream so that the caller sees that it is incomplete.
 	 */
 	public void abort() {
-		this.body.onError(new IOException("the stream is incomplete"));
+		if (this.body != null) {
+			this.body.onError(new IOException("the stream is incomplete"));
+		}
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
@@ -99,6 +99,19 @@
 		this.exchange.finish();
 	}
 
+	/**
+	 * Ends the response after a failure of the gateway itself.
+	 * @param rank rank of the request
+	 */
+	public void abandon(int rank) {
+		if (this.exchange.isStarted()) {
+			this.exchange.abort();
+		}
+		else {
+			fail(ProblemType.BACKEND_FAILED, "The gateway failed", rank);
+		}
+	}
+
 	/**
 	 * Ends a stream so that the caller sees that it is incomplete.
 	 */
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.transport.api.IoExecutor;
@@ -41,7 +42,7 @@
 	 * Starts the request.
 	 */
 	public final void start() {
-		after(begin());
+		step(this::begin);
 	}
 
 	/**
@@ -50,7 +51,7 @@
 	 */
 	public final void on(Signal signal) {
 		if (!this.ended) {
-			after(handle(signal));
+			step(() -> handle(signal));
 		}
 	}
 
@@ -83,6 +84,17 @@
 	// Ends all calls and reservations.
 	protected abstract void close();
 
+	/**
+	 * Returns the identifier of the request.
+	 * @return the identifier
+	 */
+	protected abstract String requestId();
+
+	/**
+	 * Tells the caller that the request failed.
+	 */
+	protected abstract void abandon();
+
 	private void after(String outcome) {
 		if (this.ended) {
 			return;
@@ -114,7 +126,21 @@
 		this.timer = null;
 		this.timerAtMs = Long.MAX_VALUE;
 		long nowMs = this.services.nowMs();
-		after((nowMs >= dueAtMs()) ? onTimer(nowMs) : null);
+		step(() -> (nowMs >= dueAtMs()) ? onTimer(nowMs) : null);
+	}
+
+	// A failed step must not leave the caller without an answer or a server at work.
+	private void step(Supplier<String> work) {
+		String outcome;
+		try {
+			outcome = work.get();
+		}
+		catch (RuntimeException ex) {
+			this.services.log().event("request", "internal-error", "id", requestId(), "error", ex);
+			abandon();
+			outcome = "internal-error";
+		}
+		after(outcome);
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -209,6 +209,16 @@
 		return moveFromLeaving();
 	}
 
+	@Override
+	protected String requestId() {
+		return this.request.id();
+	}
+
+	@Override
+	protected void abandon() {
+		this.response.abandon(this.request.rank());
+	}
+
 	@Override
 	protected void close() {
 		endAttempt();
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpServerExchange.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpServerExchange.java
@@ -175,7 +175,7 @@
 	/**
 	 * Sends the header of a streamed response.
 	 * @param status status of the response
-	 * @param contentType media type, {@code null} for none
+	 * @param contentType media type
 	 */
 	public void startStream(int status, String contentType) {
 		start(status, contentType);
@@ -187,16 +187,7 @@
 	 * @throws IOException if the peer does not take the part
 	 */
 	public void stream(String part) throws IOException {
-		stream(part.getBytes(StandardCharsets.UTF_8));
-	}
-
-	/**
-	 * Sends a part of a streamed response.
-	 * @param part bytes of the part
-	 * @throws IOException if the peer does not take the part
-	 */
-	public void stream(byte[] part) throws IOException {
-		write(part);
+		write(part.getBytes(StandardCharsets.UTF_8));
 	}
 
 	/**
