Tell a stream that may have run apart from one that did not; decide on silences in a pure class

Causes, found while reading StreamRun: a stream whose attempts had run without an event was refused with 503, which promises that it never ran; a failure of the last engine was answered twice, first as a refusal. Tests: refusalAfterAnAttemptThatMayHaveRunDoesNotPromiseOtherwise and failureOfTheLastEngineIsPassedOnWithItsProof failed before.

--- /dev/null
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/StreamPausesTests.java
@@ -0,0 +1,50 @@
+package org.medlardrum.decisions.pool;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against streams that are left at a stalled chain until they are late, and
+ * against moves of streams that are slow because all are.
+ */
+class StreamPausesTests {
+
+	@Test
+	void firstEventIsWaitedForUpToAPartOfItsTarget() {
+		StreamPauses pauses = new StreamPauses(1_000, 500, 200);
+		assertThat(pauses.hasBegun()).isFalse();
+		assertThat(pauses.unusualMs()).isEqualTo(275);
+		assertThat(pauses.silentMs(1_100)).isEqualTo(100);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "10, 110", "27, 110", "40, 160", "50, 200", "62, 248", "90, 250", "300, 250" })
+	void unusualSilenceFollowsTheMeanPause(long pauseMs, long unusualMs) {
+		StreamPauses pauses = new StreamPauses(0, 500, 200);
+		for (int i = 1; i <= 10; i++) {
+			pauses.event(i * pauseMs);
+		}
+		assertThat(pauses.unusualMs()).isEqualTo(unusualMs);
+	}
+
+	@Test
+	void fewEventsSayNothingOfTheMeanPause() {
+		StreamPauses pauses = new StreamPauses(0, 500, 200);
+		pauses.event(10);
+		pauses.event(20);
+		assertThat(pauses.unusualMs()).isEqualTo(StreamPauses.ASK_AFTER_MS);
+	}
+
+	@Test
+	void routeWithoutATargetIsOnlyAsked() {
+		StreamPauses pauses = new StreamPauses(0, 500, 0);
+		for (int i = 1; i <= 10; i++) {
+			pauses.event(i * 10);
+		}
+		assertThat(pauses.unusualMs()).isEqualTo(StreamPauses.ASK_AFTER_MS);
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -9,6 +9,7 @@
 
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.pool.StreamPauses;
 import org.medlardrum.decisions.routing.ReturnTime;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.CallerAttributes;
@@ -33,22 +34,6 @@
  */
 public final class StreamRun extends RequestRun {
 
-	/**
-	 * Part of the target for the first event or for pauses after which a silent stream
-	 * goes on at a chain without any of its engines, if one has much room. The rest is
-	 * for the first event there, which takes 65 ms on the users' engines.
-	 */
-	private static final double SILENT_PART_OF_TARGET = 0.55;
-
-	/** Silence that is unusual, relative to the stream's mean pause. */
-	private static final double UNUSUAL_PAUSES = 4;
-
-	/** Events after which the mean pause of a stream is known. */
-	private static final int KNOWN_EVENTS = 4;
-
-	/** Silence after which the chain is asked for its state; reports lag 200 ms. */
-	private static final long EVENT_SILENCE_MS = 250;
-
 	/** Time between two questions during one silence; reports lag 200 ms. */
 	private static final long ASK_AGAIN_MS = 300;
 
@@ -115,9 +100,7 @@
 
 	private int eventsDelivered;
 
-	private int attemptEvents;
-
-	private long attemptStartMs;
+	private StreamPauses pauses;
 
 	/** Whether this silence has led to a look for another chain. */
 	private boolean moved;
@@ -132,8 +115,6 @@
 
 	private int runs;
 
-	private long progressAtMs;
-
 	private long askAtMs;
 
 	private String lastFailure = "none";
@@ -197,16 +178,7 @@
 		if (nowMs < this.askAtMs) {
 			return moveFromLeaving();
 		}
-		String outcome = moveWhenSilent(nowMs);
-		if (outcome != null || this.progressAtMs == nowMs || this.searchEvent != null) {
-			return outcome;
-		}
-		if (nowMs - this.progressAtMs < EVENT_SILENCE_MS) {
-			this.askAtMs = this.progressAtMs + EVENT_SILENCE_MS;
-			return null;
-		}
-		askWhenSilent();
-		return moveFromLeaving();
+		return onSilence(nowMs);
 	}
 
 	@Override
@@ -224,21 +196,26 @@
 		endAttempt();
 	}
 
-	// A stream whose usual pauses are near the target cannot be told from a stalled one.
-	private long unusualSilenceMs() {
-		long targetMs = (long) (this.request.route().gapTargetMs() * SILENT_PART_OF_TARGET);
-		if (this.attemptEvents < KNOWN_EVENTS || targetMs <= 0) {
-			return EVENT_SILENCE_MS;
+	private String onSilence(long nowMs) {
+		StreamPauses before = this.pauses;
+		String outcome = moveWhenSilent(nowMs);
+		if (outcome != null || this.pauses != before || this.searchEvent != null) {
+			return outcome;
+		}
+		long untilAskMs = StreamPauses.ASK_AFTER_MS - this.pauses.silentMs(nowMs);
+		if (untilAskMs > 0) {
+			this.askAtMs = nowMs + untilAskMs;
+			return null;
 		}
-		double meanMs = (double) (this.progressAtMs - this.attemptStartMs) / (this.attemptEvents - 1);
-		long unusualMs = Math.max(targetMs, (long) (meanMs * UNUSUAL_PAUSES));
-		return Math.min(EVENT_SILENCE_MS, unusualMs);
+		ask(nowMs);
+		return moveFromLeaving();
 	}
 
 	// Moves a silent stream to a chain without any of its present engines, in time for
 	// its target. Which engine is at fault is known only later.
 	private String moveWhenSilent(long nowMs) {
-		if (this.moved || !mayRunAgain() || nowMs - this.progressAtMs >= EVENT_SILENCE_MS && this.eventsDelivered > 0) {
+		boolean late = this.pauses.hasBegun() && this.pauses.silentMs(nowMs) >= StreamPauses.ASK_AFTER_MS;
+		if (this.moved || late || !mayRunAgain()) {
 			return null;
 		}
 		this.moved = true;
@@ -248,18 +225,15 @@
 			return null;
 		}
 		this.excluded.addAll(this.chain.ids());
-		return goOn("silent-moved", "no event for " + (nowMs - this.progressAtMs) + " ms");
+		return goOn("silent-moved", "no event for " + this.pauses.silentMs(nowMs) + " ms");
 	}
 
-	private void askWhenSilent() {
-		long nowMs = this.services.nowMs();
-		if (nowMs >= this.askAtMs) {
-			this.askAtMs = nowMs + ASK_AGAIN_MS;
-			this.services.log()
-				.event(PART, "silent", "id", this.request.id(), "server", this.chain.hops().getFirst().server().id(),
-						"silentMs", nowMs - this.progressAtMs);
-			this.probe.ask(this.call, this.request.id());
-		}
+	private void ask(long nowMs) {
+		this.askAtMs = nowMs + ASK_AGAIN_MS;
+		this.services.log()
+			.event(PART, "silent", "id", this.request.id(), "server", this.chain.hops().getFirst().server().id(),
+					"silentMs", this.pauses.silentMs(nowMs));
+		this.probe.ask(this.call, this.request.id());
 	}
 
 	private String moveFromLeaving() {
@@ -299,11 +273,10 @@
 		this.parser = new EventParser();
 		this.plainBody = null;
 		this.headerSeen = false;
-		this.progressAtMs = nowMs;
-		this.attemptEvents = 0;
-		this.attemptStartMs = nowMs;
+		this.pauses = new StreamPauses(nowMs, this.request.route().targetLatencyMs(),
+				this.request.route().gapTargetMs());
 		this.moved = false;
-		this.askAtMs = nowMs + (long) (this.request.route().targetLatencyMs() * SILENT_PART_OF_TARGET);
+		this.askAtMs = nowMs + this.pauses.unusualMs();
 		String address = this.chain.hops().getFirst().server().address();
 		long remainingMs = this.request.endMs() - nowMs;
 		ForwardPlan plan = new ForwardPlan(remainingMs, this.chain.ids().getFirst(), this.request.organisation(),
@@ -410,12 +383,9 @@
 	private void deliver(StreamedEvent event) {
 		this.ran = true;
 		long nowMs = this.services.nowMs();
-		if (this.attemptEvents++ == 0) {
-			this.attemptStartMs = nowMs;
-		}
-		this.progressAtMs = nowMs;
+		this.pauses.event(nowMs);
 		this.moved = false;
-		this.askAtMs = nowMs + unusualSilenceMs();
+		this.askAtMs = nowMs + this.pauses.unusualMs();
 		if (event.id() != StreamedEvent.NO_ID) {
 			if (event.id() <= this.lastEventId) {
 				return;
@@ -458,20 +428,12 @@
 	}
 
 	private String onServerFailure() {
-		byte[] body = this.plainBody.toByteArray();
-		if (this.status >= SERVER_ERROR && this.request.route().idempotent()) {
-			this.ran = true;
+		this.ran = true;
+		if (this.started || (this.status >= SERVER_ERROR && mayRunAgain())) {
 			this.excluded.add(this.chain.ids().getFirst());
-			String outcome = goOn("server-error", "status " + this.status);
-			if (outcome == null || this.started) {
-				return outcome;
-			}
-		}
-		if (this.started) {
-			this.response.abort();
-			return "broken-off";
+			return goOn("server-error", "status " + this.status);
 		}
-		this.response.deliver(this.status, this.headers, body);
+		this.response.deliver(this.status, this.headers, this.plainBody.toByteArray());
 		return "server-error";
 	}
 
@@ -495,7 +457,8 @@
 	}
 
 	private String onDiagnosis(Signal.Diagnosis diagnosis) {
-		if (diagnosis.faultyAddress().isEmpty() || this.services.nowMs() - this.progressAtMs < EVENT_SILENCE_MS) {
+		if (diagnosis.faultyAddress().isEmpty()
+				|| this.pauses.silentMs(this.services.nowMs()) < StreamPauses.ASK_AFTER_MS) {
 			return null;
 		}
 		this.services.state().fleet().atAddress(diagnosis.faultyAddress()).ifPresent((server) -> {
@@ -545,7 +508,7 @@
 			this.response.abort();
 			return "broken-off";
 		}
-		if (this.ran && !this.request.route().idempotent()) {
+		if (this.ran) {
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -211,4 +211,26 @@
 		}
 	}
 
+	@Test
+	void refusalAfterAnAttemptThatMayHaveRunDoesNotPromiseOtherwise() throws Exception {
+		try (FakeBackend breaking = new FakeBackend((head, socket, out) -> socket.close())) {
+			this.fixture.register("pool", "e1", breaking);
+			assertThat(this.fixture.call("POST", "/stream/1")).startsWith("HTTP/1.1 502");
+		}
+	}
+
+	@Test
+	void failureOfTheLastEngineIsPassedOnWithItsProof() throws Exception {
+		String failure = "id: r1\r\nproof: p1\r\n";
+		try (FakeBackend first = new FakeBackend(FakeBackend.answer(500, failure, "no"));
+				FakeBackend second = new FakeBackend(FakeBackend.answer(500, failure, "no"))) {
+			this.fixture.register("pool", "e1", first);
+			this.fixture.register("pool", "e2", second);
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(answer).startsWith("HTTP/1.1 500");
+			assertThat(answer).contains("proof: p1");
+			assertThat(first.requests().size() + second.requests().size()).isEqualTo(2);
+		}
+	}
+
 }
