--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.http;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -177,7 +178,7 @@
 			return stale(response, attributes);
 		}
 		response.refuse(type, detail, UNKNOWN_RANK, 0);
-		return Admission.refused(type.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
+		return Admission.refused(type.name().toLowerCase(Locale.ROOT).replace('_', '-'));
 	}
 
 	private long otherHostMs() {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/GatewayRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/GatewayRequest.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.request;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 import org.medlardrum.gateway.CallerAttributes;
@@ -39,7 +40,7 @@
 	 * @return the lower-case name
 	 */
 	public String kind() {
-		return this.route.kind().name().toLowerCase(java.util.Locale.ROOT);
+		return this.route.kind().name().toLowerCase(Locale.ROOT);
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
@@ -90,9 +90,7 @@
 	 */
 	protected abstract String requestId();
 
-	/**
-	 * Tells the caller that the request failed.
-	 */
+	// Tells the caller that the request failed.
 	protected abstract void abandon();
 
 	private void after(String outcome) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/AdmissionTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/AdmissionTests.java
@@ -1,12 +1,15 @@
 package org.medlardrum.gateway;
 
 import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.medlardrum.state.routing.RequestLimits;
+import org.medlardrum.state.routing.RoutingTable;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -59,8 +62,7 @@
 	void olderConfigurationDoesNotReplaceANewerOne() throws Exception {
 		this.fixture.gateway().configure(GatewayFixture.table(7));
 		this.fixture.gateway()
-			.configure(new org.medlardrum.state.routing.RoutingTable(6, List.of(), List.of(), false, java.util.Map.of(),
-					org.medlardrum.state.routing.RequestLimits.DEFAULT));
+			.configure(new RoutingTable(6, List.of(), List.of(), false, Map.of(), RequestLimits.DEFAULT));
 		this.fixture.confirm();
 		assertThat(this.fixture.call("GET", "/safe/1")).doesNotContain(" 404 ");
 	}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/stream/EventParserTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/stream/EventParserTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,7 +23,7 @@
 		EventParser parser = new EventParser();
 		List<StreamedEvent> events = new ArrayList<>();
 		for (int from = 0; from < stream.length; from += size) {
-			byte[] part = java.util.Arrays.copyOfRange(stream, from, Math.min(stream.length, from + size));
+			byte[] part = Arrays.copyOfRange(stream, from, Math.min(stream.length, from + size));
 			events.addAll(parser.add(part));
 		}
 		assertThat(events.stream().map(StreamedEvent::id).toList()).containsExactly(1L, 2L, -1L).inOrder();
