Move a stream that its chain may still serve only to a chain that is reserved before

Change: moves for a leaving engine or a silence reserve chain and repeat first and otherwise leave the stream where it is. Test: streamStaysAtALeavingEngineWhereNoOtherHasRoom failed before.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -43,6 +43,9 @@
 	 */
 	private static final long LEAVING_GRACE_MS = 1_400;
 
+	/** Time between two looks for a chain for a stream whose engine leaves. */
+	private static final long LEAVING_LOOK_AGAIN_MS = 200;
+
 	/** Time between two looks for a chain when a stream that has begun finds none. */
 	private static final long LOOK_AGAIN_MS = 60;
 
@@ -126,6 +129,8 @@
 
 	private long searchUntilMs;
 
+	private long leavingLookAtMs = Long.MIN_VALUE;
+
 	/**
 	 * Creates a run.
 	 * @param services what all requests share
@@ -176,9 +181,11 @@
 			return search(nowMs);
 		}
 		if (nowMs < this.askAtMs) {
-			return moveFromLeaving();
+			moveFromLeaving();
+			return null;
 		}
-		return onSilence(nowMs);
+		onSilence(nowMs);
+		return null;
 	}
 
 	@Override
@@ -196,36 +203,48 @@
 		endAttempt();
 	}
 
-	private String onSilence(long nowMs) {
+	private void onSilence(long nowMs) {
 		StreamPauses before = this.pauses;
-		String outcome = moveWhenSilent(nowMs);
-		if (outcome != null || this.pauses != before || this.searchEvent != null) {
-			return outcome;
+		moveWhenSilent(nowMs);
+		if (this.pauses != before) {
+			return;
 		}
 		long untilAskMs = StreamPauses.ASK_AFTER_MS - this.pauses.silentMs(nowMs);
 		if (untilAskMs > 0) {
 			this.askAtMs = nowMs + untilAskMs;
-			return null;
+			return;
 		}
 		ask(nowMs);
-		return moveFromLeaving();
+		moveFromLeaving();
 	}
 
 	// Moves a silent stream to a chain without any of its present engines, in time for
 	// its target. Which engine is at fault is known only later.
-	private String moveWhenSilent(long nowMs) {
+	private void moveWhenSilent(long nowMs) {
 		boolean late = this.pauses.hasBegun() && this.pauses.silentMs(nowMs) >= StreamPauses.ASK_AFTER_MS;
 		if (this.moved || late || !mayRunAgain()) {
-			return null;
+			return;
 		}
 		this.moved = true;
 		Set<String> others = new HashSet<>(this.excluded);
 		others.addAll(this.chain.ids());
-		if (!this.chooser.hasMuchRoom(this.request.service(), chainRequest(), others)) {
-			return null;
+		if (this.chooser.hasMuchRoom(this.request.service(), chainRequest(), others)) {
+			move("silent-moved", "no event for " + this.pauses.silentMs(nowMs) + " ms", others);
+		}
+	}
+
+	// Moves a stream whose chain may still serve it: only to a chain that is reserved
+	// before.
+	private void move(String event, String reason, Set<String> avoided) {
+		Optional<ChainChooser.ReservedChain> next = acquire(avoided);
+		if (next.isPresent()) {
+			this.services.log()
+				.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered,
+						"runs", this.runs);
+			this.excluded.addAll(avoided);
+			endAttempt();
+			begin(next.get(), event);
 		}
-		this.excluded.addAll(this.chain.ids());
-		return goOn("silent-moved", "no event for " + this.pauses.silentMs(nowMs) + " ms");
 	}
 
 	private void ask(long nowMs) {
@@ -236,13 +255,18 @@
 		this.probe.ask(this.call, this.request.id());
 	}
 
-	private String moveFromLeaving() {
+	private void moveFromLeaving() {
+		long nowMs = this.services.nowMs();
+		if (nowMs < this.leavingLookAtMs || !mayRunAgain()) {
+			return;
+		}
 		Optional<String> leaving = this.services.state().leavingLongerThan(this.chain.ids(), LEAVING_GRACE_MS);
-		if (leaving.isEmpty() || !mayRunAgain()) {
-			return null;
+		if (leaving.isPresent()) {
+			this.leavingLookAtMs = nowMs + LEAVING_LOOK_AGAIN_MS;
+			Set<String> others = new HashSet<>(this.excluded);
+			others.add(leaving.get());
+			move("leaving", "server " + leaving.get() + " leaves", others);
 		}
-		this.excluded.add(leaving.get());
-		return goOn("leaving", "server " + leaving.get() + " leaves");
 	}
 
 	private boolean mayRunAgain() {
@@ -251,23 +275,32 @@
 
 	// Sends the request, or the rest of it, to the best chain.
 	private boolean send(String reason) {
+		Optional<ChainChooser.ReservedChain> next = acquire(this.excluded);
+		next.ifPresent((chosen) -> begin(chosen, reason));
+		return next.isPresent();
+	}
+
+	// Reserves a chain and takes a repeat from the budget.
+	private Optional<ChainChooser.ReservedChain> acquire(Set<String> avoided) {
 		if (this.sends >= MAX_SENDS) {
-			return false;
+			return Optional.empty();
 		}
-		long nowMs = this.services.nowMs();
 		String service = this.request.service().name();
 		Optional<ChainChooser.ReservedChain> choice = this.chooser.choose(this.request.service(), chainRequest(),
-				this.excluded, this.started);
-		if (choice.isEmpty()) {
-			return false;
-		}
-		if (this.sends > 0 && !this.services.retries().tryRepeat(service, nowMs)) {
+				avoided, this.started);
+		if (choice.isPresent() && this.sends > 0
+				&& !this.services.retries().tryRepeat(service, this.services.nowMs())) {
 			choice.get().reservation().close();
-			this.searchUntilMs = nowMs;
+			this.searchUntilMs = this.services.nowMs();
 			this.services.log().event(PART, "budget-used", "id", this.request.id(), "service", service);
-			return false;
+			return Optional.empty();
 		}
-		this.chain = choice.get();
+		return choice;
+	}
+
+	private void begin(ChainChooser.ReservedChain chosen, String reason) {
+		long nowMs = this.services.nowMs();
+		this.chain = chosen;
 		this.sends++;
 		this.runs++;
 		this.parser = new EventParser();
@@ -287,7 +320,6 @@
 				this::on);
 		this.services.metrics().attempt(this.request.kind(), reason);
 		logSend(reason, remainingMs);
-		return true;
 	}
 
 	private void logSend(String reason, long remainingMs) {
@@ -377,7 +409,8 @@
 		for (StreamedEvent event : this.parser.add(bytes)) {
 			deliver(event);
 		}
-		return moveFromLeaving();
+		moveFromLeaving();
+		return null;
 	}
 
 	private void deliver(StreamedEvent event) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway;
 
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -233,4 +234,31 @@
 		}
 	}
 
+	/**
+	 * Replays a drain while no other chain has room: streams were cut off that their
+	 * leaving engine would have finished.
+	 */
+	@Test
+	void streamStaysAtALeavingEngineWhereNoOtherHasRoom() throws Exception {
+		try (FakeBackend leaving = new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
+			for (int id = 1; id <= 20; id++) {
+				FakeBackend.write(out, FakeBackend.chunk(event(id)));
+				Thread.sleep(100);
+			}
+			FakeBackend.write(out, "0\r\n\r\n");
+		})) {
+			this.fixture.register("pool", "e1", leaving);
+			Thread.ofVirtual().start(() -> {
+				while (leaving.requests().isEmpty()) {
+					Thread.onSpinWait();
+				}
+				this.fixture.gateway().instances(List.of());
+			});
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(answer).contains(event(20));
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+	}
+
 }
