--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.servicetalk.concurrent.api.Completable;
-import io.servicetalk.http.api.DelegatingHttpServiceContext;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.HttpServiceContext;
@@ -26,6 +25,7 @@
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import org.medlardrum.transport.internal.Addresses;
+import org.medlardrum.transport.internal.ConnectionContexts;
 
 /**
  * HTTP/1.1 server whose service runs on the event loop. Passing an event on to another
@@ -98,11 +98,7 @@
 	}
 
 	private static Channel channel(ConnectionContext context) {
-		ConnectionContext inner = context;
-		while (inner instanceof DelegatingHttpServiceContext delegating) {
-			inner = delegating.delegate();
-		}
-		return ((NettyConnectionContext) inner).nettyChannel();
+		return ((NettyConnectionContext) ConnectionContexts.unwrap(context)).nettyChannel();
 	}
 
 	/**
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpListener.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpListener.java
@@ -12,7 +12,6 @@
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
-import io.servicetalk.http.api.DelegatingHttpServiceContext;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
@@ -22,6 +21,7 @@
 import io.servicetalk.transport.api.EarlyConnectionAcceptor;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import org.medlardrum.transport.internal.Addresses;
+import org.medlardrum.transport.internal.ConnectionContexts;
 import org.medlardrum.transport.internal.HttpClientPool;
 
 /**
@@ -132,10 +132,7 @@
 	// closing although the peer still waits; only the end of the connection counts then.
 	private Runnable watch(HttpServiceContext context, BlockingStreamingHttpRequest request,
 			TrackedConnection connection) {
-		HttpServiceContext inner = context;
-		while (inner instanceof DelegatingHttpServiceContext delegating) {
-			inner = delegating.delegate();
-		}
+		ConnectionContext inner = ConnectionContexts.unwrap(context);
 		boolean lastRequest = request.headers().containsIgnoreCase("connection", "close");
 		Completable end = (!lastRequest && inner instanceof NettyConnectionContext netty) ? netty.onClosing()
 				: inner.onClose();
