Keep a slow chain until the next one answers

Cause: a stream that was silent for unusually long, or whose engine was leaving, gave up its chain before the next one had accepted it. A stream that must not run twice was moved as well while its first engine was silent and may have begun it.

Change: the next chain is asked beside the current one. The one with the first event goes on; the other one is told to stop. A refusal or failure of the next chain leaves the stream where it is, a failure of the current one promotes the next. Streams that may not be resumed are not moved while an attempt may run.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -1,13 +1,11 @@
 package org.medlardrum.gateway.internal.stream;
 
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
-import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.StreamPauses;
 import org.medlardrum.decisions.routing.ReturnTime;
@@ -29,8 +27,9 @@
 
 /**
  * Serves a stream from chains of engines. Whole events are passed on as they arrive. When
- * a chain breaks, stalls or loses an engine that leaves, the stream goes on at another
- * chain after the last event that the caller has.
+ * a chain breaks, the stream goes on at another chain after the last event that the
+ * caller has. A chain that may still go on is kept until the other one answers: in an
+ * overload the other one may refuse.
  */
 public final class StreamRun extends RequestRun {
 
@@ -61,14 +60,14 @@
 	/** Largest body of a response that is no stream, in bytes. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
-	private static final int OK = 200;
-
-	private static final int MULTIPLE_CHOICES = 300;
-
 	private static final int SERVER_ERROR = 500;
 
 	private static final String PART = "stream";
 
+	private static final String SILENT_MOVED = "silent-moved";
+
+	private static final String LEAVING = "leaving";
+
 	private final RequestServices services;
 
 	private final GatewayRequest request;
@@ -81,19 +80,11 @@
 
 	private final Set<String> excluded = new HashSet<>();
 
-	private ChainChooser.ReservedChain chain;
-
-	private BackendCall call;
-
-	private EventParser parser = new EventParser();
+	/** The attempt that the caller hears, {@code null} while another chain is sought. */
+	private ChainAttempt current;
 
-	private ByteArrayOutputStream plainBody;
-
-	private int status;
-
-	private List<String> headers = List.of();
-
-	private boolean headerSeen;
+	/** Attempt at another chain beside the current one, {@code null} for none. */
+	private ChainAttempt successor;
 
 	private boolean started;
 
@@ -103,11 +94,6 @@
 
 	private int eventsDelivered;
 
-	private StreamPauses pauses;
-
-	/** Whether this silence has led to a look for another chain. */
-	private boolean moved;
-
 	private long firstEventMs;
 
 	private long deliveredAtMs;
@@ -118,11 +104,9 @@
 
 	private int runs;
 
-	private long askAtMs;
-
 	private String lastFailure = "none";
 
-	/** Why another chain is wanted, {@code null} while an attempt runs. */
+	/** Why another chain is sought, {@code null} while an attempt runs. */
 	private String searchEvent;
 
 	private long searchAtMs;
@@ -159,17 +143,27 @@
 	protected String handle(Signal signal) {
 		return switch (signal) {
 			case Signal.CallerLeft left -> "caller-left";
-			case Signal.Header header -> (header.call() == this.call) ? onHeader(header) : null;
-			case Signal.Data data -> (data.call() == this.call) ? onData(data.bytes()) : null;
-			case Signal.End end -> (end.call() == this.call) ? onEnd() : null;
-			case Signal.Failed failed -> (failed.call() == this.call) ? onFailed(failed) : null;
-			case Signal.Diagnosis diagnosis -> (diagnosis.call() == this.call) ? onDiagnosis(diagnosis) : null;
+			case Signal.Header header -> onHeader(header);
+			case Signal.Data data -> onData(data);
+			case Signal.End end -> onEnd(end);
+			case Signal.Failed failed -> onFailed(failed);
+			case Signal.Diagnosis diagnosis -> onDiagnosis(diagnosis);
 		};
 	}
 
 	@Override
 	protected long dueAtMs() {
-		return Math.min(this.request.endMs(), (this.searchEvent != null) ? this.searchAtMs : this.askAtMs);
+		long dueMs = this.request.endMs();
+		if (this.searchEvent != null) {
+			dueMs = Math.min(dueMs, this.searchAtMs);
+		}
+		if (this.current != null) {
+			dueMs = Math.min(dueMs, this.current.askAtMs());
+		}
+		if (this.successor != null) {
+			dueMs = Math.min(dueMs, this.successor.askAtMs());
+		}
+		return dueMs;
 	}
 
 	@Override
@@ -180,11 +174,13 @@
 		if (this.searchEvent != null) {
 			return search(nowMs);
 		}
-		if (nowMs < this.askAtMs) {
-			moveFromLeaving();
-			return null;
+		if (this.successor != null && nowMs >= this.successor.askAtMs()) {
+			onSilentSuccessor(nowMs);
+		}
+		if (nowMs >= this.current.askAtMs()) {
+			onSilence(nowMs);
 		}
-		onSilence(nowMs);
+		moveFromLeaving(nowMs);
 		return null;
 	}
 
@@ -200,83 +196,117 @@
 
 	@Override
 	protected void close() {
-		endAttempt();
+		dropSuccessor();
+		endCurrent();
 	}
 
 	private void onSilence(long nowMs) {
-		StreamPauses before = this.pauses;
 		moveWhenSilent(nowMs);
-		if (this.pauses != before) {
-			return;
-		}
-		long untilAskMs = StreamPauses.ASK_AFTER_MS - this.pauses.silentMs(nowMs);
+		long untilAskMs = StreamPauses.ASK_AFTER_MS - this.current.pauses().silentMs(nowMs);
 		if (untilAskMs > 0) {
-			this.askAtMs = nowMs + untilAskMs;
+			this.current.askAt(nowMs + untilAskMs);
 			return;
 		}
 		ask(nowMs);
-		moveFromLeaving();
 	}
 
-	// Moves a silent stream to a chain without any of its present engines, in time for
-	// its target. Which engine is at fault is known only later.
+	// A chain that an engine leaves still delivers, so its successor may take its time.
+	private void onSilentSuccessor(long nowMs) {
+		if (this.successor.reason().equals(LEAVING)) {
+			this.successor.askAt(nowMs + ASK_AGAIN_MS);
+		}
+		else {
+			promote("no chain answers");
+		}
+	}
+
+	// Tries a chain without any of the present engines beside the silent one, in time
+	// for the stream's target. Which engine is at fault is known only later.
 	private void moveWhenSilent(long nowMs) {
-		boolean late = this.pauses.hasBegun() && this.pauses.silentMs(nowMs) >= StreamPauses.ASK_AFTER_MS;
-		if (this.moved || late || !mayRunAgain()) {
+		StreamPauses pauses = this.current.pauses();
+		boolean late = pauses.hasBegun() && pauses.silentMs(nowMs) >= StreamPauses.ASK_AFTER_MS;
+		if (late || !mayRunBeside() || !this.current.lookElsewhere()) {
 			return;
 		}
-		this.moved = true;
 		Set<String> others = new HashSet<>(this.excluded);
-		others.addAll(this.chain.ids());
+		others.addAll(this.current.chain().ids());
 		if (this.chooser.hasMuchRoom(this.request.service(), chainRequest(), others)) {
-			move("silent-moved", "no event for " + this.pauses.silentMs(nowMs) + " ms", others);
-		}
-	}
-
-	// Moves a stream whose chain may still serve it: only to a chain that is reserved
-	// before.
-	private void move(String event, String reason, Set<String> avoided) {
-		Optional<ChainChooser.ReservedChain> next = acquire(avoided);
-		if (next.isPresent()) {
-			this.services.log()
-				.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered,
-						"runs", this.runs);
-			this.excluded.addAll(avoided);
-			endAttempt();
-			begin(next.get(), event);
+			addSuccessor(SILENT_MOVED, "no event for " + pauses.silentMs(nowMs) + " ms", others);
 		}
 	}
 
-	private void ask(long nowMs) {
-		this.askAtMs = nowMs + ASK_AGAIN_MS;
-		this.services.log()
-			.event(PART, "silent", "id", this.request.id(), "server", this.chain.hops().getFirst().server().id(),
-					"silentMs", this.pauses.silentMs(nowMs));
-		this.probe.ask(this.call, this.request.id());
-	}
-
-	private void moveFromLeaving() {
-		long nowMs = this.services.nowMs();
-		if (nowMs < this.leavingLookAtMs || !mayRunAgain()) {
+	private void moveFromLeaving(long nowMs) {
+		if (nowMs < this.leavingLookAtMs || !mayRunBeside()) {
 			return;
 		}
-		Optional<String> leaving = this.services.state().leavingLongerThan(this.chain.ids(), LEAVING_GRACE_MS);
+		Optional<String> leaving = this.services.state()
+			.leavingLongerThan(this.current.chain().ids(), LEAVING_GRACE_MS);
 		if (leaving.isPresent()) {
 			this.leavingLookAtMs = nowMs + LEAVING_LOOK_AGAIN_MS;
 			Set<String> others = new HashSet<>(this.excluded);
 			others.add(leaving.get());
-			move("leaving", "server " + leaving.get() + " leaves", others);
+			addSuccessor(LEAVING, "server " + leaving.get() + " leaves", others);
 		}
 	}
 
+	private boolean mayRunBeside() {
+		return this.successor == null && this.runs < this.request.route().maxAttempts()
+				&& this.request.route().idempotent();
+	}
+
 	private boolean mayRunAgain() {
 		return this.runs < this.request.route().maxAttempts() && (this.request.route().idempotent() || !this.ran);
 	}
 
+	private void addSuccessor(String event, String reason, Set<String> avoided) {
+		acquire(avoided).ifPresent((next) -> {
+			logAttempt(event, reason);
+			this.successor = attempt(next, event, avoided);
+		});
+	}
+
+	// The successor becomes the attempt that the caller hears.
+	private void promote(String reason) {
+		logAttempt("promoted", reason);
+		this.excluded.addAll(this.successor.avoided());
+		endCurrent();
+		this.current = this.successor;
+		this.successor = null;
+	}
+
+	private void dropSuccessor() {
+		if (this.successor != null) {
+			this.successor.close();
+			this.successor = null;
+		}
+	}
+
+	private void endCurrent() {
+		if (this.current != null) {
+			this.current.close();
+			this.current = null;
+		}
+	}
+
+	private ChainAttempt attemptOf(BackendCall call) {
+		if (this.current != null && this.current.call() == call) {
+			return this.current;
+		}
+		return (this.successor != null && this.successor.call() == call) ? this.successor : null;
+	}
+
+	private void ask(long nowMs) {
+		this.current.askAt(nowMs + ASK_AGAIN_MS);
+		this.services.log()
+			.event(PART, "silent", "id", this.request.id(), "server", this.current.firstEngine(), "silentMs",
+					this.current.pauses().silentMs(nowMs));
+		this.probe.ask(this.current.call(), this.request.id());
+	}
+
 	// Sends the request, or the rest of it, to the best chain.
 	private boolean send(String reason) {
 		Optional<ChainChooser.ReservedChain> next = acquire(this.excluded);
-		next.ifPresent((chosen) -> begin(chosen, reason));
+		next.ifPresent((chosen) -> this.current = attempt(chosen, reason, Set.of()));
 		return next.isPresent();
 	}
 
@@ -298,39 +328,40 @@
 		return choice;
 	}
 
-	private void begin(ChainChooser.ReservedChain chosen, String reason) {
+	private ChainAttempt attempt(ChainChooser.ReservedChain chosen, String reason, Set<String> avoided) {
 		long nowMs = this.services.nowMs();
-		this.chain = chosen;
 		this.sends++;
 		this.runs++;
-		this.parser = new EventParser();
-		this.plainBody = null;
-		this.headerSeen = false;
-		this.pauses = new StreamPauses(nowMs, this.request.route().targetLatencyMs(),
-				this.request.route().gapTargetMs());
-		this.moved = false;
-		this.askAtMs = nowMs + this.pauses.unusualMs();
-		String address = this.chain.hops().getFirst().server().address();
+		String address = chosen.hops().getFirst().server().address();
 		long remainingMs = this.request.endMs() - nowMs;
-		ForwardPlan plan = new ForwardPlan(remainingMs, this.chain.ids().getFirst(), this.request.organisation(),
-				this.chain.hops(), this.request.rank(), this.lastEventId);
-		this.call = BackendCall.send(this.services.clients(),
+		ForwardPlan plan = new ForwardPlan(remainingMs, chosen.ids().getFirst(), this.request.organisation(),
+				chosen.hops(), this.request.rank(), this.lastEventId);
+		BackendCall call = BackendCall.send(this.services.clients(),
 				new BackendRequest(address, this.request.method(), this.request.target(),
 						this.services.dialect().forwardHeaders(this.request.headers(), plan), this.request.body()),
 				this::on);
 		this.services.metrics().attempt(this.request.kind(), reason);
-		logSend(reason, remainingMs);
+		logSend(chosen, reason, remainingMs);
+		StreamPauses pauses = new StreamPauses(nowMs, this.request.route().targetLatencyMs(),
+				this.request.route().gapTargetMs());
+		return new ChainAttempt(chosen, call, reason, avoided, pauses, nowMs);
 	}
 
-	private void logSend(String reason, long remainingMs) {
+	private void logSend(ChainChooser.ReservedChain chosen, String reason, long remainingMs) {
 		GatewayState state = this.services.state();
 		this.services.log()
-			.event(PART, "send", "id", this.request.id(), "reason", reason, "chain", this.chain.describe(), "fill",
-					Math.round(this.chain.fill() * 100) / 100.0, "attempt", this.sends, "after", this.lastEventId,
-					"rank", this.request.rank(), "remainingMs", remainingMs, "configVersion", state.table().version(),
+			.event(PART, "send", "id", this.request.id(), "reason", reason, "chain", chosen.describe(), "fill",
+					Math.round(chosen.fill() * 100) / 100.0, "attempt", this.sends, "after", this.lastEventId, "rank",
+					this.request.rank(), "remainingMs", remainingMs, "configVersion", state.table().version(),
 					"confirmedMsAgo", state.confirmationAgeMs(), "peers", this.services.loads().peerCount());
 	}
 
+	private void logAttempt(String event, String reason) {
+		this.services.log()
+			.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered, "runs",
+					this.runs);
+	}
+
 	private ChainRequest chainRequest() {
 		ModelPool pool = this.request.service().pool().orElseThrow();
 		CallerAttributes attributes = this.request.attributes();
@@ -346,79 +377,78 @@
 				this.services.settings().availabilityZone());
 	}
 
-	private void endAttempt() {
-		if (this.call != null) {
-			this.call.close();
-			this.call = null;
-		}
-		if (this.chain != null) {
-			this.chain.reservation().close();
-		}
-	}
-
 	private String onHeader(Signal.Header header) {
+		ChainAttempt attempt = attemptOf(header.call());
+		if (attempt == null) {
+			return null;
+		}
 		BackendVerdict verdict = this.services.dialect()
 			.verdict(this.request.id(), header.status(), HeaderList.lookup(header.headers()));
 		if (!verdict.belongsToRequest()) {
-			return goOn("foreign", "the response belongs to another request");
+			return goOn(attempt, "foreign", "the response belongs to another request");
 		}
 		if (verdict.notExecuted()) {
-			return onNotExecuted(header.status(), verdict);
+			return onNotExecuted(attempt, header.status(), verdict);
 		}
 		if (!verdict.genuine()) {
-			return goOn("unproven", "status " + header.status() + " without the server's proof");
-		}
-		this.headerSeen = true;
-		this.status = header.status();
-		if (!this.started) {
-			this.headers = this.services.dialect().responseHeaders(header.headers());
-		}
-		if (header.status() < OK || header.status() >= MULTIPLE_CHOICES) {
-			this.plainBody = new ByteArrayOutputStream();
+			return goOn(attempt, "unproven", "status " + header.status() + " without the server's proof");
 		}
+		attempt.header(header, this.services.dialect().responseHeaders(header.headers()));
 		return null;
 	}
 
-	private String onNotExecuted(int refusedStatus, BackendVerdict verdict) {
+	private String onNotExecuted(ChainAttempt attempt, int refusedStatus, BackendVerdict verdict) {
 		this.runs--;
 		Optional<ServiceInstance> faulty = verdict.faultyAddress()
 			.flatMap((address) -> this.services.state().fleet().atAddress(address));
-		this.excluded.add(faulty.map(ServiceInstance::id).orElse(this.chain.ids().getFirst()));
-		faulty.ifPresent((server) -> this.services.state().refused(zoneBefore(server.id()), server));
-		return goOn("not-executed",
-				"status " + refusedStatus + " from " + verdict.faultyAddress().orElse(this.call.address()));
+		this.excluded.add(faulty.map(ServiceInstance::id).orElse(attempt.firstEngine()));
+		faulty.ifPresent((server) -> this.services.state().refused(attempt.zoneBefore(server.id(), ownZone()), server));
+		return goOn(attempt, "not-executed",
+				"status " + refusedStatus + " from " + verdict.faultyAddress().orElse(attempt.call().address()));
 	}
 
-	private String zoneBefore(String serverId) {
-		String before = this.services.settings().availabilityZone();
-		for (ChainHop hop : this.chain.hops()) {
-			if (hop.server().id().equals(serverId)) {
-				return before;
-			}
-			before = hop.server().availabilityZone();
-		}
-		return before;
+	private String ownZone() {
+		return this.services.settings().availabilityZone();
 	}
 
-	private String onData(byte[] bytes) {
-		this.call.consumed();
-		if (this.plainBody != null) {
-			this.plainBody.writeBytes(bytes);
-			return (this.plainBody.size() > MAX_BODY_BYTES) ? goOn("too-large", "the response is too large") : null;
+	private String onData(Signal.Data data) {
+		ChainAttempt attempt = attemptOf(data.call());
+		if (attempt == null) {
+			return null;
+		}
+		attempt.call().consumed();
+		if (!attempt.isStream()) {
+			return (attempt.addToBody(data.bytes()) > MAX_BODY_BYTES)
+					? goOn(attempt, "too-large", "the response is too large") : null;
 		}
-		for (StreamedEvent event : this.parser.add(bytes)) {
+		List<StreamedEvent> events = attempt.addToStream(data.bytes());
+		if (!events.isEmpty()) {
+			this.ran = true;
+			decideBetween(attempt);
+		}
+		for (StreamedEvent event : events) {
 			deliver(event);
 		}
-		moveFromLeaving();
+		moveFromLeaving(this.services.nowMs());
 		return null;
 	}
 
+	// Of two attempts, the one with the first event goes on. A chain that an engine
+	// leaves
+	// is heard until the other one has begun.
+	private void decideBetween(ChainAttempt attempt) {
+		if (attempt == this.successor) {
+			promote("successor answers");
+		}
+		else if (this.successor != null && this.successor.reason().equals(SILENT_MOVED)) {
+			logAttempt("successor-dropped", "the first chain goes on");
+			dropSuccessor();
+		}
+	}
+
 	private void deliver(StreamedEvent event) {
-		this.ran = true;
 		long nowMs = this.services.nowMs();
-		this.pauses.event(nowMs);
-		this.moved = false;
-		this.askAtMs = nowMs + this.pauses.unusualMs();
+		this.current.event(nowMs);
 		if (event.id() != StreamedEvent.NO_ID) {
 			if (event.id() <= this.lastEventId) {
 				return;
@@ -427,7 +457,7 @@
 		}
 		if (!this.started) {
 			this.started = true;
-			this.response.startStream(this.status, this.headers);
+			this.response.startStream(this.current.status(), this.current.headers());
 			this.firstEventMs = nowMs - this.request.arrivedMs();
 			this.services.metrics().firstByte(this.request.kind(), this.firstEventMs);
 		}
@@ -439,18 +469,22 @@
 		this.eventsDelivered++;
 	}
 
-	private String onEnd() {
-		if (!this.headerSeen) {
-			return goOn("broken", "the response has no header");
+	private String onEnd(Signal.End end) {
+		ChainAttempt attempt = attemptOf(end.call());
+		if (attempt == null) {
+			return null;
+		}
+		if (!attempt.hasHeader()) {
+			return goOn(attempt, "broken", "the response has no header");
 		}
-		if (this.plainBody != null) {
-			return onServerFailure();
+		if (!attempt.isStream()) {
+			return onServerFailure(attempt);
 		}
-		if (this.parser.hasPartialEvent()) {
-			return goOn("broken", "the stream ended within an event");
+		if (attempt.hasPartialEvent()) {
+			return goOn(attempt, "broken", "the stream ended within an event");
 		}
 		if (!this.started) {
-			this.response.startStream(this.status, this.headers);
+			this.response.startStream(attempt.status(), attempt.headers());
 		}
 		this.response.finish();
 		this.services.log()
@@ -460,56 +494,64 @@
 		return "answered";
 	}
 
-	private String onServerFailure() {
+	private String onServerFailure(ChainAttempt attempt) {
 		this.ran = true;
-		if (this.started || (this.status >= SERVER_ERROR && mayRunAgain())) {
-			this.excluded.add(this.chain.ids().getFirst());
-			return goOn("server-error", "status " + this.status);
+		if (this.started || this.successor != null || (attempt.status() >= SERVER_ERROR && mayRunAgain())) {
+			this.excluded.add(attempt.firstEngine());
+			return goOn(attempt, "server-error", "status " + attempt.status());
 		}
-		this.response.deliver(this.status, this.headers, this.plainBody.toByteArray());
+		this.response.deliver(attempt.status(), attempt.headers(), attempt.body());
 		return "server-error";
 	}
 
 	private String onFailed(Signal.Failed failed) {
-		this.excluded.add(this.chain.ids().getFirst());
+		ChainAttempt attempt = attemptOf(failed.call());
+		if (attempt == null) {
+			return null;
+		}
+		this.excluded.add(attempt.firstEngine());
 		if (failed.notSent()) {
 			this.runs--;
-			suspectFirst();
+			this.services.state()
+				.fleet()
+				.instance(attempt.firstEngine())
+				.ifPresent((server) -> this.services.state().suspect(ownZone(), server));
 		}
 		else {
 			this.ran = true;
 		}
-		return goOn((failed.notSent()) ? "unreachable" : "broken", failed.reason());
-	}
-
-	private void suspectFirst() {
-		this.services.state()
-			.fleet()
-			.instance(this.chain.ids().getFirst())
-			.ifPresent((server) -> this.services.state().suspect(this.services.settings().availabilityZone(), server));
+		return goOn(attempt, (failed.notSent()) ? "unreachable" : "broken", failed.reason());
 	}
 
 	private String onDiagnosis(Signal.Diagnosis diagnosis) {
-		if (diagnosis.faultyAddress().isEmpty()
-				|| this.pauses.silentMs(this.services.nowMs()) < StreamPauses.ASK_AFTER_MS) {
+		ChainAttempt attempt = attemptOf(diagnosis.call());
+		if (attempt == null || diagnosis.faultyAddress().isEmpty()
+				|| attempt.pauses().silentMs(this.services.nowMs()) < StreamPauses.ASK_AFTER_MS) {
 			return null;
 		}
 		this.services.state().fleet().atAddress(diagnosis.faultyAddress()).ifPresent((server) -> {
 			this.excluded.add(server.id());
-			this.services.state().suspect(zoneBefore(server.id()), server);
+			this.services.state().suspect(attempt.zoneBefore(server.id(), ownZone()), server);
 		});
 		this.ran = true;
-		return goOn("stalled", "the chain waits for " + diagnosis.faultyAddress());
+		return goOn(attempt, "stalled", "the chain waits for " + diagnosis.faultyAddress());
 	}
 
-	// Ends the attempt and goes on at another chain, or gives up.
-	private String goOn(String event, String reason) {
+	// Ends an attempt and goes on at the other one or at another chain, or gives up.
+	private String goOn(ChainAttempt failed, String event, String reason) {
+		logAttempt(event, reason);
+		if (failed == this.successor) {
+			dropSuccessor();
+			return null;
+		}
 		this.lastFailure = reason;
-		this.services.log()
-			.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered, "runs",
-					this.runs);
-		endAttempt();
-		if (this.runs > 0 && !mayRunAgain() && !firstEngineGone()) {
+		if (this.successor != null) {
+			promote(reason);
+			return null;
+		}
+		boolean gone = isGone(failed);
+		endCurrent();
+		if (this.runs > 0 && !mayRunAgain() && !gone) {
 			return giveUp(reason);
 		}
 		long nowMs = this.services.nowMs();
@@ -528,12 +570,11 @@
 	}
 
 	// An engine that has ended does not count towards the attempts of the route.
-	private boolean firstEngineGone() {
-		String first = this.chain.ids().getFirst();
+	private boolean isGone(ChainAttempt attempt) {
+		String first = attempt.firstEngine();
 		return (this.request.route().idempotent() || !this.ran)
 				&& (this.services.state().fleet().instance(first).isEmpty() || this.services.state()
-					.isSuspect(this.services.settings().availabilityZone(), first,
-							this.chain.hops().getFirst().server().availabilityZone()));
+					.isSuspect(ownZone(), first, attempt.chain().hops().getFirst().server().availabilityZone()));
 	}
 
 	private String giveUp(String reason) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -24,8 +24,9 @@
 import org.medlardrum.state.routing.TrafficKind;
 
 /**
- * A gateway on loopback with routes {@code /safe/}, {@code /unsafe/} and {@code /stream/}
- * and a clock that tests advance.
+ * A gateway on loopback with routes {@code /safe/}, {@code /unsafe/}, {@code /stream/},
+ * whose streams may be resumed, and {@code /once/}, whose streams may not, and a clock
+ * that tests advance.
  */
 final class GatewayFixture implements AutoCloseable {
 
@@ -57,7 +58,9 @@
 	static RoutingTable table(long version) {
 		return new RoutingTable(version,
 				List.of(route("safe", TrafficKind.SAFE, "ledger", 2), route("unsafe", TrafficKind.UNSAFE, "ledger", 1),
-						route("stream", TrafficKind.STREAMING, "pool", 2)),
+						route("stream", TrafficKind.STREAMING, "pool", 2),
+						new ServiceRoute("once", "test", "/once/", TrafficKind.STREAMING,
+								List.of(new ServiceShare("pool", 1)), 3_000, 500, 200, 0, 2, false, false)),
 				List.of(new RoutedService("ledger", 100, Optional.empty()),
 						new RoutedService("pool", 100, Optional.of(POOL))),
 				true, Map.of("k1", new KeyHolder("org-1", -1)), RequestLimits.DEFAULT);
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -106,13 +106,7 @@
 			FakeBackend.write(out, HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1) + event(2)));
 			stalling.await(5, TimeUnit.SECONDS);
 		})) {
-			this.fixture.register("pool", "e1", stalled);
-			Thread.ofVirtual().start(() -> {
-				while (stalled.requests().isEmpty()) {
-					Thread.onSpinWait();
-				}
-				this.fixture.register("pool", "e2", next);
-			});
+			registerFirstAndLater(stalled, next);
 			String answer = this.fixture.call("POST", "/stream/1");
 			assertThat(answer).contains(event(4));
 			assertThat(next.requests().getFirst()).contains("after: 2");
@@ -196,13 +190,7 @@
 			}
 			end.await(5, TimeUnit.SECONDS);
 		})) {
-			this.fixture.register("pool", "e1", silent);
-			Thread.ofVirtual().start(() -> {
-				while (silent.requests().isEmpty()) {
-					Thread.onSpinWait();
-				}
-				this.fixture.register("pool", "e2", next);
-			});
+			registerFirstAndLater(silent, next);
 			String answer = this.fixture.call("POST", "/stream/1");
 			assertThat(answer).contains(event(9));
 			assertThat(next.requests().getFirst()).contains("after: 6");
@@ -261,4 +249,107 @@
 		}
 	}
 
+	/**
+	 * Replays an overload: the next engine sheds a stream that moves, and no other chain
+	 * has room. The stream was broken off although its first chain was only slow.
+	 */
+	@Test
+	void slowStreamStaysAtItsChainWhereTheNextOneRefuses() throws Exception {
+		String refusal = "id: r1\r\nnot-run: 1\r\n";
+		try (FakeBackend next = new FakeBackend(FakeBackend.answer(503, refusal, ""));
+				FakeBackend slow = pausing(6, 9, 200)) {
+			registerFirstAndLater(slow, next);
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(next.requests()).hasSize(1);
+			assertThat(answer).contains(event(9));
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+	}
+
+	/**
+	 * Guards against two chains that work for one caller: the one that answers first goes
+	 * on, and the other is told to stop.
+	 */
+	@Test
+	void secondChainStopsWhenTheSlowOneGoesOn() throws Exception {
+		CountDownLatch stopped = new CountDownLatch(1);
+		try (FakeBackend next = new FakeBackend((head, socket, out) -> {
+			try {
+				socket.getInputStream().read();
+			}
+			finally {
+				stopped.countDown();
+			}
+		}); FakeBackend slow = pausing(6, 9, 200)) {
+			registerFirstAndLater(slow, next);
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(next.requests()).hasSize(1);
+			for (int id = 1; id <= 9; id++) {
+				assertThat(answer.split("data: e" + id + "\n", -1)).hasLength(2);
+			}
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(stopped.await(400, TimeUnit.MILLISECONDS)).isTrue();
+		}
+	}
+
+	@Test
+	void brokenStreamGoesOnAtTheChainThatWasAskedMeanwhile() throws Exception {
+		try (FakeBackend next = new FakeBackend((head, socket, out) -> {
+			Thread.sleep(150);
+			FakeBackend.write(out, HEAD + "p2\r\n\r\n" + FakeBackend.chunk(event(7)) + "0\r\n\r\n");
+		}); FakeBackend breaking = new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
+			for (int id = 1; id <= 6; id++) {
+				FakeBackend.write(out, FakeBackend.chunk(event(id)));
+				Thread.sleep(10);
+			}
+			Thread.sleep(180);
+		})) {
+			registerFirstAndLater(breaking, next);
+			String answer = this.fixture.call("POST", "/stream/1");
+			assertThat(next.requests()).hasSize(1);
+			assertThat(answer).contains(event(7));
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+	}
+
+	@Test
+	void streamThatMayNotRunTwiceIsNotSentToASecondChain() throws Exception {
+		try (FakeBackend next = whole("p2", 1, 4); FakeBackend slow = new FakeBackend((head, socket, out) -> {
+			Thread.sleep(400);
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1)) + "0\r\n\r\n");
+		})) {
+			registerFirstAndLater(slow, next);
+			String answer = this.fixture.call("POST", "/once/1");
+			assertThat(answer).contains("proof: p1");
+			assertThat(next.requests()).isEmpty();
+		}
+	}
+
+	// An engine that pauses once, for less than the time after which it is asked why.
+	private static FakeBackend pausing(int beforePause, int last, long pauseMs) throws Exception {
+		return new FakeBackend((head, socket, out) -> {
+			if (head.startsWith("get /report")) {
+				FakeBackend.answer(200, "", "").answer(head, socket, out);
+				return;
+			}
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
+			for (int id = 1; id <= last; id++) {
+				FakeBackend.write(out, FakeBackend.chunk(event(id)));
+				Thread.sleep((id == beforePause) ? pauseMs : 10);
+			}
+			FakeBackend.write(out, "0\r\n\r\n");
+		});
+	}
+
+	private void registerFirstAndLater(FakeBackend first, FakeBackend later) {
+		this.fixture.register("pool", "e1", first);
+		Thread.ofVirtual().start(() -> {
+			while (first.requests().isEmpty()) {
+				Thread.onSpinWait();
+			}
+			this.fixture.register("pool", "e2", later);
+		});
+	}
+
 }
