--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/HeaderFilter.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/http/HeaderFilter.java
@@ -5,18 +5,18 @@
 import java.util.Locale;
 import java.util.Set;
 
+import org.medlardrum.transport.ConnectionHeaders;
+
 /**
  * Selects the headers that pass between callers and plain services.
  */
 final class HeaderFilter {
 
 	/**
-	 * Headers of one connection (RFC 9110, section 7.6.1), those that the HTTP client
-	 * sets, and the caller's key, which services must not see.
+	 * Headers that the HTTP client sets, and the caller's key, which services must not
+	 * see.
 	 */
-	private static final Set<String> NOT_FORWARDED = Set.of("connection", "keep-alive", "proxy-authenticate",
-			"proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "host",
-			"content-length", "expect", "authorization", "x-request-id");
+	private static final Set<String> NOT_FORWARDED = Set.of("host", "authorization", "x-request-id");
 
 	private static final String OWN_PREFIX = "medlardrum-";
 
@@ -27,7 +27,8 @@
 		List<String> kept = new ArrayList<>();
 		for (int i = 0; i + 1 < headers.size(); i += 2) {
 			String name = headers.get(i).toLowerCase(Locale.ROOT);
-			if (!NOT_FORWARDED.contains(name) && !name.startsWith(OWN_PREFIX)) {
+			if (!ConnectionHeaders.names().contains(name) && !NOT_FORWARDED.contains(name)
+					&& !name.startsWith(OWN_PREFIX)) {
 				kept.add(headers.get(i));
 				kept.add(headers.get(i + 1));
 			}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/EngineStatus.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/EngineStatus.java
@@ -11,9 +11,7 @@
  * @param layers layers that it holds
  * @param busy whether it is carrying out an order
  * @param orders number of orders accepted since its start
- * @param slowdown factor by which it is slower than its kind, 1 for none
  * @param stalled addresses of the servers that its requests wait for, by request
  */
-public record EngineStatus(Optional<LayerRange> layers, boolean busy, long orders, double slowdown,
-		Map<String, String> stalled) {
+public record EngineStatus(Optional<LayerRange> layers, boolean busy, long orders, Map<String, String> stalled) {
 }
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -68,7 +68,7 @@
 				stalled.put(words[0], words[1]);
 			}
 		}
-		return Optional.of(new EngineStatus(Optional.empty(), false, 0, 1, stalled));
+		return Optional.of(new EngineStatus(Optional.empty(), false, 0, stalled));
 	}
 
 }
