Leave a chain with a lost engine sooner, and not all for the same chain

Their silence was unusual after 130 to 197 ms (four mean pauses), although other requests had been refused because of the same engine 30 to 60 ms after its loss; hosts told each other of that after up to 300 ms. The streams of one zone then moved to the same next chain, where the first event took 220 to 270 ms instead of 65 ms because their prompts waited for each other. A stream with fewer than four events was not moved at all (pause 634 ms).

Change: a chain with a suspect engine is left after 1.5 mean pauses, any chain after 3 (a move no longer gives up the first chain); a new suspicion is told at once, at most every 60 ms; the zone of the next chain is drawn; streams with few events are judged by their target.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainRequest.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainRequest.java
@@ -7,8 +7,30 @@
  * @param answerTokens tokens expected to be written
  * @param rank rank of the request, 0 first
  * @param availabilityZone availability zone of the entry host
+ * @param preferredZone availability zone whose chains are preferred
  */
-public record ChainRequest(int promptTokens, int answerTokens, int rank, String availabilityZone) {
+public record ChainRequest(int promptTokens, int answerTokens, int rank, String availabilityZone,
+		String preferredZone) {
+
+	/**
+	 * Creates a request that prefers chains of the entry host's availability zone.
+	 * @param promptTokens tokens to read
+	 * @param answerTokens tokens expected to be written
+	 * @param rank rank of the request, 0 first
+	 * @param availabilityZone availability zone of the entry host
+	 */
+	public ChainRequest(int promptTokens, int answerTokens, int rank, String availabilityZone) {
+		this(promptTokens, answerTokens, rank, availabilityZone, availabilityZone);
+	}
+
+	/**
+	 * Returns the request with other preferred chains.
+	 * @param zone availability zone whose chains are preferred
+	 * @return the request
+	 */
+	public ChainRequest preferring(String zone) {
+		return new ChainRequest(this.promptTokens, this.answerTokens, this.rank, this.availabilityZone, zone);
+	}
 
 	/**
 	 * Returns the KV cache that the request needs on each layer when it ends.
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -49,10 +49,10 @@
 	static final double FILL_COST_PER_RANK = 3;
 
 	/**
-	 * Cost of entering a chain in another availability zone for each token written, in
-	 * milliseconds: a quarter of what a chain of a zone takes. A stream across zones
-	 * breaks when they are cut off from each other, and its events cost bytes between
-	 * them.
+	 * Cost of entering a chain outside the preferred availability zone for each token
+	 * written, in milliseconds: a quarter of what a chain of a zone takes. A stream
+	 * across zones breaks when they are cut off from each other, and its events cost
+	 * bytes between them.
 	 */
 	static final double OTHER_ZONE_COST_MS = 3;
 
@@ -170,7 +170,7 @@
 	private double hopCost(ChainRequest request, Partial partial, String zone, PoolServer server) {
 		double delayMs = this.pool.delayMs(zone, server.availabilityZone());
 		if (partial.hop == null) {
-			boolean otherZone = !zone.equals(server.availabilityZone());
+			boolean otherZone = !request.preferredZone().equals(server.availabilityZone());
 			return delayMs + ((otherZone) ? OTHER_ZONE_COST_MS * request.answerTokens() : 0);
 		}
 		double transferMs = this.pool.transferMs(request.tokensAtEnd(), zone, server.availabilityZone());
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamPauses.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamPauses.java
@@ -5,7 +5,8 @@
  * the middle of a chain, which the chain reports later than the longest pause that is on
  * time: such a stream must go on elsewhere before. In an overload all pauses grow, and a
  * stream whose usual pauses are near the target cannot be told from a stalled one; moving
- * it would slow down the others.
+ * it would slow down the others. Other requests notice the loss too: a chain with an
+ * engine that they found faulty is left sooner.
  *
  * <pre>
  * StreamPauses pauses = new StreamPauses(nowMs, 500, 200);
@@ -24,8 +25,28 @@
 	 */
 	private static final double PART_OF_TARGET = 0.55;
 
+	/**
+	 * Part of the target after which a stream is unusual whose mean pause is not known.
+	 */
+	private static final double PART_OF_TARGET_UNKNOWN = 0.75;
+
+	/**
+	 * Part of the target for the first event after which a silent stream is unusual when
+	 * an engine of its chain is suspect; the usual first event takes an eighth.
+	 */
+	private static final double PART_OF_TARGET_SUSPECT = 0.25;
+
 	/** Silence that is unusual, relative to the stream's mean pause. */
-	private static final double UNUSUAL_PAUSES = 4;
+	private static final double UNUSUAL_PAUSES = 3;
+
+	/**
+	 * Silence that is unusual when an engine of the chain is suspect, relative to the
+	 * stream's mean pause. Two signs together need less of each.
+	 */
+	private static final double UNUSUAL_PAUSES_SUSPECT = 1.5;
+
+	/** Shortest unusual silence, several times the jitter of the users' networks. */
+	private static final long MIN_UNUSUAL_MS = 50;
 
 	/** Events after which the mean pause of a stream is known. */
 	private static final int KNOWN_EVENTS = 4;
@@ -88,12 +109,32 @@
 		if (this.events == 0) {
 			return (long) (this.firstTargetMs * PART_OF_TARGET);
 		}
-		long targetMs = (long) (this.gapTargetMs * PART_OF_TARGET);
-		if (this.events < KNOWN_EVENTS || targetMs <= 0) {
+		if (this.gapTargetMs <= 0) {
 			return ASK_AFTER_MS;
 		}
-		double meanMs = (double) (this.lastMs - this.firstMs) / (this.events - 1);
-		return Math.min(ASK_AFTER_MS, Math.max(targetMs, (long) (meanMs * UNUSUAL_PAUSES)));
+		if (this.events < KNOWN_EVENTS) {
+			return Math.min(ASK_AFTER_MS, (long) (this.gapTargetMs * PART_OF_TARGET_UNKNOWN));
+		}
+		long targetMs = (long) (this.gapTargetMs * PART_OF_TARGET);
+		return Math.min(ASK_AFTER_MS, Math.max(targetMs, (long) (meanPauseMs() * UNUSUAL_PAUSES)));
+	}
+
+	/**
+	 * Returns the silence that is unusual when an engine of the chain is suspect.
+	 * @return the length in milliseconds, at most that of {@link #unusualMs()}
+	 */
+	public long unusualWithSuspectMs() {
+		if (this.events == 0) {
+			return (long) (this.firstTargetMs * PART_OF_TARGET_SUSPECT);
+		}
+		if (this.events < KNOWN_EVENTS || this.gapTargetMs <= 0) {
+			return unusualMs();
+		}
+		return Math.min(unusualMs(), Math.max(MIN_UNUSUAL_MS, (long) (meanPauseMs() * UNUSUAL_PAUSES_SUSPECT)));
+	}
+
+	private double meanPauseMs() {
+		return (double) (this.lastMs - this.firstMs) / (this.events - 1);
 	}
 
 }
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
@@ -61,6 +61,19 @@
 		assertCovers(chain);
 	}
 
+	/**
+	 * Replays the loss of a chain: all its streams move at the same moment. Each host
+	 * would send them to the same next chain, where their prompts wait for each other.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "a", "b", "c" })
+	void preferredZoneDecidesAmongIdleChains(String zone) {
+		ChainRequest request = new ChainRequest(772, 167, 0, "b").preferring(zone);
+		List<ChainHop> chain = new ChainSearch(Pools.snapshot(this.servers, Map.of())).find(request).orElseThrow();
+		assertCovers(chain);
+		chain.forEach((hop) -> assertThat(hop.server().availabilityZone()).isEqualTo(zone));
+	}
+
 	/**
 	 * Replays arrivals in one zone that stay: without a cost of fill all of them take
 	 * that zone's chain until it is full.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -33,6 +33,12 @@
 	/** Time between two digests of an idle host, below the expiry of its work. */
 	static final long IDLE_INTERVAL_MS = 1_000;
 
+	/**
+	 * Shortest time between two digests, for a suspicion that the others should hear at
+	 * once: a third of the time in which their streams through the server are late.
+	 */
+	static final long URGENT_INTERVAL_MS = 60;
+
 	/** Digests sent in a second at most, about 1% of a small host's processor. */
 	private static final int MAX_DIGESTS_PER_S = 100;
 
@@ -57,9 +63,11 @@
 
 	private volatile List<Host> peers = List.of();
 
+	private volatile boolean urgent;
+
 	private boolean wasIdle;
 
-	private long sentAtMs;
+	private long sentAtMs = Long.MIN_VALUE / 2;
 
 	/**
 	 * Creates an exchange.
@@ -76,6 +84,12 @@
 		this.network = network;
 		this.hostId = hostId;
 		this.availabilityZone = availabilityZone;
+		state.onSuspicion(this::tellSoon);
+	}
+
+	private void tellSoon() {
+		this.urgent = true;
+		this.thread.wake();
 	}
 
 	/**
@@ -138,6 +152,11 @@
 		List<Host> receivers = this.peers;
 		long busyIntervalMs = Math.max(BUSY_INTERVAL_MS, receivers.size() * MS_PER_S / MAX_DIGESTS_PER_S);
 		long nowMs = this.state.clock().steadyMs();
+		long dueInMs = this.sentAtMs + ((this.urgent) ? URGENT_INTERVAL_MS : busyIntervalMs) - nowMs;
+		if (dueInMs > 0) {
+			return dueInMs;
+		}
+		this.urgent = false;
 		Map<String, ServerLoad> own = this.loads.own();
 		List<Suspicion> suspicions = this.state.ownSuspicions();
 		boolean idle = own.isEmpty() && suspicions.isEmpty();
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -47,6 +47,10 @@
 	/** Steady time of the request to stop, {@link Long#MAX_VALUE} before it. */
 	private volatile long drainingSinceMs = Long.MAX_VALUE;
 
+	/** Runs when this host suspects a server that nobody suspected. */
+	private volatile Runnable suspicionListener = () -> {
+	};
+
 	private volatile RoutingTable table;
 
 	private volatile FleetView fleet = new FleetView(List.of(), null);
@@ -185,7 +189,19 @@
 	private void suspect(String fromZone, ServiceInstance server, long forMs) {
 		this.log.event("fleet", "suspect", "server", server.id(), "address", server.address(), "zone",
 				server.availabilityZone(), "seenFrom", fromZone, "forMs", forMs);
+		boolean known = isSuspect(fromZone, server.id(), server.availabilityZone());
 		this.ownSuspicions.suspect(fromZone, server.id(), server.availabilityZone(), this.clock.steadyMs() + forMs);
+		if (!known) {
+			this.suspicionListener.run();
+		}
+	}
+
+	/**
+	 * Registers what is to run when this host suspects a server that nobody suspected.
+	 * @param listener must not block
+	 */
+	public void onSuspicion(Runnable listener) {
+		this.suspicionListener = listener;
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -40,9 +40,6 @@
 
 	private long askAtMs;
 
-	/** Whether the present silence has led to a look for another chain. */
-	private boolean lookedElsewhere;
-
 	/**
 	 * Creates an attempt.
 	 * @param chain the chain, which the attempt returns when it ends
@@ -59,7 +56,7 @@
 		this.reason = reason;
 		this.avoided = Set.copyOf(avoided);
 		this.pauses = pauses;
-		this.askAtMs = nowMs + pauses.unusualMs();
+		this.askAtMs = nowMs + pauses.unusualWithSuspectMs();
 	}
 
 	ChainChooser.ReservedChain chain() {
@@ -148,8 +145,7 @@
 	 */
 	void event(long nowMs) {
 		this.pauses.event(nowMs);
-		this.lookedElsewhere = false;
-		this.askAtMs = nowMs + this.pauses.unusualMs();
+		this.askAtMs = nowMs + this.pauses.unusualWithSuspectMs();
 	}
 
 	/**
@@ -164,16 +160,6 @@
 		this.askAtMs = atMs;
 	}
 
-	/**
-	 * Records a look for another chain.
-	 * @return {@code false} if this silence had led to one before
-	 */
-	boolean lookElsewhere() {
-		boolean first = !this.lookedElsewhere;
-		this.lookedElsewhere = true;
-		return first;
-	}
-
 	/**
 	 * Returns the availability zone from which an engine of the chain is reached.
 	 * @param serverId identifier of the engine
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -69,6 +69,27 @@
 		return new ChainSearch(snapshot(service, excluded)).find(request, SPARE_FILL).isPresent();
 	}
 
+	/**
+	 * Draws an availability zone for a stream that leaves its chain. All streams of a
+	 * broken chain move at the same moment; drawn zones spread them over what is left.
+	 * @param service the service
+	 * @param excluded identifiers of engines that must not be used
+	 * @return a zone that has engines left, that of this host if none has
+	 */
+	String drawZone(RoutedService service, Set<String> excluded) {
+		List<String> zones = this.services.state()
+			.fleet()
+			.poolServers(service)
+			.stream()
+			.filter((server) -> !excluded.contains(server.id()))
+			.map(PoolServer::availabilityZone)
+			.distinct()
+			.sorted()
+			.toList();
+		return (zones.isEmpty()) ? this.services.settings().availabilityZone()
+				: zones.get(this.services.random().nextInt(zones.size()));
+	}
+
 	private PoolSnapshot snapshot(RoutedService service, Set<String> excluded) {
 		GatewayState state = this.services.state();
 		List<PoolServer> servers = state.fleet()
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.StreamPauses;
 import org.medlardrum.decisions.routing.ReturnTime;
@@ -201,8 +202,16 @@
 	}
 
 	private void onSilence(long nowMs) {
-		moveWhenSilent(nowMs);
-		long untilAskMs = StreamPauses.ASK_AFTER_MS - this.current.pauses().silentMs(nowMs);
+		StreamPauses pauses = this.current.pauses();
+		long untilUnusualMs = pauses.unusualMs() - pauses.silentMs(nowMs);
+		if (untilUnusualMs <= 0 || hasSuspect(this.current.chain())) {
+			moveWhenSilent(nowMs);
+		}
+		if (untilUnusualMs > 0) {
+			this.current.askAt(nowMs + untilUnusualMs);
+			return;
+		}
+		long untilAskMs = StreamPauses.ASK_AFTER_MS - pauses.silentMs(nowMs);
 		if (untilAskMs > 0) {
 			this.current.askAt(nowMs + untilAskMs);
 			return;
@@ -225,14 +234,26 @@
 	private void moveWhenSilent(long nowMs) {
 		StreamPauses pauses = this.current.pauses();
 		boolean late = pauses.hasBegun() && pauses.silentMs(nowMs) >= StreamPauses.ASK_AFTER_MS;
-		if (late || !mayRunBeside() || !this.current.lookElsewhere()) {
+		if (late || !mayRunBeside()) {
 			return;
 		}
 		Set<String> others = new HashSet<>(this.excluded);
 		others.addAll(this.current.chain().ids());
-		if (this.chooser.hasMuchRoom(this.request.service(), chainRequest(), others)) {
-			addSuccessor(SILENT_MOVED, "no event for " + pauses.silentMs(nowMs) + " ms", others);
+		ChainRequest wanted = chainRequest().preferring(this.chooser.drawZone(this.request.service(), others));
+		if (this.chooser.hasMuchRoom(this.request.service(), wanted, others)) {
+			addSuccessor(SILENT_MOVED, "no event for " + pauses.silentMs(nowMs) + " ms", others, wanted);
+		}
+	}
+
+	private boolean hasSuspect(ChainChooser.ReservedChain chain) {
+		String before = ownZone();
+		for (ChainHop hop : chain.hops()) {
+			if (this.services.state().isSuspect(before, hop.server().id(), hop.server().availabilityZone())) {
+				return true;
+			}
+			before = hop.server().availabilityZone();
 		}
+		return false;
 	}
 
 	private void moveFromLeaving(long nowMs) {
@@ -245,7 +266,7 @@
 			this.leavingLookAtMs = nowMs + LEAVING_LOOK_AGAIN_MS;
 			Set<String> others = new HashSet<>(this.excluded);
 			others.add(leaving.get());
-			addSuccessor(LEAVING, "server " + leaving.get() + " leaves", others);
+			addSuccessor(LEAVING, "server " + leaving.get() + " leaves", others, chainRequest());
 		}
 	}
 
@@ -258,8 +279,8 @@
 		return this.runs < this.request.route().maxAttempts() && (this.request.route().idempotent() || !this.ran);
 	}
 
-	private void addSuccessor(String event, String reason, Set<String> avoided) {
-		acquire(avoided).ifPresent((next) -> {
+	private void addSuccessor(String event, String reason, Set<String> avoided, ChainRequest wanted) {
+		acquire(avoided, wanted).ifPresent((next) -> {
 			logAttempt(event, reason);
 			this.successor = attempt(next, event, avoided);
 		});
@@ -305,19 +326,19 @@
 
 	// Sends the request, or the rest of it, to the best chain.
 	private boolean send(String reason) {
-		Optional<ChainChooser.ReservedChain> next = acquire(this.excluded);
+		Optional<ChainChooser.ReservedChain> next = acquire(this.excluded, chainRequest());
 		next.ifPresent((chosen) -> this.current = attempt(chosen, reason, Set.of()));
 		return next.isPresent();
 	}
 
 	// Reserves a chain and takes a repeat from the budget.
-	private Optional<ChainChooser.ReservedChain> acquire(Set<String> avoided) {
+	private Optional<ChainChooser.ReservedChain> acquire(Set<String> avoided, ChainRequest wanted) {
 		if (this.sends >= MAX_SENDS) {
 			return Optional.empty();
 		}
 		String service = this.request.service().name();
-		Optional<ChainChooser.ReservedChain> choice = this.chooser.choose(this.request.service(), chainRequest(),
-				avoided, this.started);
+		Optional<ChainChooser.ReservedChain> choice = this.chooser.choose(this.request.service(), wanted, avoided,
+				this.started);
 		if (choice.isPresent() && this.sends > 0
 				&& !this.services.retries().tryRepeat(service, this.services.nowMs())) {
 			choice.get().reservation().close();
--- /dev/null
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -0,0 +1,112 @@
+package org.medlardrum.gateway.internal.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.medlardrum.coordination.PeerNetwork;
+import org.medlardrum.coordination.PeerResult;
+import org.medlardrum.gateway.GatewayClock;
+import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.gateway.internal.state.GatewayState;
+import org.medlardrum.peer.gen.ClaimAnswer;
+import org.medlardrum.peer.gen.ClaimOutcome;
+import org.medlardrum.peer.gen.ClaimRequest;
+import org.medlardrum.peer.gen.ConfigPull;
+import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.state.Host;
+import org.medlardrum.state.HostState;
+import org.medlardrum.state.routing.ServiceInstance;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against hosts that each find a lost server by their own wait, and against
+ * digests without a bound while servers refuse in an overload.
+ */
+class LoadExchangeTests {
+
+	private final AtomicLong nowMs = new AtomicLong(1_000);
+
+	private final GatewayState state = new GatewayState(new GatewayClock(this.nowMs::get, this.nowMs::get),
+			new DecisionLog(System.out), 4_700);
+
+	private final List<Digest> sent = new ArrayList<>();
+
+	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(), new RecordingNetwork(), "host",
+			"a");
+
+	@BeforeEach
+	void addPeerAndSendOnce() {
+		this.exchange
+			.peers(List.of(new Host("other", "b", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", HostState.LIVE)));
+		this.exchange.step();
+		this.sent.clear();
+	}
+
+	private static ServiceInstance engine(String id) {
+		return new ServiceInstance(id, "pool", "127.0.0.1:9", "b", 8, false, 1, "fast", Optional.empty());
+	}
+
+	@Test
+	void newSuspicionIsToldBeforeTheNextRegularDigest() {
+		this.nowMs.addAndGet(LoadExchange.URGENT_INTERVAL_MS);
+		this.state.refused("b", engine("e1"));
+		this.exchange.step();
+		assertThat(this.sent).hasSize(1);
+		assertThat(this.sent.getFirst().getSilentServers().getFirst().getServer()).isEqualTo("e1");
+	}
+
+	@Test
+	void repeatedSuspicionWaitsForTheRegularDigest() {
+		this.state.refused("b", engine("e1"));
+		this.nowMs.addAndGet(LoadExchange.URGENT_INTERVAL_MS);
+		this.exchange.step();
+		this.sent.clear();
+		this.nowMs.addAndGet(LoadExchange.URGENT_INTERVAL_MS);
+		this.state.refused("b", engine("e1"));
+		assertThat(this.exchange.step()).isEqualTo(LoadExchange.BUSY_INTERVAL_MS - LoadExchange.URGENT_INTERVAL_MS);
+		assertThat(this.sent).isEmpty();
+	}
+
+	@Test
+	void manySuspicionsAreToldInOneDigest() {
+		for (int i = 0; i < 5; i++) {
+			this.state.suspect("b", engine("e" + i));
+			this.exchange.step();
+		}
+		assertThat(this.sent).isEmpty();
+		this.nowMs.addAndGet(LoadExchange.URGENT_INTERVAL_MS);
+		this.exchange.step();
+		assertThat(this.sent).hasSize(1);
+		assertThat(this.sent.getFirst().getSilentServers()).hasSize(5);
+	}
+
+	private final class RecordingNetwork implements PeerNetwork {
+
+		@Override
+		public void send(Host peer, Digest digest) {
+			LoadExchangeTests.this.sent.add(digest);
+		}
+
+		@Override
+		public PeerResult<ConfigPull> pullConfig(Host peer, long afterVersion) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public PeerResult<ClaimAnswer> claim(Host peer, ClaimRequest request) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public PeerResult<Boolean> recordOutcome(Host peer, ClaimOutcome outcome) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
