Wait for the first configuration right after a start; leave silent chains a little sooner

A run whose caller left before it started does not start. Silence is unusual after 2.5 mean pauses and 0.45 of the target.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamPauses.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamPauses.java
@@ -20,10 +20,16 @@
 	public static final long ASK_AFTER_MS = 250;
 
 	/**
-	 * Part of the target after which a silent stream is unusual. The rest is for the
-	 * first event elsewhere, which takes 65 ms on the users' engines.
+	 * Part of the target for the first event after which a silent stream is unusual. The
+	 * rest is for the first event elsewhere, which takes 65 ms on the users' engines.
 	 */
-	private static final double PART_OF_TARGET = 0.55;
+	private static final double PART_OF_FIRST_TARGET = 0.55;
+
+	/**
+	 * Part of the target for a pause after which a silent stream is unusual; with the
+	 * first event elsewhere the pause is within the target.
+	 */
+	private static final double PART_OF_TARGET = 0.45;
 
 	/**
 	 * Part of the target after which a stream is unusual whose mean pause is not known.
@@ -37,7 +43,7 @@
 	private static final double PART_OF_TARGET_SUSPECT = 0.25;
 
 	/** Silence that is unusual, relative to the stream's mean pause. */
-	private static final double UNUSUAL_PAUSES = 3;
+	private static final double UNUSUAL_PAUSES = 2.5;
 
 	/**
 	 * Silence that is unusual when an engine of the chain is suspect, relative to the
@@ -107,7 +113,7 @@
 	 */
 	public long unusualMs() {
 		if (this.events == 0) {
-			return (long) (this.firstTargetMs * PART_OF_TARGET);
+			return (long) (this.firstTargetMs * PART_OF_FIRST_TARGET);
 		}
 		if (this.gapTargetMs <= 0) {
 			return ASK_AFTER_MS;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
@@ -17,6 +18,7 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.api.StreamingHttpService;
 import org.medlardrum.decisions.routing.ReturnTime;
+import org.medlardrum.decisions.routing.StartupWait;
 import org.medlardrum.gateway.CallerAttributes;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.plain.PlainRun;
@@ -25,6 +27,7 @@
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.RequestRun;
 import org.medlardrum.gateway.internal.request.RequestServices;
+import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.gateway.internal.stream.StreamRun;
 import org.medlardrum.protocol.problem.ProblemType;
 import org.medlardrum.state.routing.KeyHolder;
@@ -46,18 +49,24 @@
 	 */
 	private static final long MAX_DRAINING_ADMISSION_MS = 2_900;
 
+	/** Time between two looks for the first configuration. */
+	private static final long STARTUP_LOOK_MS = 20;
+
 	private static final String PART = "request";
 
 	private final RequestServices services;
 
 	private final AtomicInteger inProgress = new AtomicInteger();
 
+	private final long startedMs;
+
 	/**
 	 * Creates a handler.
 	 * @param services what all requests share
 	 */
 	public GatewayHandler(RequestServices services) {
 		this.services = services;
+		this.startedMs = services.nowMs();
 	}
 
 	/**
@@ -95,6 +104,11 @@
 	}
 
 	private void begin(CallerExchange exchange, CallerAttributes attributes, long arrivedMs, byte[] body) {
+		if (waitsForConfiguration(arrivedMs)) {
+			this.services.executor()
+				.schedule(() -> begin(exchange, attributes, arrivedMs, body), STARTUP_LOOK_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		try {
 			Admission admission = admit(exchange, attributes, arrivedMs, body);
 			if (admission.request() == null) {
@@ -111,6 +125,13 @@
 		}
 	}
 
+	private boolean waitsForConfiguration(long arrivedMs) {
+		GatewayState state = this.services.state();
+		boolean known = state.table() != null && state.confirmationAgeMs() != Long.MAX_VALUE;
+		long nowMs = this.services.nowMs();
+		return !known && !state.isDraining() && StartupWait.waits(nowMs - this.startedMs, nowMs - arrivedMs);
+	}
+
 	private void ended(CallerAttributes attributes, String kind, String outcome, long arrivedMs) {
 		this.inProgress.decrementAndGet();
 		this.services.metrics().request(kind, outcome);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
@@ -39,10 +39,12 @@
 	}
 
 	/**
-	 * Starts the request.
+	 * Starts the request, unless its caller has left before.
 	 */
 	public final void start() {
-		step(this::begin);
+		if (!this.ended) {
+			step(this::begin);
+		}
 	}
 
 	/**
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/AdmissionTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/AdmissionTests.java
@@ -78,4 +78,41 @@
 		stopping.join();
 	}
 
+	/**
+	 * Replays a restart of all hosts: a caller that came back while its host still read
+	 * the configuration was refused, and had no further repeat.
+	 */
+	@Test
+	void requestThatArrivesDuringTheStartWaitsForTheConfiguration() throws Exception {
+		try (FakeBackend backend = new FakeBackend(FakeBackend.answer(200, "id: r1\r\nproof: p1\r\n", "done"))) {
+			Thread.ofVirtual().start(() -> {
+				pauseMs(200);
+				this.fixture.register("ledger", "s1", backend);
+				this.fixture.configured();
+			});
+			assertThat(this.fixture.call("GET", "/safe/1")).startsWith("HTTP/1.1 200");
+		}
+	}
+
+	@Test
+	void requestWhoseCallerLeftDuringTheStartIsNotServed() throws Exception {
+		try (FakeBackend backend = new FakeBackend(FakeBackend.answer(200, "id: r1\r\nproof: p1\r\n", "done"))) {
+			this.fixture.send("GET", "/safe/1", "key: k1\r\n").close();
+			pauseMs(100);
+			this.fixture.register("ledger", "s1", backend);
+			this.fixture.configured();
+			assertThat(this.fixture.call("GET", "/safe/1")).startsWith("HTTP/1.1 200");
+			assertThat(backend.requests()).hasSize(1);
+		}
+	}
+
+	private static void pauseMs(long timeMs) {
+		try {
+			Thread.sleep(timeMs);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
