Add a model of the pool and an experiment command

Change: medlardrum-standins holds a deterministic model of engines, links and entry hosts in simulated time that runs the product's own decisions (ChainSearch, LayerPlanner, StreamPauses, ServerSuspicions); bin/standins experiment replays a load of deploy/experiments under several policies and prints who was served on time, with a plot.

--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/StandIns.java
@@ -28,6 +28,7 @@
 		commands.put("service", new ServiceCommand());
 		commands.put("load", new LoadCommand());
 		commands.put("bound", new BoundCommand());
+		commands.put("experiment", new ExperimentCommand());
 		JCommander.Builder builder = JCommander.newBuilder().programName("medlardrum-standins");
 		commands.forEach(builder::addCommand);
 		JCommander parser = builder.build();
--- /dev/null
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/ResultSummary.java
@@ -0,0 +1,81 @@
+package org.medlardrum.standins.internal.model;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import org.medlardrum.standins.internal.model.StreamResult.Outcome;
+
+/**
+ * Summary of the results of a group of requests.
+ *
+ * @param asked number of requests
+ * @param onTime requests whose events all came on time
+ * @param refused requests refused before their first event
+ * @param broken requests broken off
+ * @param firstMs times to the first event, in order
+ * @param pausesMs longest pauses between two events, in order
+ */
+record ResultSummary(int asked, int onTime, int refused, int broken, double[] firstMs, double[] pausesMs) {
+
+	private static final double MEDIAN = 0.5;
+
+	private static final double HIGH = 0.99;
+
+	static ResultSummary of(List<StreamResult> streams) {
+		double[] firstMs = streams.stream()
+			.filter((stream) -> stream.firstMs() > 0)
+			.mapToDouble(StreamResult::firstMs)
+			.sorted()
+			.toArray();
+		double[] pausesMs = streams.stream()
+			.filter((stream) -> stream.outcome() == Outcome.WHOLE)
+			.mapToDouble(StreamResult::longestPauseMs)
+			.sorted()
+			.toArray();
+		return new ResultSummary(streams.size(), (int) streams.stream().filter(StreamResult::isOnTime).count(),
+				count(streams, Outcome.REFUSED), count(streams, Outcome.BROKEN), firstMs, pausesMs);
+	}
+
+	private static int count(List<StreamResult> streams, Outcome outcome) {
+		return (int) streams.stream().filter((stream) -> stream.outcome() == outcome).count();
+	}
+
+	double onTimeShare() {
+		return (this.asked > 0) ? (double) this.onTime / this.asked : 1;
+	}
+
+	static String header(String title) {
+		return String.format(Locale.ROOT, "%-32s %6s %8s %6s %8s %7s %9s %9s %10s %10s", title, "asked", "on-time",
+				"late", "refused", "broken", "first-p50", "first-p99", "pause-p50", "pause-p99");
+	}
+
+	String line(String name) {
+		return String.format(Locale.ROOT, "%-32s %6d %8.3f %6d %8d %7d %9.0f %9.0f %10.0f %10.0f", name, this.asked,
+				onTimeShare(), this.asked - this.onTime - this.refused - this.broken, this.refused, this.broken,
+				quantile(this.firstMs, MEDIAN), quantile(this.firstMs, HIGH), quantile(this.pausesMs, MEDIAN),
+				quantile(this.pausesMs, HIGH));
+	}
+
+	private static double quantile(double[] ordered, double share) {
+		return (ordered.length > 0) ? ordered[(int) Math.min(ordered.length - 1, share * ordered.length)] : 0;
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ResultSummary summary && this.asked == summary.asked && this.onTime == summary.onTime
+				&& this.refused == summary.refused && this.broken == summary.broken
+				&& Arrays.equals(this.firstMs, summary.firstMs) && Arrays.equals(this.pausesMs, summary.pausesMs);
+	}
+
+	@Override
+	public int hashCode() {
+		return Arrays.hashCode(this.pausesMs) * 31 + this.asked;
+	}
+
+	@Override
+	public String toString() {
+		return line("summary");
+	}
+
+}
