--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamPauses.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamPauses.java
@@ -57,6 +57,9 @@
 	/** Events after which the mean pause of a stream is known. */
 	private static final int KNOWN_EVENTS = 4;
 
+	/** Time between two looks for a suspicion, a tenth of the users' target. */
+	private static final long SUSPECT_LOOK_MS = 20;
+
 	private final long firstTargetMs;
 
 	private final long gapTargetMs;
@@ -139,6 +142,16 @@
 		return Math.min(unusualMs(), Math.max(MIN_UNUSUAL_MS, (long) (meanPauseMs() * UNUSUAL_PAUSES_SUSPECT)));
 	}
 
+	/**
+	 * Returns when to look again at a silence that is not unusual yet. A suspicion may
+	 * come at any time after {@link #unusualWithSuspectMs()}.
+	 * @param silentMs length of the silence so far, in milliseconds
+	 * @return time until the next look, in milliseconds, at least 1
+	 */
+	public long lookAgainMs(long silentMs) {
+		return Math.max(1, Math.min(SUSPECT_LOOK_MS, unusualMs() - silentMs));
+	}
+
 	private double meanPauseMs() {
 		return (double) (this.lastMs - this.firstMs) / (this.events - 1);
 	}
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/StreamPausesTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/StreamPausesTests.java
@@ -54,6 +54,22 @@
 		assertThat(pauses.unusualWithSuspectMs()).isEqualTo(unusualMs);
 	}
 
+	/**
+	 * Replays a suspicion that is heard 90 ms after the loss: one look at 65 ms missed
+	 * it, and the next one came at 140 ms.
+	 */
+	@Test
+	void silenceIsLookedAtAgainUntilItIsUnusual() {
+		StreamPauses pauses = new StreamPauses(0, 500, 200);
+		for (int i = 1; i <= 10; i++) {
+			pauses.event(i * 40);
+		}
+		assertThat(pauses.lookAgainMs(60)).isEqualTo(20);
+		assertThat(pauses.lookAgainMs(80)).isEqualTo(20);
+		assertThat(pauses.lookAgainMs(95)).isEqualTo(5);
+		assertThat(pauses.lookAgainMs(100)).isEqualTo(1);
+	}
+
 	@Test
 	void routeWithoutATargetIsOnlyAsked() {
 		StreamPauses pauses = new StreamPauses(0, 500, 0);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -203,12 +203,12 @@
 
 	private void onSilence(long nowMs) {
 		StreamPauses pauses = this.current.pauses();
-		long untilUnusualMs = pauses.unusualMs() - pauses.silentMs(nowMs);
-		if (untilUnusualMs <= 0 || hasSuspect(this.current.chain())) {
+		boolean unusual = pauses.silentMs(nowMs) >= pauses.unusualMs();
+		if (unusual || hasSuspect(this.current.chain())) {
 			moveWhenSilent(nowMs);
 		}
-		if (untilUnusualMs > 0) {
-			this.current.askAt(nowMs + untilUnusualMs);
+		if (!unusual) {
+			this.current.askAt(nowMs + pauses.lookAgainMs(pauses.silentMs(nowMs)));
 			return;
 		}
 		long untilAskMs = StreamPauses.ASK_AFTER_MS - pauses.silentMs(nowMs);
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/StreamModel.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/StreamModel.java
@@ -183,7 +183,8 @@
 				move(searching, silentMs);
 			}
 			if (silentMs < unusualMs) {
-				watch(attempt, afterEvent, unusualMs - silentMs);
+				watch(attempt, afterEvent,
+						(searching.usesSuspects()) ? attempt.pauses().lookAgainMs(silentMs) : unusualMs - silentMs);
 				return;
 			}
 		}
