--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -91,7 +91,7 @@
 		LoadTable loads = new LoadTable();
 		PeerOptions peerOptions = PeerOptions.of(List.of(CidrRange.parse("0.0.0.0/0")));
 		this.network = new ThriftPeerNetwork(peerOptions);
-		this.exchange = new LoadExchange(this.state, loads, this.network, settings.hostId(),
+		this.exchange = new LoadExchange(this.state, loads, this.network::send, settings.hostId(),
 				settings.availabilityZone());
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()), new DigestReceiver(this.exchange),
 				peerOptions);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -1,9 +1,6 @@
 package org.medlardrum.gateway.internal.http;
 
 import java.net.InetSocketAddress;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.Channel;
@@ -26,6 +23,7 @@
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import org.medlardrum.transport.internal.Addresses;
 import org.medlardrum.transport.internal.ConnectionContexts;
+import org.medlardrum.transport.internal.Shutdown;
 
 /**
  * HTTP/1.1 server whose service runs on the event loop. Passing an event on to another
@@ -111,16 +109,7 @@
 
 	@Override
 	public void close() {
-		try {
-			this.server.closeAsyncGracefully().toFuture().get(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			this.server.closeAsync().subscribe();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			this.server.closeAsync().subscribe();
-		}
+		Shutdown.close(this.server, CLOSE_TIMEOUT_MS);
 	}
 
 	private static final class Acceptor implements EarlyConnectionAcceptor {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -6,8 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
-import org.medlardrum.coordination.PeerNetwork;
 import org.medlardrum.coordination.internal.DutyThread;
 import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
@@ -53,7 +53,7 @@
 
 	private final LoadTable loads;
 
-	private final PeerNetwork network;
+	private final BiConsumer<Host, Digest> sender;
 
 	private final String hostId;
 
@@ -73,15 +73,15 @@
 	 * Creates an exchange.
 	 * @param state what the host knows
 	 * @param loads work at the servers
-	 * @param network the other hosts
+	 * @param sender sends a digest to another host; its loss is not reported
 	 * @param hostId name of the host
 	 * @param availabilityZone availability zone of the host
 	 */
-	public LoadExchange(GatewayState state, LoadTable loads, PeerNetwork network, String hostId,
+	public LoadExchange(GatewayState state, LoadTable loads, BiConsumer<Host, Digest> sender, String hostId,
 			String availabilityZone) {
 		this.state = state;
 		this.loads = loads;
-		this.network = network;
+		this.sender = sender;
 		this.hostId = hostId;
 		this.availabilityZone = availabilityZone;
 		state.onSuspicion(this::tellSoon);
@@ -166,7 +166,7 @@
 		this.wasIdle = idle;
 		this.sentAtMs = nowMs;
 		Digest digest = digest(own, suspicions);
-		receivers.forEach((peer) -> this.network.send(peer, digest));
+		receivers.forEach((peer) -> this.sender.accept(peer, digest));
 		return busyIntervalMs;
 	}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -97,12 +97,7 @@
 	@Test
 	void stalledChainIsLeftForTheNext() throws Exception {
 		CountDownLatch stalling = new CountDownLatch(1);
-		try (FakeBackend next = whole("p2", 3, 4); FakeBackend stalled = new FakeBackend((head, socket, out) -> {
-			if (head.startsWith("get /report")) {
-				String body = "r1 " + "127.0.0.1:" + socket.getLocalPort();
-				FakeBackend.answer(200, "", body).answer(head, socket, out);
-				return;
-			}
+		try (FakeBackend next = whole("p2", 3, 4); FakeBackend stalled = reporting("r1 ", (head, socket, out) -> {
 			FakeBackend.write(out, HEAD + "p1\r\n\r\n" + FakeBackend.chunk(event(1) + event(2)));
 			stalling.await(5, TimeUnit.SECONDS);
 		})) {
@@ -150,11 +145,7 @@
 	void silentEngineStopsWhenTheCallerLeavesWithoutAReset(String header) throws Exception {
 		CountDownLatch received = new CountDownLatch(1);
 		CountDownLatch closed = new CountDownLatch(1);
-		try (FakeBackend engine = new FakeBackend((head, socket, out) -> {
-			if (head.startsWith("get /report")) {
-				FakeBackend.answer(200, "", "").answer(head, socket, out);
-				return;
-			}
+		try (FakeBackend engine = reporting("", (head, socket, out) -> {
 			received.countDown();
 			try {
 				socket.getInputStream().read();
@@ -178,11 +169,7 @@
 	@Test
 	void silentStreamGoesOnInTimeForItsTarget() throws Exception {
 		CountDownLatch end = new CountDownLatch(1);
-		try (FakeBackend next = whole("p2", 7, 9); FakeBackend silent = new FakeBackend((head, socket, out) -> {
-			if (head.startsWith("get /report")) {
-				FakeBackend.answer(200, "", "").answer(head, socket, out);
-				return;
-			}
+		try (FakeBackend next = whole("p2", 7, 9); FakeBackend silent = reporting("", (head, socket, out) -> {
 			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
 			for (int id = 1; id <= 6; id++) {
 				FakeBackend.write(out, FakeBackend.chunk(event(id)));
@@ -326,13 +313,22 @@
 		}
 	}
 
-	// An engine that pauses once, for less than the time after which it is asked why.
-	private static FakeBackend pausing(int beforePause, int last, long pauseMs) throws Exception {
+	// An engine whose report names itself behind a prefix, or nothing for no prefix.
+	private static FakeBackend reporting(String stalledPrefix, FakeBackend.Script requests) throws Exception {
 		return new FakeBackend((head, socket, out) -> {
 			if (head.startsWith("get /report")) {
-				FakeBackend.answer(200, "", "").answer(head, socket, out);
+				String own = "127.0.0.1:" + socket.getLocalPort();
+				String body = (stalledPrefix.isEmpty()) ? "" : stalledPrefix + own;
+				FakeBackend.answer(200, "", body).answer(head, socket, out);
 				return;
 			}
+			requests.answer(head, socket, out);
+		});
+	}
+
+	// An engine that pauses once, for less than the time after which it is asked why.
+	private static FakeBackend pausing(int beforePause, int last, long pauseMs) throws Exception {
+		return reporting("", (head, socket, out) -> {
 			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
 			for (int id = 1; id <= last; id++) {
 				FakeBackend.write(out, FakeBackend.chunk(event(id)));
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -7,15 +7,9 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.medlardrum.coordination.PeerNetwork;
-import org.medlardrum.coordination.PeerResult;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.state.GatewayState;
-import org.medlardrum.peer.gen.ClaimAnswer;
-import org.medlardrum.peer.gen.ClaimOutcome;
-import org.medlardrum.peer.gen.ClaimRequest;
-import org.medlardrum.peer.gen.ConfigPull;
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
@@ -36,8 +30,8 @@
 
 	private final List<Digest> sent = new ArrayList<>();
 
-	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(), new RecordingNetwork(), "host",
-			"a");
+	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(),
+			(peer, digest) -> this.sent.add(digest), "host", "a");
 
 	@BeforeEach
 	void addPeerAndSendOnce() {
@@ -85,28 +79,4 @@
 		assertThat(this.sent.getFirst().getSilentServers()).hasSize(5);
 	}
 
-	private final class RecordingNetwork implements PeerNetwork {
-
-		@Override
-		public void send(Host peer, Digest digest) {
-			LoadExchangeTests.this.sent.add(digest);
-		}
-
-		@Override
-		public PeerResult<ConfigPull> pullConfig(Host peer, long afterVersion) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public PeerResult<ClaimAnswer> claim(Host peer, ClaimRequest request) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public PeerResult<Boolean> recordOutcome(Host peer, ClaimOutcome outcome) {
-			throw new UnsupportedOperationException();
-		}
-
-	}
-
 }
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/ResultSummary.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/ResultSummary.java
@@ -1,6 +1,5 @@
 package org.medlardrum.standins.internal.model;
 
-import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
@@ -61,21 +60,4 @@
 		return (ordered.length > 0) ? ordered[(int) Math.min(ordered.length - 1, share * ordered.length)] : 0;
 	}
 
-	@Override
-	public boolean equals(Object other) {
-		return other instanceof ResultSummary summary && this.asked == summary.asked && this.onTime == summary.onTime
-				&& this.refused == summary.refused && this.broken == summary.broken
-				&& Arrays.equals(this.firstMs, summary.firstMs) && Arrays.equals(this.pausesMs, summary.pausesMs);
-	}
-
-	@Override
-	public int hashCode() {
-		return Arrays.hashCode(this.pausesMs) * 31 + this.asked;
-	}
-
-	@Override
-	public String toString() {
-		return line("summary");
-	}
-
 }
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpListener.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/server/HttpListener.java
@@ -3,11 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
@@ -23,6 +21,7 @@
 import org.medlardrum.transport.internal.Addresses;
 import org.medlardrum.transport.internal.ConnectionContexts;
 import org.medlardrum.transport.internal.HttpClientPool;
+import org.medlardrum.transport.internal.Shutdown;
 
 /**
  * HTTP/1.1 server.
@@ -99,16 +98,7 @@
 	 */
 	@Override
 	public void close() {
-		try {
-			this.server.closeAsyncGracefully().toFuture().get(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			this.server.closeAsync().subscribe();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			this.server.closeAsync().subscribe();
-		}
+		Shutdown.close(this.server, CLOSE_TIMEOUT_MS);
 		this.threads.shutdown();
 	}
 
