Run the same zone rules and limits of streams in the gateway and in the model

The model of the pool had its own copies of the zone before an engine, of the search for a suspect in a chain, of the draw of a zone and of eight limits, so that a change of the gateway would have gone unnoticed there. They stand in the decisions now (ChainZones, StreamLimits, ServerSuspicions). PlainRun and StreamRun share their fields, the take from the retry budget and the failure of a step in RequestRun.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainRun.java
@@ -48,12 +48,6 @@
 
 	private static final String PART = "plain";
 
-	private final RequestServices services;
-
-	private final GatewayRequest request;
-
-	private final CallerResponse response;
-
 	private final List<PlainAttempt> active = new ArrayList<>();
 
 	private final Set<String> tried = new HashSet<>();
@@ -78,10 +72,7 @@
 	 */
 	public PlainRun(RequestServices services, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
-		super(services, outcomeListener);
-		this.services = services;
-		this.request = request;
-		this.response = response;
+		super(services, request, response, outcomeListener);
 	}
 
 	@Override
@@ -119,16 +110,6 @@
 		return (nowMs >= this.request.endMs()) ? timedOut() : hedge();
 	}
 
-	@Override
-	protected String requestId() {
-		return this.request.id();
-	}
-
-	@Override
-	protected void abandon() {
-		this.response.abandon(this.request.rank());
-	}
-
 	@Override
 	protected void close() {
 		this.active.forEach(PlainAttempt::close);
@@ -156,9 +137,7 @@
 		if (choice.isEmpty()) {
 			return false;
 		}
-		String service = this.request.service().name();
-		if (this.sends > 0 && !this.services.retries().tryRepeat(service, nowMs)) {
-			this.services.log().event(PART, "budget-used", "id", this.request.id(), "service", service);
+		if (this.sends > 0 && !tryRepeat(PART)) {
 			return false;
 		}
 		ServiceInstance server = choice.get();
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestRun.java
@@ -15,9 +15,16 @@
  */
 public abstract class RequestRun {
 
-	private final IoExecutor executor;
+	/** What all requests share. */
+	protected final RequestServices services;
+
+	/** The request. */
+	protected final GatewayRequest request;
 
-	private final RequestServices services;
+	/** The response to its caller. */
+	protected final CallerResponse response;
+
+	private final IoExecutor executor;
 
 	private final Consumer<String> outcomeListener;
 
@@ -30,10 +37,15 @@
 	/**
 	 * Creates a run.
 	 * @param services what all requests share
-	 * @param outcomeListener receives the outcome
+	 * @param request the request
+	 * @param response the response
+	 * @param outcomeListener receives the outcome for logs and metrics
 	 */
-	protected RequestRun(RequestServices services, Consumer<String> outcomeListener) {
+	protected RequestRun(RequestServices services, GatewayRequest request, CallerResponse response,
+			Consumer<String> outcomeListener) {
 		this.services = services;
+		this.request = request;
+		this.response = response;
 		this.executor = services.executor();
 		this.outcomeListener = outcomeListener;
 	}
@@ -87,13 +99,18 @@
 	protected abstract void close();
 
 	/**
-	 * Returns the identifier of the request.
-	 * @return the identifier
+	 * Takes a repeat from the retry budget.
+	 * @param part part of the log for the line of a refusal
+	 * @return {@code false} when this host's share is used up
 	 */
-	protected abstract String requestId();
-
-	// Tells the caller that the request failed.
-	protected abstract void abandon();
+	protected final boolean tryRepeat(String part) {
+		String service = this.request.service().name();
+		boolean allowed = this.services.retries().tryRepeat(service, this.services.nowMs());
+		if (!allowed) {
+			this.services.log().event(part, "budget-used", "id", this.request.id(), "service", service);
+		}
+		return allowed;
+	}
 
 	private void after(String outcome) {
 		if (this.ended) {
@@ -136,8 +153,8 @@
 			outcome = work.get();
 		}
 		catch (RuntimeException ex) {
-			this.services.log().event("request", "internal-error", "id", requestId(), "error", ex);
-			abandon();
+			this.services.log().event("request", "internal-error", "id", this.request.id(), "error", ex);
+			this.response.abandon(this.request.rank());
 			outcome = "internal-error";
 		}
 		after(outcome);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -19,18 +19,6 @@
  */
 public final class GatewayState {
 
-	/**
-	 * Time for which a silent server is not used: the registry removes it after three
-	 * missed heartbeats, 3.6 s in the users' settings.
-	 */
-	public static final long SUSPICION_MS = 4_000;
-
-	/**
-	 * Time for which a server that refused its part of a chain is not used: a load of a
-	 * tenth of the model, during which every chain through it would be refused.
-	 */
-	private static final long REFUSAL_MS = 1_000;
-
 	/** Time for which a removed server is remembered; longer than any stream lasts. */
 	private static final long LEAVING_MEMORY_MS = 30_000;
 
@@ -173,7 +161,7 @@
 	 * @param server the server
 	 */
 	public void suspect(String fromZone, ServiceInstance server) {
-		suspect(fromZone, server, SUSPICION_MS);
+		suspect(fromZone, server, ServerSuspicions.SILENT_MS);
 	}
 
 	/**
@@ -183,7 +171,7 @@
 	 * @param server the server
 	 */
 	public void refused(String fromZone, ServiceInstance server) {
-		suspect(fromZone, server, REFUSAL_MS);
+		suspect(fromZone, server, ServerSuspicions.REFUSED_MS);
 	}
 
 	private void suspect(String fromZone, ServiceInstance server, long forMs) {
@@ -218,7 +206,7 @@
 	 * @param suspicion the suspicion
 	 */
 	public void heard(ServerSuspicions.Suspicion suspicion) {
-		long remainingMs = Math.min(SUSPICION_MS, suspicion.remainingMs());
+		long remainingMs = Math.min(ServerSuspicions.SILENT_MS, suspicion.remainingMs());
 		this.heardSuspicions.suspect(suspicion.fromZone(), suspicion.server(), suspicion.serverZone(),
 				this.clock.steadyMs() + remainingMs);
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
-import org.medlardrum.decisions.pool.ChainHop;
+import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.StreamPauses;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -167,14 +167,7 @@
 	 * @return the zone of the engine before it, or of this host
 	 */
 	String zoneBefore(String serverId, String hostZone) {
-		String before = hostZone;
-		for (ChainHop hop : this.chain.hops()) {
-			if (hop.server().id().equals(serverId)) {
-				return before;
-			}
-			before = hop.server().availabilityZone();
-		}
-		return before;
+		return ChainZones.zoneBefore(this.chain.hops(), serverId, hostZone);
 	}
 
 	@Override
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -9,8 +9,10 @@
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainSearch;
+import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.PoolServer;
 import org.medlardrum.decisions.pool.PoolSnapshot;
+import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.gateway.internal.load.Reservation;
 import org.medlardrum.gateway.internal.request.RequestServices;
 import org.medlardrum.gateway.internal.state.GatewayState;
@@ -21,15 +23,6 @@
  */
 final class ChainChooser {
 
-	/** Fill up to which a stream that has begun may take an engine's KV cache. */
-	private static final double RESUME_FILL = 0.97;
-
-	/**
-	 * Fill up to which a chain takes streams that may only be slow where they are; above
-	 * it their move would slow down others.
-	 */
-	private static final double SPARE_FILL = 0.7;
-
 	private final RequestServices services;
 
 	ChainChooser(RequestServices services) {
@@ -47,7 +40,8 @@
 	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
 		PoolSnapshot snapshot = snapshot(service, excluded);
 		ChainSearch search = new ChainSearch(snapshot);
-		Optional<List<ChainHop>> chain = (resumes) ? search.find(request, RESUME_FILL) : search.find(request);
+		Optional<List<ChainHop>> chain = (resumes) ? search.find(request, StreamLimits.RESUME_FILL)
+				: search.find(request);
 		return chain.map((hops) -> {
 			double fill = hops.stream()
 				.mapToDouble((hop) -> snapshot.fill(hop.server(), (long) request.tokensAtEnd() * hop.layers().length()))
@@ -66,28 +60,18 @@
 	 * @return {@code true} if a chain stays well below full
 	 */
 	boolean hasMuchRoom(RoutedService service, ChainRequest request, Set<String> excluded) {
-		return new ChainSearch(snapshot(service, excluded)).find(request, SPARE_FILL).isPresent();
+		return new ChainSearch(snapshot(service, excluded)).find(request, StreamLimits.SPARE_FILL).isPresent();
 	}
 
 	/**
-	 * Draws an availability zone for a stream that leaves its chain. All streams of a
-	 * broken chain move at the same moment; drawn zones spread them over what is left.
+	 * Draws an availability zone for a stream that leaves its chain.
 	 * @param service the service
 	 * @param excluded identifiers of engines that must not be used
 	 * @return a zone that has engines left, that of this host if none has
 	 */
 	String drawZone(RoutedService service, Set<String> excluded) {
-		List<String> zones = this.services.state()
-			.fleet()
-			.poolServers(service)
-			.stream()
-			.filter((server) -> !excluded.contains(server.id()))
-			.map(PoolServer::availabilityZone)
-			.distinct()
-			.sorted()
-			.toList();
-		return (zones.isEmpty()) ? this.services.settings().availabilityZone()
-				: zones.get(this.services.random().nextInt(zones.size()));
+		return ChainZones.draw(this.services.state().fleet().poolServers(service), excluded,
+				this.services.settings().availabilityZone(), this.services.random());
 	}
 
 	private PoolSnapshot snapshot(RoutedService service, Set<String> excluded) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamRun.java
@@ -6,8 +6,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.pool.ChainZones;
+import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamPauses;
 import org.medlardrum.decisions.routing.ReturnTime;
 import org.medlardrum.gateway.BackendVerdict;
@@ -34,9 +35,6 @@
  */
 public final class StreamRun extends RequestRun {
 
-	/** Time between two questions during one silence; reports lag 200 ms. */
-	private static final long ASK_AGAIN_MS = 300;
-
 	/**
 	 * Time between an engine's notice and the move of its streams. Engines go on serving
 	 * for at least 2 s after the notice; most streams end before.
@@ -46,18 +44,6 @@
 	/** Time between two looks for a chain for a stream whose engine leaves. */
 	private static final long LEAVING_LOOK_AGAIN_MS = 200;
 
-	/** Time between two looks for a chain when a stream that has begun finds none. */
-	private static final long LOOK_AGAIN_MS = 60;
-
-	/**
-	 * Longest search for a chain to resume; callers abandon a stream after 2 s of
-	 * silence.
-	 */
-	private static final long RESUME_SEARCH_MS = 900;
-
-	/** Attempts of one request, with those that did not run. */
-	private static final int MAX_SENDS = 6;
-
 	/** Largest body of a response that is no stream, in bytes. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
@@ -69,12 +55,6 @@
 
 	private static final String LEAVING = "leaving";
 
-	private final RequestServices services;
-
-	private final GatewayRequest request;
-
-	private final CallerResponse response;
-
 	private final ChainChooser chooser;
 
 	private final SilenceProbe probe;
@@ -125,10 +105,7 @@
 	 */
 	public StreamRun(RequestServices services, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
-		super(services, outcomeListener);
-		this.services = services;
-		this.request = request;
-		this.response = response;
+		super(services, request, response, outcomeListener);
 		this.chooser = new ChainChooser(services);
 		this.probe = new SilenceProbe(services, this::on);
 		this.lastEventId = request.attributes().lastEventId();
@@ -185,16 +162,6 @@
 		return null;
 	}
 
-	@Override
-	protected String requestId() {
-		return this.request.id();
-	}
-
-	@Override
-	protected void abandon() {
-		this.response.abandon(this.request.rank());
-	}
-
 	@Override
 	protected void close() {
 		dropSuccessor();
@@ -222,7 +189,7 @@
 	// A chain that an engine leaves still delivers, so its successor may take its time.
 	private void onSilentSuccessor(long nowMs) {
 		if (this.successor.reason().equals(LEAVING)) {
-			this.successor.askAt(nowMs + ASK_AGAIN_MS);
+			this.successor.askAt(nowMs + StreamLimits.ASK_AGAIN_MS);
 		}
 		else {
 			promote("no chain answers");
@@ -246,14 +213,9 @@
 	}
 
 	private boolean hasSuspect(ChainChooser.ReservedChain chain) {
-		String before = ownZone();
-		for (ChainHop hop : chain.hops()) {
-			if (this.services.state().isSuspect(before, hop.server().id(), hop.server().availabilityZone())) {
-				return true;
-			}
-			before = hop.server().availabilityZone();
-		}
-		return false;
+		GatewayState state = this.services.state();
+		return ChainZones.hasAvoided(chain.hops(), ownZone(),
+				(before, server) -> state.isSuspect(before, server.id(), server.availabilityZone()));
 	}
 
 	private void moveFromLeaving(long nowMs) {
@@ -317,7 +279,7 @@
 	}
 
 	private void ask(long nowMs) {
-		this.current.askAt(nowMs + ASK_AGAIN_MS);
+		this.current.askAt(nowMs + StreamLimits.ASK_AGAIN_MS);
 		this.services.log()
 			.event(PART, "silent", "id", this.request.id(), "server", this.current.firstEngine(), "silentMs",
 					this.current.pauses().silentMs(nowMs));
@@ -333,17 +295,14 @@
 
 	// Reserves a chain and takes a repeat from the budget.
 	private Optional<ChainChooser.ReservedChain> acquire(Set<String> avoided, ChainRequest wanted) {
-		if (this.sends >= MAX_SENDS) {
+		if (this.sends >= StreamLimits.MAX_SENDS) {
 			return Optional.empty();
 		}
-		String service = this.request.service().name();
 		Optional<ChainChooser.ReservedChain> choice = this.chooser.choose(this.request.service(), wanted, avoided,
 				this.started);
-		if (choice.isPresent() && this.sends > 0
-				&& !this.services.retries().tryRepeat(service, this.services.nowMs())) {
+		if (choice.isPresent() && this.sends > 0 && !tryRepeat(PART)) {
 			choice.get().reservation().close();
 			this.searchUntilMs = this.services.nowMs();
-			this.services.log().event(PART, "budget-used", "id", this.request.id(), "service", service);
 			return Optional.empty();
 		}
 		return choice;
@@ -454,9 +413,8 @@
 		return null;
 	}
 
-	// Of two attempts, the one with the first event goes on. A chain that an engine
-	// leaves
-	// is heard until the other one has begun.
+	// Of two attempts, the one with the first event goes on. A chain with an engine that
+	// leaves is heard until the other one has begun.
 	private void decideBetween(ChainAttempt attempt) {
 		if (attempt == this.successor) {
 			promote("successor answers");
@@ -577,7 +535,7 @@
 		}
 		long nowMs = this.services.nowMs();
 		this.searchEvent = event;
-		this.searchUntilMs = nowMs + ((this.started) ? RESUME_SEARCH_MS : 0);
+		this.searchUntilMs = nowMs + ((this.started) ? StreamLimits.RESUME_SEARCH_MS : 0);
 		return search(nowMs);
 	}
 
@@ -586,7 +544,7 @@
 			this.searchEvent = null;
 			return null;
 		}
-		this.searchAtMs = nowMs + LOOK_AGAIN_MS;
+		this.searchAtMs = nowMs + StreamLimits.LOOK_AGAIN_MS;
 		return (nowMs >= this.searchUntilMs) ? giveUp(this.lastFailure) : null;
 	}
 
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/HostModel.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/HostModel.java
@@ -62,7 +62,7 @@
 		return maxFill.map((fill) -> search.find(request, fill)).orElseGet(() -> search.find(request));
 	}
 
-	private boolean isAvoided(String fromZone, PoolServer server) {
+	boolean isAvoided(String fromZone, PoolServer server) {
 		return isSuspect(fromZone, server.id(), server.availabilityZone());
 	}
 
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/PoolModel.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/PoolModel.java
@@ -15,6 +15,7 @@
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainSearch;
+import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.LayerPlanner;
 import org.medlardrum.decisions.pool.PlacementServer;
 import org.medlardrum.decisions.pool.PoolServer;
@@ -196,14 +197,7 @@
 	}
 
 	String drawZone(Set<String> excluded, String ownZone) {
-		List<String> zones = this.registered.values()
-			.stream()
-			.filter((server) -> !excluded.contains(server.id()))
-			.map(PoolServer::availabilityZone)
-			.distinct()
-			.sorted()
-			.toList();
-		return (zones.isEmpty()) ? ownZone : zones.get(this.drawnZones.nextInt(zones.size()));
+		return ChainZones.draw(this.registered.values(), excluded, ownZone, this.drawnZones);
 	}
 
 	/**
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/StreamModel.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/StreamModel.java
@@ -8,36 +8,22 @@
 
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.PoolServer;
+import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamPauses;
+import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.standins.internal.model.RoutingPolicy.ChainSearching;
 import org.medlardrum.standins.internal.model.RoutingPolicy.NearestChain;
 import org.medlardrum.standins.internal.model.StreamResult.Outcome;
 
 /**
- * One request at its entry host, with the rules of the product's streams: limits of
- * attempts, moves and searches are those of the gateway.
+ * One request at its entry host, with the rules of the product's streams.
  */
 final class StreamModel {
 
 	private static final int MAX_RUNS = 2;
 
-	private static final int MAX_SENDS = 6;
-
-	private static final double SPARE_FILL = 0.7;
-
-	private static final double RESUME_FILL = 0.97;
-
-	private static final long SUSPICION_MS = 4_000;
-
-	private static final long REFUSAL_MS = 1_000;
-
-	private static final double ASK_AGAIN_MS = 300;
-
-	private static final double LOOK_AGAIN_MS = 60;
-
-	private static final double RESUME_SEARCH_MS = 900;
-
 	private final PoolModel model;
 
 	private final HostModel host;
@@ -119,12 +105,12 @@
 			end((this.delivered > 0) ? Outcome.BROKEN : Outcome.REFUSED);
 		}
 		else {
-			this.model.queue().after(LOOK_AGAIN_MS, () -> search(leftMs - LOOK_AGAIN_MS));
+			this.model.queue().after(StreamLimits.LOOK_AGAIN_MS, () -> search(leftMs - StreamLimits.LOOK_AGAIN_MS));
 		}
 	}
 
 	private Optional<List<ChainHop>> choose(Set<String> avoided, String preferredZone) {
-		if (this.sends >= MAX_SENDS) {
+		if (this.sends >= StreamLimits.MAX_SENDS) {
 			return Optional.empty();
 		}
 		return switch (this.model.policy()) {
@@ -133,7 +119,7 @@
 				.filter((chain) -> chain.stream().noneMatch((hop) -> avoided.contains(hop.server().id())))
 				.findFirst();
 			case ChainSearching searching -> this.host.find(request().preferring(preferredZone), avoided,
-					(this.delivered > 0) ? Optional.of(RESUME_FILL) : Optional.empty());
+					(this.delivered > 0) ? Optional.of(StreamLimits.RESUME_FILL) : Optional.empty());
 		};
 	}
 
@@ -197,31 +183,21 @@
 		}
 		Optional<PoolServer> lost = attempt.lostEngine();
 		if (lost.isPresent()) {
-			this.host.suspect(zoneBefore(attempt, lost.get()), lost.get(), SUSPICION_MS);
+			suspect(attempt, lost.get(), ServerSuspicions.SILENT_MS);
 			this.excluded.add(lost.get().id());
 			goOn(attempt);
 		}
 		else {
-			watch(attempt, afterEvent, ASK_AGAIN_MS);
+			watch(attempt, afterEvent, StreamLimits.ASK_AGAIN_MS);
 		}
 	}
 
 	private boolean hasSuspect(AttemptModel attempt) {
-		return attempt.chain()
-			.stream()
-			.anyMatch((hop) -> this.host.isSuspect(zoneBefore(attempt, hop.server()), hop.server().id(),
-					hop.server().availabilityZone()));
+		return ChainZones.hasAvoided(attempt.chain(), this.host.zone(), this.host::isAvoided);
 	}
 
-	private String zoneBefore(AttemptModel attempt, PoolServer server) {
-		String before = this.host.zone();
-		for (ChainHop hop : attempt.chain()) {
-			if (hop.server().id().equals(server.id())) {
-				break;
-			}
-			before = hop.server().availabilityZone();
-		}
-		return before;
+	private void suspect(AttemptModel attempt, PoolServer server, long forMs) {
+		this.host.suspect(ChainZones.zoneBefore(attempt.chain(), server.id(), this.host.zone()), server, forMs);
 	}
 
 	private void move(ChainSearching searching, long silentMs) {
@@ -232,7 +208,7 @@
 		Set<String> avoided = new HashSet<>(this.excluded);
 		this.current.chain().forEach((hop) -> avoided.add(hop.server().id()));
 		String zone = (searching.drawsZone()) ? this.model.drawZone(avoided, this.host.zone()) : this.host.zone();
-		if (this.host.find(request().preferring(zone), avoided, Optional.of(SPARE_FILL)).isEmpty()) {
+		if (this.host.find(request().preferring(zone), avoided, Optional.of(StreamLimits.SPARE_FILL)).isEmpty()) {
 			return;
 		}
 		Optional<List<ChainHop>> next = choose(avoided, zone);
@@ -291,7 +267,7 @@
 	void refused(AttemptModel attempt, PoolServer server) {
 		this.runs--;
 		this.excluded.add(server.id());
-		this.host.suspect(zoneBefore(attempt, server), server, REFUSAL_MS);
+		suspect(attempt, server, ServerSuspicions.REFUSED_MS);
 		goOn(attempt);
 	}
 
@@ -305,7 +281,7 @@
 			promote();
 			return;
 		}
-		search((this.delivered > 0) ? RESUME_SEARCH_MS : 0);
+		search((this.delivered > 0) ? StreamLimits.RESUME_SEARCH_MS : 0);
 	}
 
 	/**
