Log how late timers are and when a stream passes its limit of servers

Lines send have the servers that may have run the request, the limit of the route and the lateness of the last timer. limit-passed and limit-reached tell whether a stream at its limit goes on. The lateness is measured on the timers that requests have anyway, so a host makes no further wake-ups. No decision changes.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.request.RetryBudgets;
+import org.medlardrum.gateway.internal.request.TimerLateness;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.routing.RoutingTable;
@@ -101,14 +102,17 @@
 				peerOptions);
 		GatewayMetrics metrics = new GatewayMetrics();
 		RetryBudgets retries = new RetryBudgets(settings, this.exchange::peerCount);
+		TimerLateness lateness = new TimerLateness(clock, log);
 		this.handler = new GatewayHandler(new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, RandomGenerator.getDefault()));
+				this.clients, dialect, log, metrics, lateness, RandomGenerator.getDefault()));
 		metrics.gauge("medlardrum_gateway_in_progress", "Requests in progress", this.handler::inProgress);
 		metrics.gauge("medlardrum_gateway_config_version", "Version of the configuration in force, 0 for none",
 				() -> (this.state.table() != null) ? this.state.table().version() : 0);
 		metrics.gauge("medlardrum_gateway_confirmation_age_ms", "Age of the last confirmation of the configuration",
 				this.state::confirmationAgeMs);
 		metrics.gauge("medlardrum_gateway_dropped_log_lines", "Log lines that found the ring full", log::dropped);
+		metrics.gauge("medlardrum_gateway_timer_late_ms", "Lateness of the last timer of a request",
+				lateness::latestMs);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
 		this.servers = List.of(
 				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -155,7 +155,9 @@
 		this.dependencies.metrics().countAttempt(this.request.trafficKind(), reason);
 		this.dependencies.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "server", server.id(), "address",
-					server.address(), "attempt", this.attempts, "remainingMs", remainingMs, "configVersion",
+					server.address(), "attempt", this.attempts, "runs", this.possibleExecutions, "maxAttempts",
+					this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
+					this.dependencies.timerLateness().latestMs(), "configVersion",
 					this.dependencies.state().table().version(), "confirmedMsAgo",
 					this.dependencies.state().confirmationAgeMs());
 		return true;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -23,11 +23,12 @@
  * @param dialect names and formats of headers and documents
  * @param log log of decisions
  * @param metrics the metrics
+ * @param timerLateness lateness of the timers of requests
  * @param random source of random numbers
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
-		RandomGenerator random) {
+		TimerLateness timerLateness, RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -141,9 +141,10 @@
 		if (this.ended) {
 			return;
 		}
+		long nowMs = this.dependencies.nowMs();
+		this.dependencies.timerLateness().record(this.timerAtMs, nowMs);
 		this.timer = null;
 		this.timerAtMs = Long.MAX_VALUE;
-		long nowMs = this.dependencies.nowMs();
 		runStep(() -> (nowMs >= dueAtMs()) ? onTimer(nowMs) : null);
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -349,9 +349,10 @@
 		this.dependencies.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "chain", chosen.describe(), "fill",
 					Math.round(chosen.cacheUtilisation() * 100) / 100.0, "attempt", this.attempts, "after",
-					this.lastEventId, "rank", this.request.rank(), "remainingMs", remainingMs, "configVersion",
-					state.table().version(), "confirmedMsAgo", state.confirmationAgeMs(), "peers",
-					this.dependencies.loads().peerCount());
+					this.lastEventId, "rank", this.request.rank(), "runs", this.possibleExecutions, "maxAttempts",
+					this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
+					this.dependencies.timerLateness().latestMs(), "configVersion", state.table().version(),
+					"confirmedMsAgo", state.confirmationAgeMs(), "peers", this.dependencies.loads().peerCount());
 	}
 
 	private void logAttempt(String event, String reason) {
@@ -552,8 +553,12 @@
 		}
 		boolean firstEngineUnusable = isFirstEngineUnusable(failed);
 		endCurrent();
-		if (this.possibleExecutions > 0 && !mayExecuteAgain() && !firstEngineUnusable) {
-			return abandon(reason);
+		if (this.possibleExecutions > 0 && !mayExecuteAgain()) {
+			logAttempt((firstEngineUnusable) ? "limit-passed" : "limit-reached",
+					"first engine " + failed.firstEngine() + ((firstEngineUnusable) ? " unregistered or suspect" : ""));
+			if (!firstEngineUnusable) {
+				return abandon(reason);
+			}
 		}
 		long nowMs = this.dependencies.nowMs();
 		this.searchReason = event;
