--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -110,6 +110,14 @@
 		this.gateway.updateInstances(this.instances);
 	}
 
+	/**
+	 * Replaces all registered servers by one.
+	 */
+	void replace(String service, String id, FakeBackend backend) {
+		this.instances.clear();
+		register(service, id, backend);
+	}
+
 	/**
 	 * Sends a request on a persistent connection and returns the open socket.
 	 */
