Add a failing test for a search that does not end on a slow host

With the retry budget used up and a clock that advances within a step, a stream that its only server refused is answered 504 at its deadline instead of 503 at once.

--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -58,7 +58,11 @@
 
 	final AtomicLong clockOffsetMs = new AtomicLong();
 
-	private final GatewayClock clock = new GatewayClock(() -> System.nanoTime() / 1_000_000 + this.clockOffsetMs.get(),
+	/** Time by which the clock advances whenever it is read. */
+	final AtomicLong tickMs = new AtomicLong();
+
+	private final GatewayClock clock = new GatewayClock(
+			() -> System.nanoTime() / 1_000_000 + this.clockOffsetMs.addAndGet(this.tickMs.get()),
 			() -> System.currentTimeMillis() + this.clockOffsetMs.get());
 
 	private final Gateway gateway;
@@ -66,8 +70,12 @@
 	private final List<ServiceInstance> instances = new ArrayList<>();
 
 	GatewayFixture() throws Exception {
+		this(RETRY_RATIO, RETRY_ALLOWANCE);
+	}
+
+	GatewayFixture(double retryRatio, double retryAllowance) throws Exception {
 		this.gateway = Gateway.start(new GatewaySettings("host", "a", ANY_PORT, ANY_PORT, "/ready", ANY_PORT, ANY_PORT,
-				KEY_FRESHNESS_MS, SHUTDOWN_MS, RETRY_RATIO, RETRY_WINDOW_MS, RETRY_ALLOWANCE), new TestDialect(),
+				KEY_FRESHNESS_MS, SHUTDOWN_MS, retryRatio, RETRY_WINDOW_MS, retryAllowance), new TestDialect(),
 				this.clock);
 	}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -302,6 +302,24 @@
 		}
 	}
 
+	/**
+	 * Guards against a search for another chain that never ends on a slow host, where
+	 * time passes within one step: without a retry left, the caller is refused at once.
+	 */
+	@Test
+	void streamIsRefusedAtOnceWithoutARetryLeft() throws Exception {
+		try (GatewayFixture withoutRetries = new GatewayFixture(0, 0).configured();
+				FakeBackend first = new FakeBackend(FakeBackend.response(503, "id: r1\r\nnot-run: 1\r\n", ""));
+				FakeBackend second = completeStream("p2", 1, 4)) {
+			withoutRetries.register("pool", "e1", first);
+			withoutRetries.register("pool", "e2", second);
+			withoutRetries.tickMs.set(1);
+			String response = withoutRetries.call("POST", "/stream/1");
+			assertThat(response).startsWith("HTTP/1.1 503");
+			assertThat(second.requests()).isEmpty();
+		}
+	}
+
 	@Test
 	void nonIdempotentStreamIsNotSentToASecondChain() throws Exception {
 		try (FakeBackend next = completeStream("p2", 1, 4); FakeBackend slow = new FakeBackend((head, socket, out) -> {
