End the search for a chain when the retry budget is used up

The end of the search was set to the current time, and the step compared it with the time at which the step had begun. Where a step takes a millisecond, as on hosts with a quarter of a core, the end was always later, and each further try (two searches of chains every 60 ms) moved it again. Such a request was sent on whenever the budget had room, long after its caller had left.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -55,6 +55,9 @@
 
 	private static final String PART = "stream";
 
+	/** End of a search that must not continue. */
+	private static final long SEARCH_ENDED = Long.MIN_VALUE;
+
 	private static final String REASON_STALLED = "silent-moved";
 
 	private static final String REASON_LEAVING = "leaving";
@@ -319,7 +322,7 @@
 				excludedEngines, this.responseStarted);
 		if (choice.isPresent() && this.attempts > 0 && !tryRetry(PART)) {
 			choice.get().reservation().close();
-			this.searchUntilMs = this.dependencies.nowMs();
+			this.searchUntilMs = SEARCH_ENDED;
 			return Optional.empty();
 		}
 		return choice;
