Give the servers that a request is sent to one owner

Cause: each execution kept counts of its own and asked them in some places. - A stream whose chain failed at the limit went on if its first engine was unregistered or under suspicion. Both are opinions: a server that reports late, or whose entry has lapsed, goes on working. - The deadline was a timer only. A failure handled before the timer, or a connection that was ready after the deadline, still sent the request, with 1 ms of time left written into it. - For streams that may run once, only some failures counted as a possible execution; a response without proof or with a foreign identifier did not.

Change: AttemptLedger (decisions) counts a server before the connection is set up and takes it back only on proof: the server's statement, or a failure before the first byte. It denies a send after the deadline, after the end of the request, at the limits, and any second possible execution of what is not idempotent. RequestExecution is the only way to send, for plain requests and streams, first attempts, hedges, successors and resumes. When the connection is ready and before the first byte, a connection filter asks again and writes the time that is left then; a request that must not leave is withheld and its connection closed. The retry budget is looked at before chains are searched.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/HostRetryBudget.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/HostRetryBudget.java
@@ -49,12 +49,22 @@
 	 * @return {@code false} when the budget is exhausted
 	 */
 	public boolean tryRetry(double allowance, long nowMs) {
-		expire(nowMs);
-		if (this.retries.size() + 1 > this.ratio * this.firstAttempts.size() + allowance) {
-			return false;
+		boolean allowed = hasRetry(allowance, nowMs);
+		if (allowed) {
+			this.retries.addLast(nowMs);
 		}
-		this.retries.addLast(nowMs);
-		return true;
+		return allowed;
+	}
+
+	/**
+	 * Returns whether the budget allows a retry, without taking it.
+	 * @param allowance this host's share of the fixed allowance of a window
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code false} when the budget is exhausted
+	 */
+	public boolean hasRetry(double allowance, long nowMs) {
+		expire(nowMs);
+		return this.retries.size() + 1 <= this.ratio * this.firstAttempts.size() + allowance;
 	}
 
 	private void expire(long nowMs) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/ForwardPlan.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/ForwardPlan.java
@@ -19,4 +19,15 @@
  */
 public record ForwardPlan(long remainingMs, String instanceId, Optional<String> organisation, List<ChainHop> chain,
 		int rank, long lastEventId) {
+
+	/**
+	 * Returns this plan with another remaining time.
+	 * @param newRemainingMs the remaining time in milliseconds
+	 * @return the plan
+	 */
+	public ForwardPlan withRemainingMs(long newRemainingMs) {
+		return new ForwardPlan(newRemainingMs, this.instanceId, this.organisation, this.chain, this.rank,
+				this.lastEventId);
+	}
+
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -1,5 +1,7 @@
 package org.medlardrum.gateway.internal.call;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.servicetalk.buffer.api.Buffer;
@@ -16,6 +18,7 @@
 import org.medlardrum.gateway.internal.request.HeaderList;
 import org.medlardrum.transport.internal.Failures;
 import org.medlardrum.transport.internal.HttpClientPool;
+import org.medlardrum.transport.internal.RequestWithheldException;
 
 /**
  * One HTTP request to a backend server on its own connection. A reused connection could
@@ -61,21 +64,35 @@
 		StreamingHttpClient client = clients.client(request.address()).asStreamingClient();
 		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink);
 		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
-		for (int i = 0; i + 1 < request.headers().size(); i += 2) {
-			http.addHeader(request.headers().get(i), request.headers().get(i + 1));
-		}
-		http.setHeader("connection", "close");
+		http.context().put(HttpClientPool.WRITE_CHECK, (prepared) -> addHeaders(prepared, request));
 		if (request.body().length > 0) {
 			http.payloadBody(Publisher.from(client.executionContext().bufferAllocator().wrap(request.body())));
 		}
-		if (request.body().length > 0 || !request.method().equals("GET")) {
-			http.setHeader("content-length", Integer.toString(request.body().length));
-		}
 		SourceAdapters.toSource(client.request(http)).subscribe(call.new HeaderSubscriber());
 		call.sending = false;
 		return call;
 	}
 
+	private static boolean addHeaders(StreamingHttpRequest http, BackendRequest request) {
+		Optional<List<String>> headers = request.headers().get();
+		if (headers.isEmpty()) {
+			return false;
+		}
+		List<String> pairs = headers.get();
+		for (int i = 0; i + 1 < pairs.size(); i += 2) {
+			// The library has set some already, such as the host.
+			http.headers().remove(pairs.get(i));
+		}
+		for (int i = 0; i + 1 < pairs.size(); i += 2) {
+			http.addHeader(pairs.get(i), pairs.get(i + 1));
+		}
+		http.setHeader("connection", "close");
+		if (request.body().length > 0 || !request.method().equals("GET")) {
+			http.setHeader("content-length", Integer.toString(request.body().length));
+		}
+		return true;
+	}
+
 	/**
 	 * Returns the address of the server.
 	 * @return {@code ip:port}
@@ -150,7 +167,8 @@
 
 		@Override
 		public void onError(Throwable failure) {
-			deliver(new Signal.Failed(BackendCall.this, Failures.isNotSent(failure), Failures.describe(failure)));
+			deliver((RequestWithheldException.isCauseOf(failure)) ? new Signal.Withheld(BackendCall.this)
+					: new Signal.Failed(BackendCall.this, Failures.isNotSent(failure), Failures.describe(failure)));
 		}
 
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendRequest.java
@@ -1,6 +1,8 @@
 package org.medlardrum.gateway.internal.call;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * A request to a backend server.
@@ -8,8 +10,10 @@
  * @param address {@code ip:port} of the server
  * @param method HTTP method
  * @param target path and query
- * @param headers alternating names and values
+ * @param headers supplies alternating names and values once the connection is ready,
+ * right before the first byte is written; empty if the request must not be written
  * @param body the body, empty for none
  */
-public record BackendRequest(String address, String method, String target, List<String> headers, byte[] body) {
+public record BackendRequest(String address, String method, String target, Supplier<Optional<List<String>>> headers,
+		byte[] body) {
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/Signal.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/Signal.java
@@ -44,6 +44,14 @@
 	record Failed(BackendCall call, boolean requestNotSent, String reason) implements Signal {
 	}
 
+	/**
+	 * A call was withheld before the first byte of the request.
+	 *
+	 * @param call the call
+	 */
+	record Withheld(BackendCall call) implements Signal {
+	}
+
 	/**
 	 * The caller closed its connection.
 	 */
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainAttempt.java
@@ -20,7 +20,7 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	private BackendCall call;
+	private final BackendCall call;
 
 	private int status;
 
@@ -28,13 +28,10 @@
 
 	private BackendVerdict verdict;
 
-	PlainAttempt(ServiceInstance server, Reservation reservation) {
+	PlainAttempt(ServiceInstance server, Reservation reservation, BackendCall call) {
 		this.server = server;
 		this.reservation = reservation;
-	}
-
-	void setCall(BackendCall newCall) {
-		this.call = newCall;
+		this.call = call;
 	}
 
 	void setHeader(int headerStatus, List<String> headerFields, BackendVerdict headerVerdict) {
@@ -83,9 +80,7 @@
 	@Override
 	public void close() {
 		this.reservation.close();
-		if (this.call != null) {
-			this.call.close();
-		}
+		this.call.close();
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -10,11 +10,11 @@
 
 import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.RetryAfter;
+import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.decisions.routing.ServerSelector;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.call.BackendCall;
-import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
@@ -52,11 +52,6 @@
 
 	private final Set<String> tried = new HashSet<>();
 
-	private int attempts;
-
-	/** Number of attempts that are executing the request or may have executed it. */
-	private int possibleExecutions;
-
 	private PlainAttempt failedResponse;
 
 	private String lastFailure = "none";
@@ -72,7 +67,7 @@
 	 */
 	public PlainExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
-		super(dependencies, request, response, outcomeListener);
+		super(dependencies, request, response, outcomeListener, PART, MAX_ATTEMPTS);
 	}
 
 	@Override
@@ -96,6 +91,7 @@
 			case Signal.Data data -> onData(data);
 			case Signal.End end -> onEnd(end.call());
 			case Signal.Failed failed -> onFailed(failed);
+			case Signal.Withheld withheld -> onWithheld(withheld);
 			case Signal.StallDiagnosis diagnosis -> null;
 		};
 	}
@@ -117,19 +113,15 @@
 
 	private String hedge() {
 		this.hedgeAtMs = Long.MAX_VALUE;
-		if (mayExecuteAgain()) {
-			send("silent");
-		}
+		send("silent");
 		return null;
 	}
 
-	private boolean mayExecuteAgain() {
-		return this.request.route().idempotent() && this.possibleExecutions < this.request.route().maxAttempts();
-	}
-
 	// Sends the request to the next server; false if none is left or allowed.
 	private boolean send(String reason) {
-		if (this.attempts >= MAX_ATTEMPTS) {
+		Optional<SendDenial> denial = sendDenial();
+		if (denial.isPresent()) {
+			logDenial(denial.get());
 			return false;
 		}
 		long nowMs = this.dependencies.nowMs();
@@ -137,26 +129,21 @@
 		if (choice.isEmpty()) {
 			return false;
 		}
-		if (this.attempts > 0 && !tryRetry(PART)) {
-			return false;
-		}
 		ServiceInstance server = choice.get();
-		this.attempts++;
-		this.possibleExecutions++;
-		this.tried.add(server.id());
 		long remainingMs = this.request.deadlineAtMs() - nowMs;
 		ForwardPlan plan = new ForwardPlan(remainingMs, server.id(), this.request.organisation(), List.of(),
 				this.request.rank(), -1);
-		List<String> headers = this.dependencies.dialect().forwardHeaders(this.request.headers(), plan);
-		PlainAttempt attempt = new PlainAttempt(server, this.dependencies.loads().reserveSlot(server.id()));
-		this.active.add(attempt);
-		attempt.setCall(BackendCall.send(this.dependencies.clients(), new BackendRequest(server.address(),
-				this.request.method(), this.request.target(), headers, this.request.body()), this::onSignal));
+		Optional<BackendCall> call = send(server.address(), plan);
+		if (call.isEmpty()) {
+			return false;
+		}
+		this.tried.add(server.id());
+		this.active.add(new PlainAttempt(server, this.dependencies.loads().reserveSlot(server.id()), call.get()));
 		this.dependencies.metrics().countAttempt(this.request.trafficKind(), reason);
 		this.dependencies.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "server", server.id(), "address",
-					server.address(), "attempt", this.attempts, "runs", this.possibleExecutions, "maxAttempts",
-					this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
+					server.address(), "attempt", this.ledger.sends(), "runs", this.ledger.possibleExecutions(),
+					"maxAttempts", this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
 					this.dependencies.timerLateness().latestMs(), "configVersion",
 					this.dependencies.state().table().version(), "confirmedMsAgo",
 					this.dependencies.state().confirmationAgeMs());
@@ -228,7 +215,7 @@
 		this.lastFailure = "status " + attempt.status() + " of " + attempt.server().id();
 		this.failedResponse = attempt;
 		closeAttempt(attempt);
-		if (mayExecuteAgain() && send("server-error")) {
+		if (send("server-error")) {
 			return null;
 		}
 		return (this.active.isEmpty()) ? deliver(attempt) : null;
@@ -255,10 +242,24 @@
 		return onResponseLost(attempt, failed.reason());
 	}
 
+	// Only the deadline withholds a call while the request is in progress.
+	private String onWithheld(Signal.Withheld withheld) {
+		PlainAttempt attempt = attemptOf(withheld.call());
+		if (attempt == null) {
+			return null;
+		}
+		this.ledger.recordNotExecuted();
+		closeAttempt(attempt);
+		this.dependencies.log()
+			.event(PART, "withheld", "id", this.request.id(), "server", attempt.server().id(), "reason",
+					"the deadline passed before the first byte");
+		return onTimeout();
+	}
+
 	// Continues after an attempt that was not executed.
 	private String onNotExecuted(PlainAttempt attempt, String reason) {
 		this.lastFailure = reason;
-		this.possibleExecutions--;
+		this.ledger.recordNotExecuted();
 		closeAttempt(attempt);
 		this.dependencies.log()
 			.event(PART, "not-executed", "id", this.request.id(), "server", attempt.server().id(), "reason", reason);
@@ -274,7 +275,7 @@
 		closeAttempt(attempt);
 		this.dependencies.log()
 			.event(PART, "answer-lost", "id", this.request.id(), "server", attempt.server().id(), "reason", reason);
-		if ((mayExecuteAgain() && send("answer-lost")) || !this.active.isEmpty()) {
+		if (send("answer-lost") || !this.active.isEmpty()) {
 			return null;
 		}
 		return abandon();
@@ -284,7 +285,7 @@
 		if (this.failedResponse != null) {
 			return deliver(this.failedResponse);
 		}
-		if (this.possibleExecutions == 0) {
+		if (this.ledger.possibleExecutions() == 0) {
 			return refuseWithoutCapacity("no server ran the request: " + this.lastFailure);
 		}
 		this.response.fail(ProblemType.BACKEND_FAILED, "The answer was lost: " + this.lastFailure, this.request.rank());
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -1,11 +1,21 @@
 package org.medlardrum.gateway.internal.request;
 
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.transport.api.IoExecutor;
+import org.medlardrum.decisions.routing.AttemptLedger;
+import org.medlardrum.decisions.routing.AttemptLimits;
+import org.medlardrum.decisions.routing.SendDenial;
+import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.internal.call.BackendCall;
+import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
 
 /**
@@ -25,6 +35,13 @@
 	/** The response to the caller. */
 	protected final CallerResponse response;
 
+	/** Counts the servers to which the request is sent. */
+	protected final AttemptLedger ledger;
+
+	private final String part;
+
+	private final Set<SendDenial> loggedDenials = EnumSet.noneOf(SendDenial.class);
+
 	private final IoExecutor executor;
 
 	private final Consumer<String> outcomeListener;
@@ -41,9 +58,15 @@
 	 * @param request the request
 	 * @param response the response
 	 * @param outcomeListener receives the outcome for logs and metrics
+	 * @param part part of the process in log lines
+	 * @param maxSends limit of attempts, including those that were not executed
 	 */
 	protected RequestExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
-			Consumer<String> outcomeListener) {
+			Consumer<String> outcomeListener, String part, int maxSends) {
+		this.part = part;
+		this.ledger = new AttemptLedger(
+				new AttemptLimits(Math.max(1, request.route().maxAttempts()), maxSends, request.route().idempotent()),
+				request.deadlineAtMs());
 		this.dependencies = dependencies;
 		this.request = request;
 		this.response = response;
@@ -100,17 +123,78 @@
 	protected abstract void close();
 
 	/**
-	 * Takes one retry from the retry budget.
-	 * @param part part of the process under which a refusal is logged
-	 * @return {@code false} if this host's share of the budget is exhausted
+	 * Decides whether the request may be sent to another server. Takes nothing from the
+	 * retry budget.
+	 * @return the reason if it must not be sent, otherwise empty
+	 */
+	protected final Optional<SendDenial> sendDenial() {
+		return sendDenial(this.dependencies.nowMs());
+	}
+
+	private Optional<SendDenial> sendDenial(long nowMs) {
+		Optional<SendDenial> denial = this.ledger.denial(nowMs);
+		if (denial.isEmpty() && this.ledger.sends() > 0
+				&& !this.dependencies.retries().hasRetry(this.request.service().name(), nowMs)) {
+			return Optional.of(SendDenial.RETRY_BUDGET);
+		}
+		return denial;
+	}
+
+	/**
+	 * Sends the request to a server, unless it must not be sent. The server counts before
+	 * the connection is set up. The request is withheld if it has ended, or its deadline
+	 * has passed, when the connection is ready.
+	 * @param address {@code ip:port} of the server
+	 * @param plan parameters of the attempt
+	 * @return the call, empty if the request must not be sent
+	 */
+	protected final Optional<BackendCall> send(String address, ForwardPlan plan) {
+		Optional<SendDenial> denial = takeSend();
+		if (denial.isPresent()) {
+			logDenial(denial.get());
+			return Optional.empty();
+		}
+		return Optional.of(
+				BackendCall.send(
+						this.dependencies.clients(), new BackendRequest(address, this.request.method(),
+								this.request.target(), () -> headersToWrite(plan), this.request.body()),
+						this::onSignal));
+	}
+
+	private Optional<SendDenial> takeSend() {
+		long nowMs = this.dependencies.nowMs();
+		Optional<SendDenial> denial = sendDenial(nowMs);
+		if (denial.isPresent()) {
+			return denial;
+		}
+		if (this.ledger.sends() > 0) {
+			this.dependencies.retries().tryRetry(this.request.service().name(), nowMs);
+		}
+		return this.ledger.trySend(nowMs);
+	}
+
+	private Optional<List<String>> headersToWrite(ForwardPlan plan) {
+		long nowMs = this.dependencies.nowMs();
+		if (!this.ledger.mayWrite(nowMs)) {
+			return Optional.empty();
+		}
+		return Optional.of(this.dependencies.dialect()
+			.forwardHeaders(this.request.headers(), plan.withRemainingMs(this.request.deadlineAtMs() - nowMs)));
+	}
+
+	/**
+	 * Logs why the request is not sent to another server, once for each reason.
+	 * @param denial the reason
 	 */
-	protected final boolean tryRetry(String part) {
-		String service = this.request.service().name();
-		boolean allowed = this.dependencies.retries().tryRetry(service, this.dependencies.nowMs());
-		if (!allowed) {
-			this.dependencies.log().event(part, "budget-used", "id", this.request.id(), "service", service);
+	protected final void logDenial(SendDenial denial) {
+		if (this.loggedDenials.add(denial)) {
+			this.dependencies.log()
+				.event(this.part, (denial == SendDenial.RETRY_BUDGET) ? "budget-used" : "not-sent", "id",
+						this.request.id(), "reason", denial.label(), "service", this.request.service().name(), "sends",
+						this.ledger.sends(), "runs", this.ledger.possibleExecutions(), "maxAttempts",
+						this.request.route().maxAttempts(), "remainingMs",
+						this.request.deadlineAtMs() - this.dependencies.nowMs());
 		}
-		return allowed;
 	}
 
 	private void endOrReschedule(String outcome) {
@@ -119,6 +203,7 @@
 		}
 		if (outcome != null) {
 			this.ended = true;
+			this.ledger.end();
 			if (this.timer != null) {
 				this.timer.cancel();
 			}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RetryBudgets.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RetryBudgets.java
@@ -56,8 +56,22 @@
 	 * @return {@code false} if this host's share is exhausted
 	 */
 	public synchronized boolean tryRetry(String service, long nowMs) {
+		return share(service).tryRetry(hostAllowance(), nowMs);
+	}
+
+	/**
+	 * Returns whether the budget of a service has a retry left, without taking it.
+	 * @param service name of the service
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code false} if this host's share is exhausted
+	 */
+	public synchronized boolean hasRetry(String service, long nowMs) {
+		return share(service).hasRetry(hostAllowance(), nowMs);
+	}
+
+	private double hostAllowance() {
 		int hosts = Math.max(MIN_ASSUMED_HOSTS, this.peerCount.getAsInt() + 1);
-		return share(service).tryRetry(this.settings.retryAllowance() * ALLOCATED_FRACTION / hosts, nowMs);
+		return this.settings.retryAllowance() * ALLOCATED_FRACTION / hosts;
 	}
 
 	private HostRetryBudget share(String service) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
@@ -38,8 +38,10 @@
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		AtomicBoolean diagnosed = new AtomicBoolean();
 		int[] status = new int[1];
-		BackendCall call = BackendCall.send(this.dependencies.clients(), new BackendRequest(stalledCall.address(),
-				"GET", this.dependencies.dialect().reportPath(), List.of(), new byte[0]), (signal) -> {
+		BackendCall call = BackendCall.send(
+				this.dependencies.clients(), new BackendRequest(stalledCall.address(), "GET",
+						this.dependencies.dialect().reportPath(), () -> Optional.of(List.of()), new byte[0]),
+				(signal) -> {
 					switch (signal) {
 						case Signal.Header header -> status[0] = header.status();
 						case Signal.Data data -> body.writeBytes(data.bytes());
@@ -53,6 +55,8 @@
 								this.sink.accept(new Signal.StallDiagnosis(stalledCall, stalledCall.address()));
 							}
 						}
+						case Signal.Withheld withheld -> {
+						}
 						case Signal.CallerDisconnected disconnected -> {
 						}
 						case Signal.StallDiagnosis diagnosis -> {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -11,11 +11,11 @@
 import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamStallDetector;
 import org.medlardrum.decisions.routing.RetryAfter;
+import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.CallerAttributes;
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.call.BackendCall;
-import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
@@ -55,9 +55,6 @@
 
 	private static final String PART = "stream";
 
-	/** End of a search that must not continue. */
-	private static final long SEARCH_ENDED = Long.MIN_VALUE;
-
 	private static final String REASON_STALLED = "silent-moved";
 
 	private static final String REASON_LEAVING = "leaving";
@@ -79,9 +76,6 @@
 
 	private boolean responseStarted;
 
-	/** Whether any attempt so far may have executed the request. */
-	private boolean mayHaveExecuted;
-
 	private long lastEventId;
 
 	private int eventsDelivered;
@@ -92,11 +86,6 @@
 
 	private long longestGapMs;
 
-	private int attempts;
-
-	/** Number of attempts that are executing the request or may have executed it. */
-	private int possibleExecutions;
-
 	private String lastFailure = "none";
 
 	/**
@@ -120,7 +109,7 @@
 	 */
 	public StreamExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
-		super(dependencies, request, response, outcomeListener);
+		super(dependencies, request, response, outcomeListener, PART, StreamLimits.MAX_ATTEMPTS);
 		this.chooser = new ChainChooser(dependencies);
 		this.probe = new StallProbe(dependencies, this::onSignal);
 		this.lastEventId = request.attributes().lastEventId();
@@ -140,6 +129,7 @@
 			case Signal.Data data -> onData(data);
 			case Signal.End end -> onEnd(end);
 			case Signal.Failed failed -> onFailed(failed);
+			case Signal.Withheld withheld -> onWithheld(withheld);
 			case Signal.StallDiagnosis diagnosis -> onDiagnosis(diagnosis);
 		};
 	}
@@ -252,20 +242,15 @@
 	}
 
 	private boolean mayExecuteConcurrently() {
-		return this.successor == null && this.possibleExecutions < this.request.route().maxAttempts()
-				&& this.request.route().idempotent();
-	}
-
-	private boolean mayExecuteAgain() {
-		return this.possibleExecutions < this.request.route().maxAttempts()
-				&& (this.request.route().idempotent() || !this.mayHaveExecuted);
+		return this.successor == null && sendDenial().isEmpty();
 	}
 
 	private void startSuccessor(String event, String reason, Set<String> excludedEngines, ChainRequest requirements) {
-		reserveChain(excludedEngines, requirements).ifPresent((next) -> {
-			logAttempt(event, reason);
-			this.successor = startAttempt(next, event, excludedEngines);
-		});
+		this.chooser.choose(this.request.service(), requirements, excludedEngines, this.responseStarted)
+			.ifPresent((next) -> {
+				logAttempt(event, reason);
+				this.successor = startAttempt(next, event, excludedEngines);
+			});
 	}
 
 	// Makes the successor the attempt whose events the caller receives.
@@ -308,52 +293,38 @@
 
 	// Sends the request to the best chain; a stream that has begun is resumed there.
 	private boolean send(String reason) {
-		Optional<ChainChooser.ReservedChain> next = reserveChain(this.excluded, chainRequest());
-		next.ifPresent((chosen) -> this.current = startAttempt(chosen, reason, Set.of()));
-		return next.isPresent();
-	}
-
-	// Reserves a chain and, for any attempt but the first, takes a retry from the budget.
-	private Optional<ChainChooser.ReservedChain> reserveChain(Set<String> excludedEngines, ChainRequest requirements) {
-		if (this.attempts >= StreamLimits.MAX_ATTEMPTS) {
-			return Optional.empty();
-		}
-		Optional<ChainChooser.ReservedChain> choice = this.chooser.choose(this.request.service(), requirements,
-				excludedEngines, this.responseStarted);
-		if (choice.isPresent() && this.attempts > 0 && !tryRetry(PART)) {
-			choice.get().reservation().close();
-			this.searchUntilMs = SEARCH_ENDED;
-			return Optional.empty();
-		}
-		return choice;
+		this.current = this.chooser.choose(this.request.service(), chainRequest(), this.excluded, this.responseStarted)
+			.map((chosen) -> startAttempt(chosen, reason, Set.of()))
+			.orElse(null);
+		return this.current != null;
 	}
 
+	// Returns null, and releases the chain, if the request must not be sent.
 	private ChainAttempt startAttempt(ChainChooser.ReservedChain chosen, String reason, Set<String> excludedEngines) {
 		long nowMs = this.dependencies.nowMs();
-		this.attempts++;
-		this.possibleExecutions++;
 		String address = chosen.hops().getFirst().server().address();
 		long remainingMs = this.request.deadlineAtMs() - nowMs;
 		ForwardPlan plan = new ForwardPlan(remainingMs, chosen.engineIds().getFirst(), this.request.organisation(),
 				chosen.hops(), this.request.rank(), this.lastEventId);
-		BackendCall call = BackendCall.send(this.dependencies.clients(),
-				new BackendRequest(address, this.request.method(), this.request.target(),
-						this.dependencies.dialect().forwardHeaders(this.request.headers(), plan), this.request.body()),
-				this::onSignal);
+		Optional<BackendCall> call = send(address, plan);
+		if (call.isEmpty()) {
+			chosen.reservation().close();
+			return null;
+		}
 		this.dependencies.metrics().countAttempt(this.request.trafficKind(), reason);
 		logSend(chosen, reason, remainingMs);
 		StreamStallDetector gaps = new StreamStallDetector(nowMs, this.request.route().targetLatencyMs(),
 				this.request.route().gapTargetMs());
-		return new ChainAttempt(chosen, call, reason, excludedEngines, gaps, nowMs);
+		return new ChainAttempt(chosen, call.get(), reason, excludedEngines, gaps, nowMs);
 	}
 
 	private void logSend(ChainChooser.ReservedChain chosen, String reason, long remainingMs) {
 		GatewayState state = this.dependencies.state();
 		this.dependencies.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "chain", chosen.describe(), "fill",
-					Math.round(chosen.cacheUtilisation() * 100) / 100.0, "attempt", this.attempts, "after",
-					this.lastEventId, "rank", this.request.rank(), "runs", this.possibleExecutions, "maxAttempts",
-					this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
+					Math.round(chosen.cacheUtilisation() * 100) / 100.0, "attempt", this.ledger.sends(), "after",
+					this.lastEventId, "rank", this.request.rank(), "runs", this.ledger.possibleExecutions(),
+					"maxAttempts", this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
 					this.dependencies.timerLateness().latestMs(), "configVersion", state.table().version(),
 					"confirmedMsAgo", state.confirmationAgeMs(), "peers", this.dependencies.loads().peerCount());
 	}
@@ -361,7 +332,7 @@
 	private void logAttempt(String event, String reason) {
 		this.dependencies.log()
 			.event(PART, event, "id", this.request.id(), "reason", reason, "delivered", this.eventsDelivered, "runs",
-					this.possibleExecutions);
+					this.ledger.possibleExecutions());
 	}
 
 	private ChainRequest chainRequest() {
@@ -401,7 +372,7 @@
 	}
 
 	private String onNotExecuted(ChainAttempt attempt, int status, BackendVerdict verdict) {
-		this.possibleExecutions--;
+		this.ledger.recordNotExecuted();
 		Optional<ServiceInstance> faultyServer = verdict.faultyAddress()
 			.flatMap((address) -> this.dependencies.state().fleet().atAddress(address));
 		this.excluded.add(faultyServer.map(ServiceInstance::id).orElse(attempt.firstEngine()));
@@ -427,7 +398,6 @@
 		}
 		List<StreamedEvent> events = attempt.addToStream(data.bytes());
 		if (!events.isEmpty()) {
-			this.mayHaveExecuted = true;
 			keepFirstToRespond(attempt);
 		}
 		for (StreamedEvent event : events) {
@@ -492,15 +462,15 @@
 		this.response.finish();
 		this.dependencies.log()
 			.event(PART, "whole", "id", this.request.id(), "firstMs", this.firstEventMs, "longestGapMs",
-					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.attempts);
+					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.ledger.sends());
 		this.dependencies.metrics()
 			.recordCompleteResponse(this.request.trafficKind(), this.dependencies.nowMs() - this.request.arrivedAtMs());
 		return "answered";
 	}
 
 	private String onErrorResponse(ChainAttempt attempt) {
-		this.mayHaveExecuted = true;
-		if (this.responseStarted || this.successor != null || (attempt.status() >= SERVER_ERROR && mayExecuteAgain())) {
+		boolean continues = this.successor != null || (attempt.status() >= SERVER_ERROR && sendDenial().isEmpty());
+		if (this.responseStarted || continues) {
 			this.excluded.add(attempt.firstEngine());
 			return continueAfterFailure(attempt, "server-error", "status " + attempt.status());
 		}
@@ -515,18 +485,26 @@
 		}
 		this.excluded.add(attempt.firstEngine());
 		if (failed.requestNotSent()) {
-			this.possibleExecutions--;
+			this.ledger.recordNotExecuted();
 			this.dependencies.state()
 				.fleet()
 				.instance(attempt.firstEngine())
 				.ifPresent((server) -> this.dependencies.state().suspect(ownZone(), server));
 		}
-		else {
-			this.mayHaveExecuted = true;
-		}
 		return continueAfterFailure(attempt, (failed.requestNotSent()) ? "unreachable" : "broken", failed.reason());
 	}
 
+	// Only the deadline withholds a call while the request is in progress.
+	private String onWithheld(Signal.Withheld withheld) {
+		ChainAttempt attempt = attemptOf(withheld.call());
+		if (attempt == null) {
+			return null;
+		}
+		this.ledger.recordNotExecuted();
+		logAttempt("withheld", "the deadline passed before the first byte");
+		return onTimeout();
+	}
+
 	private String onDiagnosis(Signal.StallDiagnosis diagnosis) {
 		ChainAttempt attempt = attemptOf(diagnosis.call());
 		if (attempt == null || diagnosis.faultyAddress().isEmpty()
@@ -537,7 +515,6 @@
 			this.excluded.add(server.id());
 			this.dependencies.state().suspect(attempt.callingZone(server.id(), ownZone()), server);
 		});
-		this.mayHaveExecuted = true;
 		return continueAfterFailure(attempt, "stalled", "the chain waits for " + diagnosis.faultyAddress());
 	}
 
@@ -554,14 +531,11 @@
 			promoteSuccessor(reason);
 			return null;
 		}
-		boolean firstEngineUnusable = isFirstEngineUnusable(failed);
 		endCurrent();
-		if (this.possibleExecutions > 0 && !mayExecuteAgain()) {
-			logAttempt((firstEngineUnusable) ? "limit-passed" : "limit-reached",
-					"first engine " + failed.firstEngine() + ((firstEngineUnusable) ? " unregistered or suspect" : ""));
-			if (!firstEngineUnusable) {
-				return abandon(reason);
-			}
+		Optional<SendDenial> denial = sendDenial();
+		if (denial.isPresent()) {
+			logDenial(denial.get());
+			return abandon(reason);
 		}
 		long nowMs = this.dependencies.nowMs();
 		this.searchReason = event;
@@ -569,22 +543,16 @@
 		return search(nowMs);
 	}
 
+	// Searches until a chain has room, the search has lasted too long, or the request
+	// must
+	// not be sent any more.
 	private String search(long nowMs) {
 		if (send(this.searchReason)) {
 			this.searchReason = null;
 			return null;
 		}
 		this.searchAtMs = nowMs + StreamLimits.SEARCH_RETRY_INTERVAL_MS;
-		return (nowMs >= this.searchUntilMs) ? abandon(this.lastFailure) : null;
-	}
-
-	// An attempt at an engine that is unregistered or suspect does not exhaust the
-	// route's attempts.
-	private boolean isFirstEngineUnusable(ChainAttempt attempt) {
-		String first = attempt.firstEngine();
-		return (this.request.route().idempotent() || !this.mayHaveExecuted)
-				&& (this.dependencies.state().fleet().instance(first).isEmpty() || this.dependencies.state()
-					.isSuspect(ownZone(), first, attempt.chain().hops().getFirst().server().availabilityZone()));
+		return (nowMs >= this.searchUntilMs || sendDenial().isPresent()) ? abandon(this.lastFailure) : null;
 	}
 
 	private String abandon(String reason) {
@@ -592,7 +560,7 @@
 			this.response.abort();
 			return "broken-off";
 		}
-		if (this.mayHaveExecuted) {
+		if (this.ledger.possibleExecutions() > 0) {
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
@@ -601,7 +569,7 @@
 		this.dependencies.log()
 			.event(PART, "refuse", "id", this.request.id(), "reason", reason, "lastFailure", this.lastFailure, "rank",
 					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.dependencies.loads().peerCount());
-		this.response.refuse((this.attempts == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
+		this.response.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
 				this.request.rank(), retryAfterMs);
 		return "refused";
 	}
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -34,6 +34,10 @@
 	public static final ContextMap.Key<Duration> HEADER_TIMEOUT = ContextMap.Key.newKey("medlardrum-header-timeout",
 			Duration.class);
 
+	/** Key of the check before the first byte, set in a request's context. */
+	public static final ContextMap.Key<WriteCheck> WRITE_CHECK = ContextMap.Key.newKey("medlardrum-write-check",
+			WriteCheck.class);
+
 	private static final Duration DEFAULT_HEADER_TIMEOUT = Duration.ofSeconds(30);
 
 	/**
@@ -116,6 +120,7 @@
 			.protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, this.connectTimeoutMs)
 			.loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder.from(withoutHealthChecks()).build())
+			.appendConnectionFilter(WriteCheckFilter::new)
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
 		if (this.enforceHeaderTimeout) {
 			builder.appendClientFilter(
