Do not take a host's own delay for silence of a server

On busy small hosts, streams were sent to a second chain before their first one had even received the request, and probes suspected servers that had answered; the suspicions went to all hosts. Each such send uses up one of the two servers that the route allows, and doubles the work.

A timer that fires 20 ms late or more now defers the judgement of a stall by one turn of the event loop, which first reads what has arrived, and extends the timeout of a probe, three times at most. The gap before the first event counts from when the request is written, not from when its connection was asked for.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamStallDetector.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/StreamStallDetector.java
@@ -87,6 +87,16 @@
 		this.lastEventMs = startMs;
 	}
 
+	/**
+	 * Measures the gap before the first event from a later time.
+	 * @param nowMs current time on the same clock
+	 */
+	public void restart(long nowMs) {
+		if (this.events == 0) {
+			this.lastEventMs = nowMs;
+		}
+	}
+
 	/**
 	 * Records an event.
 	 * @param nowMs current time on the same clock
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -64,7 +64,7 @@
 		StreamingHttpClient client = clients.client(request.address()).asStreamingClient();
 		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink);
 		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
-		http.context().put(HttpClientPool.WRITE_CHECK, (prepared) -> addHeaders(prepared, request));
+		http.context().put(HttpClientPool.WRITE_CHECK, (prepared) -> call.prepare(prepared, request));
 		if (request.body().length > 0) {
 			http.payloadBody(Publisher.from(client.executionContext().bufferAllocator().wrap(request.body())));
 		}
@@ -73,7 +73,7 @@
 		return call;
 	}
 
-	private static boolean addHeaders(StreamingHttpRequest http, BackendRequest request) {
+	private boolean prepare(StreamingHttpRequest http, BackendRequest request) {
 		Optional<List<String>> headers = request.headers().get();
 		if (headers.isEmpty()) {
 			return false;
@@ -90,6 +90,7 @@
 		if (request.body().length > 0 || !request.method().equals("GET")) {
 			http.setHeader("content-length", Integer.toString(request.body().length));
 		}
+		deliver(new Signal.Writing(this));
 		return true;
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/Signal.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/Signal.java
@@ -44,6 +44,14 @@
 	record Failed(BackendCall call, boolean requestNotSent, String reason) implements Signal {
 	}
 
+	/**
+	 * The connection of a call is ready, and its request is being written.
+	 *
+	 * @param call the call
+	 */
+	record Writing(BackendCall call) implements Signal {
+	}
+
 	/**
 	 * A call was withheld before the first byte of the request.
 	 *
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -91,6 +91,7 @@
 			case Signal.Data data -> onData(data);
 			case Signal.End end -> onEnd(end.call());
 			case Signal.Failed failed -> onFailed(failed);
+			case Signal.Writing writing -> null;
 			case Signal.Withheld withheld -> onWithheld(withheld);
 			case Signal.StallDiagnosis diagnosis -> null;
 		};
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/TimerLateness.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/TimerLateness.java
@@ -9,6 +9,12 @@
  */
 public final class TimerLateness {
 
+	/**
+	 * Lateness from which the event loop counts as late, beyond the jitter of timers and
+	 * below all thresholds of stalls.
+	 */
+	private static final long LATE_MS = 20;
+
 	/** Lateness from which a line is logged, several times that of an idle host. */
 	private static final long LOG_FROM_MS = 100;
 
@@ -53,6 +59,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the event loop is late, so that bytes may have arrived that it has
+	 * not read.
+	 * @return {@code true} if the last timer was late
+	 */
+	public boolean isLate() {
+		return this.latestMs >= LATE_MS;
+	}
+
 	/**
 	 * Returns the lateness of the last timer.
 	 * @return time in milliseconds after the due time
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -40,6 +40,10 @@
 
 	private long stallCheckAtMs;
 
+	private boolean written;
+
+	private boolean stallCheckDeferred;
+
 	/**
 	 * Creates an attempt.
 	 * @param chain the reserved chain, released when the attempt is closed
@@ -139,12 +143,39 @@
 		return this.parser.hasPartialEvent();
 	}
 
+	/**
+	 * Records that the request is being written. Silence of the engine counts from here.
+	 * @param nowMs current time on the monotonic clock
+	 */
+	void recordWriting(long nowMs) {
+		this.written = true;
+		this.eventGaps.restart(nowMs);
+		this.stallCheckAtMs = nowMs + this.eventGaps.suspectStallThresholdMs();
+	}
+
+	/**
+	 * Defers a stall check of a late host to the next turn of the event loop, which first
+	 * reads the bytes that have arrived. A check is deferred once after each event, and
+	 * as long as the request has not been written.
+	 * @param late whether the event loop is late
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code true} if the check was deferred
+	 */
+	boolean deferStallCheck(boolean late, long nowMs) {
+		this.stallCheckDeferred = late && (!this.written || !this.stallCheckDeferred);
+		if (this.stallCheckDeferred) {
+			this.stallCheckAtMs = nowMs + 1;
+		}
+		return this.stallCheckDeferred;
+	}
+
 	/**
 	 * Records an event and postpones the next check for a stall.
 	 * @param nowMs current time on the monotonic clock
 	 */
 	void recordEvent(long nowMs) {
 		this.eventGaps.recordEvent(nowMs);
+		this.stallCheckDeferred = false;
 		this.stallCheckAtMs = nowMs + this.eventGaps.suspectStallThresholdMs();
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
@@ -23,6 +23,9 @@
 	/** Longest wait for an engine's report, which usually takes 1 ms. */
 	static final long TIMEOUT_MS = 250;
 
+	/** Limit of extensions of the timeout on a host that is late. */
+	private static final int MAX_EXTENSIONS = 3;
+
 	private static final int OK = 200;
 
 	private final RequestDependencies dependencies;
@@ -55,6 +58,8 @@
 								this.sink.accept(new Signal.StallDiagnosis(stalledCall, stalledCall.address()));
 							}
 						}
+						case Signal.Writing writing -> {
+						}
 						case Signal.Withheld withheld -> {
 						}
 						case Signal.CallerDisconnected disconnected -> {
@@ -63,12 +68,29 @@
 						}
 					}
 				});
-		this.dependencies.executor().schedule(() -> {
+		scheduleTimeout(MAX_EXTENSIONS, this.dependencies.nowMs() + TIMEOUT_MS, () -> {
 			if (diagnosed.compareAndSet(false, true)) {
 				call.close();
 				this.sink.accept(new Signal.StallDiagnosis(stalledCall, stalledCall.address()));
 			}
-		}, TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		});
+	}
+
+	// A timeout that fires late is extended, since the response may have arrived unread.
+	private void scheduleTimeout(int extensions, long dueAtMs, Runnable action) {
+		this.dependencies.executor().schedule(() -> {
+			long nowMs = this.dependencies.nowMs();
+			if (nowMs < dueAtMs) {
+				scheduleTimeout(extensions, dueAtMs, action);
+				return;
+			}
+			this.dependencies.timerLateness().record(dueAtMs, nowMs);
+			if (extensions > 0 && this.dependencies.timerLateness().isLate()) {
+				scheduleTimeout(extensions - 1, nowMs + TIMEOUT_MS, action);
+				return;
+			}
+			action.run();
+		}, Math.max(1, dueAtMs - this.dependencies.nowMs()), TimeUnit.MILLISECONDS);
 	}
 
 	private void deliverDiagnosis(BackendCall stalledCall, String requestId, int status, byte[] body) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -129,6 +129,7 @@
 			case Signal.Data data -> onData(data);
 			case Signal.End end -> onEnd(end);
 			case Signal.Failed failed -> onFailed(failed);
+			case Signal.Writing writing -> onWriting(writing);
 			case Signal.Withheld withheld -> onWithheld(withheld);
 			case Signal.StallDiagnosis diagnosis -> onDiagnosis(diagnosis);
 		};
@@ -157,10 +158,12 @@
 		if (this.searchReason != null) {
 			return search(nowMs);
 		}
-		if (this.successor != null && nowMs >= this.successor.stallCheckAtMs()) {
+		boolean late = this.dependencies.timerLateness().isLate();
+		if (this.successor != null && nowMs >= this.successor.stallCheckAtMs()
+				&& !this.successor.deferStallCheck(late, nowMs)) {
 			onStalledSuccessor(nowMs);
 		}
-		if (nowMs >= this.current.stallCheckAtMs()) {
+		if (nowMs >= this.current.stallCheckAtMs() && !this.current.deferStallCheck(late, nowMs)) {
 			onStallCheck(nowMs);
 		}
 		tryOtherChainForLeaving(nowMs);
@@ -494,6 +497,14 @@
 		return continueAfterFailure(attempt, (failed.requestNotSent()) ? "unreachable" : "broken", failed.reason());
 	}
 
+	private String onWriting(Signal.Writing writing) {
+		ChainAttempt attempt = attemptOf(writing.call());
+		if (attempt != null) {
+			attempt.recordWriting(this.dependencies.nowMs());
+		}
+		return null;
+	}
+
 	// Only the deadline withholds a call while the request is in progress.
 	private String onWithheld(Signal.Withheld withheld) {
 		ChainAttempt attempt = attemptOf(withheld.call());
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.medlardrum.state.LayerRange;
 import org.medlardrum.state.routing.AcceleratorKind;
@@ -61,8 +63,14 @@
 	/** Time by which the clock advances whenever it is read. */
 	final AtomicLong tickMs = new AtomicLong();
 
-	private final GatewayClock clock = new GatewayClock(
-			() -> System.nanoTime() / 1_000_000 + this.clockOffsetMs.addAndGet(this.tickMs.get()),
+	/** Time of the clock without its offset while it is paused, 0 while it runs. */
+	private final AtomicLong pausedAtMs = new AtomicLong();
+
+	/** Runs on the event loop when a response with the header {@code hook} arrives. */
+	final AtomicReference<Runnable> responseHook = new AtomicReference<>(() -> {
+	});
+
+	private final GatewayClock clock = new GatewayClock(this::monotonicMs,
 			() -> System.currentTimeMillis() + this.clockOffsetMs.get());
 
 	private final Gateway gateway;
@@ -74,9 +82,22 @@
 	}
 
 	GatewayFixture(double retryRatio, double retryAllowance) throws Exception {
-		this.gateway = Gateway.start(new GatewaySettings("host", "a", ANY_PORT, ANY_PORT, "/ready", ANY_PORT, ANY_PORT,
-				KEY_FRESHNESS_MS, SHUTDOWN_MS, retryRatio, RETRY_WINDOW_MS, retryAllowance), new TestDialect(),
-				this.clock);
+		this.gateway = Gateway.start(
+				new GatewaySettings("host", "a", ANY_PORT, ANY_PORT, "/ready", ANY_PORT, ANY_PORT, KEY_FRESHNESS_MS,
+						SHUTDOWN_MS, retryRatio, RETRY_WINDOW_MS, retryAllowance),
+				new TestDialect(() -> this.responseHook.get().run()), this.clock);
+	}
+
+	private long monotonicMs() {
+		long baseMs = (this.pausedAtMs.get() > 0) ? this.pausedAtMs.get() : System.nanoTime() / 1_000_000;
+		return baseMs + this.clockOffsetMs.addAndGet(this.tickMs.get());
+	}
+
+	/**
+	 * Pauses the monotonic clock. It still advances with {@link #clockOffsetMs}.
+	 */
+	void pauseClock() {
+		this.pausedAtMs.set(System.nanoTime() / 1_000_000);
 	}
 
 	GatewayFixture configured() {
@@ -150,6 +171,18 @@
 		}
 	}
 
+	/**
+	 * Sends a request with an API key whose response is not of interest.
+	 */
+	void callQuietly(String method, String path) {
+		try {
+			call(method, path);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	String readiness() throws IOException {
 		try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.gateway.readinessPort())) {
 			FakeBackend.write(socket.getOutputStream(), "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -20,6 +20,17 @@
 
 	private static final int NO_ESTIMATE = 0;
 
+	private final Runnable responseHook;
+
+	/**
+	 * Creates a dialect.
+	 * @param responseHook runs on the event loop when a response with the header
+	 * {@code hook} arrives
+	 */
+	TestDialect(Runnable responseHook) {
+		this.responseHook = responseHook;
+	}
+
 	@Override
 	public CallerAttributes parseAttributes(HeaderLookup headers) {
 		return new CallerAttributes(headers.first("id").orElse(""),
@@ -45,6 +56,7 @@
 
 	@Override
 	public BackendVerdict checkResponse(String requestId, int status, HeaderLookup headers) {
+		headers.first("hook").ifPresent((value) -> this.responseHook.run());
 		return new BackendVerdict(headers.first("id").map((id) -> id.equals(requestId)).orElse(true),
 				headers.first("proof").isPresent(), headers.first("not-run").isPresent(), headers.first("faulty"));
 	}
