Cut responses of backend servers that are bytes without end

A host read them until the request's deadline, up to 20 s for streams, and stored them: header and trailer lines were limited each, but not in number, and an event of a stream had no limit at all.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -139,6 +139,10 @@
 		return this.parser.add(bytes);
 	}
 
+	boolean hasTooLargeEvent() {
+		return this.parser.isTooLarge();
+	}
+
 	boolean hasPartialEvent() {
 		return this.parser.hasPartialEvent();
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
@@ -12,6 +12,9 @@
  */
 final class EventParser {
 
+	/** Size limit of an event, far above the 480 bytes of the users' largest. */
+	static final int MAX_EVENT_BYTES = 64 * 1024;
+
 	private static final String ID_FIELD = "id:";
 
 	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
@@ -25,6 +28,9 @@
 	 */
 	List<StreamedEvent> add(byte[] bytes) {
 		List<StreamedEvent> events = new ArrayList<>();
+		if (isTooLarge()) {
+			return events;
+		}
 		for (byte value : bytes) {
 			this.partial.write(value);
 			if (value == '\n') {
@@ -50,6 +56,15 @@
 		return this.partial.size() > 0;
 	}
 
+	/**
+	 * Returns whether the current event has exceeded {@link #MAX_EVENT_BYTES}. No more
+	 * bytes are stored then.
+	 * @return {@code true} if the event is too large
+	 */
+	boolean isTooLarge() {
+		return this.partial.size() > MAX_EVENT_BYTES;
+	}
+
 	private static long id(byte[] event) {
 		for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
 			if (line.startsWith(ID_FIELD)) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -406,6 +406,10 @@
 		for (StreamedEvent event : events) {
 			deliver(event);
 		}
+		if (attempt.hasTooLargeEvent()) {
+			return continueAfterFailure(attempt, "too-large",
+					"an event exceeds " + EventParser.MAX_EVENT_BYTES + " bytes");
+		}
 		tryOtherChainForLeaving(this.dependencies.nowMs());
 		return null;
 	}
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
@@ -7,8 +7,9 @@
 import io.servicetalk.http.api.StreamingHttpResponse;
 
 /**
- * Runs the {@link WriteCheck} of a request once its connection is ready. A connection
- * whose request is withheld is closed, since it would be idle otherwise.
+ * Runs the {@link WriteCheck} of a request once its connection is ready, and limits the
+ * bytes that are no response to it. A connection whose request is withheld is closed,
+ * since it would be idle otherwise. Requests with a check use a connection once.
  */
 final class WriteCheckFilter extends StreamingHttpConnectionFilter {
 
@@ -20,13 +21,24 @@
 	public Single<StreamingHttpResponse> request(StreamingHttpRequest request) {
 		return Single.defer(() -> {
 			WriteCheck check = request.context().get(HttpClientPool.WRITE_CHECK);
-			if (check == null || check.prepare(request)) {
+			if (check == null) {
 				return delegate().request(request).shareContextOnSubscribe();
 			}
+			if (check.prepare(request)) {
+				return limitedRequest(request).shareContextOnSubscribe();
+			}
 			return delegate().closeAsync()
 				.concat(Single.<StreamingHttpResponse>failed(new RequestWithheldException()))
 				.shareContextOnSubscribe();
 		});
 	}
 
+	private Single<StreamingHttpResponse> limitedRequest(StreamingHttpRequest request) {
+		UndecodedBytesLimit limit = UndecodedBytesLimit.install(connectionContext());
+		return delegate().request(request).map((response) -> {
+			limit.recordDecoded();
+			return response.transformPayloadBody((body) -> body.beforeOnNext((part) -> limit.recordDecoded()));
+		});
+	}
+
 }
