--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
@@ -27,7 +27,7 @@
 			if (check.prepare(request)) {
 				return limitedRequest(request).shareContextOnSubscribe();
 			}
-			return delegate().closeAsync()
+			return delegate().closeAsyncGracefully()
 				.concat(Single.<StreamingHttpResponse>failed(new RequestWithheldException()))
 				.shareContextOnSubscribe();
 		});
