Quarantine requests that crash the servers that run them

The gateway kept no record of crashes: the caller of such a request sends it again through any host, and each attempt took up to two servers.

When a call breaks, the host connects to its server, once for all calls, and sends nothing. If nobody listens, the requests that ran there are suspects. A quarantined request is refused at admission and not sent on by requests in progress (SendDenial). Its completion clears a suspect on all hosts.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
@@ -22,6 +22,9 @@
 	/** A server may have executed the request, and it is not idempotent. */
 	NOT_IDEMPOTENT,
 
+	/** The request is in quarantine, because it crashed servers. */
+	QUARANTINED,
+
 	/** The retry budget of this host is used up. */
 	RETRY_BUDGET;
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -39,6 +39,8 @@
 
 	private final Consumer<Signal> sink;
 
+	private final Runnable closeAction;
+
 	private Cancellable pending;
 
 	private PublisherSource.Subscription body;
@@ -47,10 +49,11 @@
 
 	private boolean sending = true;
 
-	private BackendCall(String address, Executor executor, Consumer<Signal> sink) {
+	private BackendCall(String address, Executor executor, Consumer<Signal> sink, Runnable closeAction) {
 		this.address = address;
 		this.executor = executor;
 		this.sink = sink;
+		this.closeAction = closeAction;
 	}
 
 	/**
@@ -61,8 +64,23 @@
 	 * @return the call
 	 */
 	public static BackendCall send(HttpClientPool clients, BackendRequest request, Consumer<Signal> sink) {
+		return send(clients, request, sink, () -> {
+		});
+	}
+
+	/**
+	 * Sends a request.
+	 * @param clients clients by address
+	 * @param request the request
+	 * @param sink receives the signals; must not block
+	 * @param closeAction runs once when the call is closed
+	 * @return the call
+	 */
+	public static BackendCall send(HttpClientPool clients, BackendRequest request, Consumer<Signal> sink,
+			Runnable closeAction) {
 		StreamingHttpClient client = clients.client(request.address()).asStreamingClient();
-		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink);
+		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink,
+				closeAction);
 		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
 		http.context().put(HttpClientPool.WRITE_CHECK, (prepared) -> call.prepare(prepared, request));
 		if (request.body().length > 0) {
@@ -128,6 +146,7 @@
 			this.closed = true;
 			toCancel = (this.body != null) ? this.body : this.pending;
 		}
+		this.closeAction.run();
 		if (toCancel != null) {
 			toCancel.cancel();
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -186,10 +186,23 @@
 		}
 		long timeoutMs = (attributes.deadlineMs() > 0) ? Math.min(attributes.deadlineMs(), route.timeoutMs())
 				: route.timeoutMs();
-		return new Admission(
-				new GatewayRequest(exchange.method(), exchange.target(), exchange.headers(), body, attributes, route,
-						service.get(), holder.map(KeyHolder::organisation), rank, arrivedAtMs, arrivedAtMs + timeoutMs),
-				"admitted");
+		GatewayRequest request = new GatewayRequest(exchange.method(), exchange.target(), exchange.headers(), body,
+				attributes, route, service.get(), holder.map(KeyHolder::organisation), rank, arrivedAtMs,
+				arrivedAtMs + timeoutMs);
+		long quarantinedForMs = this.dependencies.quarantine().quarantinedForMs(request);
+		if (quarantinedForMs > 0) {
+			return refuseQuarantined(new CallerResponse(exchange, this.dependencies.state()), request,
+					quarantinedForMs);
+		}
+		return new Admission(request, "admitted");
+	}
+
+	private Admission refuseQuarantined(CallerResponse response, GatewayRequest request, long quarantinedForMs) {
+		this.dependencies.log()
+			.event(PART, "refuse", "id", request.id(), "reason", "quarantined", "forMs", quarantinedForMs);
+		response.refuse(ProblemType.QUARANTINED, "The request crashed backend servers", request.rank(),
+				quarantinedForMs);
+		return Admission.refused("quarantined");
 	}
 
 	private Admission refuseStale(CallerResponse response, CallerAttributes attributes) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -11,16 +11,19 @@
 import org.medlardrum.coordination.internal.BackgroundThread;
 import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
+import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.Rumour;
 import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.peer.gen.SilentServer;
 import org.medlardrum.state.Host;
 
 /**
  * Sends the other entry hosts this host's outstanding load at the backend servers and its
- * suspicions of unresponsive servers. All hosts choose chains concurrently; without the
- * load of the others, each would consider the fastest chain idle.
+ * suspicions of unresponsive servers and of requests that crash servers. All hosts choose
+ * chains concurrently; without the load of the others, each would consider the fastest
+ * chain idle.
  */
 public final class LoadExchange implements AutoCloseable {
 
@@ -62,6 +65,8 @@
 
 	private final LoadTable loads;
 
+	private final RequestQuarantine quarantine;
+
 	private final BiConsumer<Host, Digest> sender;
 
 	private final String hostId;
@@ -82,18 +87,21 @@
 	 * Creates an exchange.
 	 * @param state state of the host
 	 * @param loads outstanding load at the backend servers
+	 * @param quarantine requests that crash servers
 	 * @param sender sends a digest to another host without reporting its loss
 	 * @param hostId identifier of the host
 	 * @param availabilityZone availability zone of the host
 	 */
-	public LoadExchange(GatewayState state, LoadTable loads, BiConsumer<Host, Digest> sender, String hostId,
-			String availabilityZone) {
+	public LoadExchange(GatewayState state, LoadTable loads, RequestQuarantine quarantine,
+			BiConsumer<Host, Digest> sender, String hostId, String availabilityZone) {
 		this.state = state;
 		this.loads = loads;
+		this.quarantine = quarantine;
 		this.sender = sender;
 		this.hostId = hostId;
 		this.availabilityZone = availabilityZone;
 		state.onSuspicion(this::requestUrgentDigest);
+		quarantine.onChange(this::requestUrgentDigest);
 	}
 
 	private void requestUrgentDigest() {
@@ -145,6 +153,9 @@
 			}
 		}
 		this.loads.updatePeer(digest.getHostId(), loadByServer, this.state.clock().monotonicMs());
+		if (digest.isSetRumours()) {
+			this.quarantine.merge(digest.getRumours());
+		}
 		if (digest.isSetSilentServers()) {
 			for (SilentServer silent : digest.getSilentServers()) {
 				this.state.recordPeerSuspicion(new Suspicion(silent.getFromZone(), silent.getServer(),
@@ -168,13 +179,15 @@
 		this.urgent = false;
 		Map<String, ServerLoad> own = this.loads.own();
 		List<Suspicion> suspicions = this.state.ownSuspicions();
-		boolean idle = own.isEmpty() && suspicions.isEmpty();
+		List<Rumour> rumours = this.quarantine.rumours();
+		boolean idle = own.isEmpty() && suspicions.isEmpty() && rumours.isEmpty();
 		if (idle && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
 			return busyIntervalMs;
 		}
 		this.wasIdle = idle;
 		this.sentAtMs = nowMs;
 		Digest digest = digest(own, suspicions);
+		digest.setRumours(rumours);
 		receivers.forEach((peer) -> this.sender.accept(peer, digest));
 		return busyIntervalMs;
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -228,7 +228,7 @@
 		this.dependencies.metrics().recordCompleteResponse(this.request.trafficKind(), tookMs);
 		this.response.deliver(attempt.status(), this.dependencies.dialect().responseHeaders(attempt.headers()),
 				attempt.body());
-		return (attempt.status() >= SERVER_ERROR) ? "server-error" : "answered";
+		return (attempt.status() >= SERVER_ERROR) ? "server-error" : ANSWERED;
 	}
 
 	private String onFailed(Signal.Failed failed) {
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Quarantine of requests that crash the servers that run them.
+ */
+package org.medlardrum.gateway.internal.quarantine;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -8,6 +8,7 @@
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
 import org.medlardrum.gateway.internal.load.LoadTable;
 import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.transport.internal.HttpClientPool;
 
@@ -23,12 +24,13 @@
  * @param dialect names and formats of headers and documents
  * @param log log of decisions
  * @param metrics the metrics
+ * @param quarantine requests that crash servers
  * @param timerLateness lateness of the timers of requests
  * @param random source of random numbers
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
-		TimerLateness timerLateness, RandomGenerator random) {
+		RequestQuarantine quarantine, TimerLateness timerLateness, RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -17,6 +17,7 @@
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
+import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 
 /**
  * Execution of one request as a state machine on the event loop. It handles signals and a
@@ -26,6 +27,9 @@
  */
 public abstract class RequestExecution {
 
+	/** Outcome of a request whose complete response was passed on. */
+	protected static final String ANSWERED = "answered";
+
 	/** Settings, state and shared objects. */
 	protected final RequestDependencies dependencies;
 
@@ -89,6 +93,9 @@
 	 */
 	public final void onSignal(Signal signal) {
 		if (!this.ended) {
+			if (signal instanceof Signal.Failed failed && !failed.requestNotSent()) {
+				CrashProbe.probe(this.dependencies, failed.call().address());
+			}
 			runStep(() -> handleSignal(signal));
 		}
 	}
@@ -133,6 +140,9 @@
 
 	private Optional<SendDenial> sendDenial(long nowMs) {
 		Optional<SendDenial> denial = this.ledger.denial(nowMs);
+		if (denial.isEmpty() && this.dependencies.quarantine().quarantinedForMs(this.request) > 0) {
+			return Optional.of(SendDenial.QUARANTINED);
+		}
 		if (denial.isEmpty() && this.ledger.sends() > 0
 				&& !this.dependencies.retries().hasRetry(this.request.service().name(), nowMs)) {
 			return Optional.of(SendDenial.RETRY_BUDGET);
@@ -154,11 +164,12 @@
 			logDenial(denial.get());
 			return Optional.empty();
 		}
-		return Optional.of(
-				BackendCall.send(
-						this.dependencies.clients(), new BackendRequest(address, this.request.method(),
-								this.request.target(), () -> headersToWrite(plan), this.request.body()),
-						this::onSignal));
+		RequestQuarantine quarantine = this.dependencies.quarantine();
+		quarantine.recordStart(address, this.request);
+		BackendRequest toSend = new BackendRequest(address, this.request.method(), this.request.target(),
+				() -> headersToWrite(plan), this.request.body());
+		return Optional.of(BackendCall.send(this.dependencies.clients(), toSend, this::onSignal,
+				() -> quarantine.recordEnd(address, this.request)));
 	}
 
 	private Optional<SendDenial> takeSend() {
@@ -208,6 +219,9 @@
 				this.timer.cancel();
 			}
 			close();
+			if (outcome.equals(ANSWERED)) {
+				this.dependencies.quarantine().recordCompletion(this.request);
+			}
 			this.outcomeListener.accept(outcome);
 			return;
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -472,7 +472,7 @@
 					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.ledger.sends());
 		this.dependencies.metrics()
 			.recordCompleteResponse(this.request.trafficKind(), this.dependencies.nowMs() - this.request.arrivedAtMs());
-		return "answered";
+		return ANSWERED;
 	}
 
 	private String onErrorResponse(ChainAttempt attempt) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingRequestTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,17 +36,27 @@
 		this.fixture.close();
 	}
 
+	// Nobody listens at the address of a server that has crashed.
+	private static FakeBackend crashingServer() throws Exception {
+		AtomicReference<FakeBackend> self = new AtomicReference<>();
+		FakeBackend server = new FakeBackend((head, socket, out) -> {
+			self.get().close();
+			socket.close();
+		});
+		self.set(server);
+		return server;
+	}
+
 	@Test
 	void requestThatCrashesServersIsNotSentWithoutEnd() throws Exception {
 		List<FakeBackend> servers = new ArrayList<>();
 		try {
 			for (int i = 0; i < CALLS; i++) {
 				// Each server ends with the request, and another one starts in its place.
-				FakeBackend server = new FakeBackend((head, socket, out) -> socket.close());
+				FakeBackend server = crashingServer();
 				servers.add(server);
 				this.fixture.replace("pool", "e" + i, server);
 				this.fixture.call("POST", "/stream/1");
-				server.close();
 			}
 			int sends = servers.stream().mapToInt((server) -> server.requests().size()).sum();
 			assertThat(sends).isAtMost(CRASHES + TOLERATED_SENDS);
@@ -57,4 +68,18 @@
 		}
 	}
 
+	/**
+	 * A server that breaks off answers and goes on working has not crashed.
+	 */
+	@Test
+	void requestWhoseAnswersAreBrokenOffIsNotQuarantined() throws Exception {
+		try (FakeBackend server = new FakeBackend((head, socket, out) -> socket.close())) {
+			this.fixture.register("pool", "e1", server);
+			for (int i = 0; i < CALLS; i++) {
+				assertThat(this.fixture.call("POST", "/stream/1")).startsWith("HTTP/1.1 502");
+			}
+			assertThat(server.requests().size()).isAtLeast(CALLS);
+		}
+	}
+
 }
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.state.Host;
@@ -29,13 +30,16 @@
 
 	private final AtomicLong nowMs = new AtomicLong(1_000);
 
-	private final GatewayState state = new GatewayState(new GatewayClock(this.nowMs::get, this.nowMs::get),
-			new DecisionLog(System.out), KEY_FRESHNESS_MS);
+	private final GatewayClock clock = new GatewayClock(this.nowMs::get, this.nowMs::get);
+
+	private final DecisionLog log = new DecisionLog(System.out);
+
+	private final GatewayState state = new GatewayState(this.clock, this.log, KEY_FRESHNESS_MS);
 
 	private final List<Digest> sent = new ArrayList<>();
 
 	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(),
-			(peer, digest) -> this.sent.add(digest), "host", "a");
+			new RequestQuarantine(this.clock, this.log), (peer, digest) -> this.sent.add(digest), "host", "a");
 
 	@BeforeEach
 	void addPeerAndSendOnce() {
