--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -406,6 +406,10 @@
 		for (StreamedEvent event : events) {
 			deliver(event);
 		}
+		if (attempt.hasTooLargeEvent()) {
+			return continueAfterFailure(attempt, "too-large",
+					"an event exceeds " + EventParser.MAX_EVENT_BYTES + " bytes");
+		}
 		tryOtherChainForLeaving(this.dependencies.nowMs());
 		return null;
 	}
@@ -468,7 +472,7 @@
 					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.ledger.sends());
 		this.dependencies.metrics()
 			.recordCompleteResponse(this.request.trafficKind(), this.dependencies.nowMs() - this.request.arrivedAtMs());
-		return "answered";
+		return ANSWERED;
 	}
 
 	private String onErrorResponse(ChainAttempt attempt) {
