--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -135,9 +135,8 @@
 			long nowMs = this.clock.wallMs();
 			List<FingerprintStatus> changed = this.ledger.recordCrash(address, Long.toString(nowMs), fingerprints,
 					nowMs);
-			changed.forEach((status) -> this.log.event("quarantine", status.kind().name().toLowerCase(Locale.ROOT),
-					"fingerprint", status.fingerprint(), "crashes", status.crashes(), "server", address, "running",
-					fingerprints.size(), "forMs", status.untilMs() - nowMs));
+			changed.forEach((status) -> logStatus(status,
+					"crash of " + address + " with " + fingerprints.size() + " different requests"));
 			this.empty = this.ledger.entries().isEmpty();
 		}
 		this.listener.run();
@@ -153,8 +152,10 @@
 		}
 		String fingerprint = RequestFingerprint.of(request);
 		synchronized (this) {
-			this.ledger.recordCompletion(fingerprint)
-				.ifPresent((status) -> this.cleared.put(status, this.clock.wallMs()));
+			this.ledger.recordCompletion(fingerprint).ifPresent((status) -> {
+				this.cleared.put(status, this.clock.wallMs());
+				logStatus(status, "completed");
+			});
 			this.empty = this.ledger.entries().isEmpty();
 		}
 	}
@@ -199,6 +200,12 @@
 		return rumours;
 	}
 
+	private void logStatus(FingerprintStatus status, String reason) {
+		this.log.event("quarantine", status.kind().name().toLowerCase(Locale.ROOT), "fingerprint", status.fingerprint(),
+				"crashes", status.crashes(), "reason", reason, "forMs",
+				Math.max(0, status.untilMs() - this.clock.wallMs()));
+	}
+
 	private static Rumour rumour(FingerprintStatus status) {
 		RumourKind kind = switch (status.kind()) {
 			case QUARANTINED -> RumourKind.QUARANTINED;
@@ -220,8 +227,13 @@
 				case SUSPECT -> FingerprintStatus.Kind.SUSPECT;
 				case CLEARED, LEAVING -> FingerprintStatus.Kind.CLEARED;
 			};
-			this.ledger.merge(new FingerprintStatus(kind, rumour.getSubject(), rumour.getCount(), rumour.getUntilMs()),
-					nowMs);
+			FingerprintStatus status = new FingerprintStatus(kind, rumour.getSubject(), rumour.getCount(),
+					rumour.getUntilMs());
+			boolean wasQuarantined = this.ledger.quarantinedUntilMs(status.fingerprint(), nowMs) > 0;
+			this.ledger.merge(status, nowMs);
+			if (!wasQuarantined && this.ledger.quarantinedUntilMs(status.fingerprint(), nowMs) > 0) {
+				logStatus(status, "told by another host");
+			}
 		}
 		this.empty = this.ledger.entries().isEmpty();
 	}
