Ignore white space before a JSON body in the fingerprint of a request

A request that crashes engines got past its quarantine when its caller put white space before the same body. The new case of DigestsTests failed before (another fingerprint) and passes.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/route/Digests.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/route/Digests.java
@@ -51,7 +51,8 @@
 
 	private static byte[] canonical(byte[] body) {
 		String text = new String(body, StandardCharsets.UTF_8);
-		if (!text.startsWith("{") && !text.startsWith("[")) {
+		String json = text.stripLeading();
+		if (!json.startsWith("{") && !json.startsWith("[")) {
 			return body;
 		}
 		try {
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/internal/route/DigestsTests.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/internal/route/DigestsTests.java
@@ -20,8 +20,8 @@
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', quoteCharacter = '`',
 			value = { "{\"a\":1,\"b\":[1,2]} | {\"b\" : [1, 2], \"a\":1} | true", "{\"a\":1} | {\"a\":2} | false",
-					"{\"a\":[1,2]} | {\"a\":[2,1]} | false", "plain text | plain text | true",
-					"{\"a\": | {\"a\":  | true", "{\"a\": | {\"a\":1 | false" })
+					"{\"a\":1,\"b\":2} | ` \n{\"b\":2,\"a\":1}` | true", "{\"a\":[1,2]} | {\"a\":[2,1]} | false",
+					"plain text | plain text | true", "{\"a\": | {\"a\":  | true", "{\"a\": | {\"a\":1 | false" })
 	void equivalentBodiesHaveTheSameFingerprint(String first, String second, boolean same) {
 		assertThat(fingerprint("coop", "report", first).equals(fingerprint("coop", "report", second))).isEqualTo(same);
 	}
