Fail over when an engine refuses without giving a reason

The caller got an internal error: the switch on the reason of a refusal does not take null, which an error frame without a code leads to. Such an engine is now treated like one that is overloaded. FrameFailureTests.refusalWithoutAReasonFailsOverToAnotherEngine failed before (NullPointerException, no 200) and passes.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
@@ -109,6 +109,7 @@
 			case "bad-request" -> new AttemptResult.Rejected("an engine refused the request as malformed");
 			case "leaving", "overloaded", "wrong-model", "expired", "cancelled" ->
 				new AttemptResult.Failed(head, reason, false, false, false);
+			case null -> new AttemptResult.Failed(head, "refused without a reason", false, false, false);
 			default -> new AttemptResult.Failed(head, UNREACHABLE + reason, false, true, false);
 		};
 	}
--- a/medlardrum-entry/src/test/java/org/medlardrum/entry/FrameFailureTests.java
+++ b/medlardrum-entry/src/test/java/org/medlardrum/entry/FrameFailureTests.java
@@ -75,4 +75,25 @@
 		}
 	}
 
+	/**
+	 * Guards against an internal error when an engine refuses without giving a reason.
+	 */
+	@Test
+	void refusalWithoutAReasonFailsOverToAnotherEngine() throws Exception {
+		try (FakeEngine refusing = new FakeEngine("f1",
+				(request) -> List
+					.of(new EngineFrame.Error(request.request(), request.attempt(), "no", "f1", 0, null, "no reason")));
+				FakeEngine working = new FakeEngine("f2",
+						(request) -> List.of(FakeEngine.token(request, request.attempt(), 0, "a"),
+								FakeEngine.end(request, 1)));
+				EntryFixture fixture = new EntryFixture()
+					.backendServer("f1", refusing.address(), BackendServerKind.ENGINE, "engines")
+					.backendServer("f2", working.address(), BackendServerKind.ENGINE, "engines")
+					.start()) {
+			while (refusing.generationCount() == 0) {
+				assertThat(fixture.chat("refused", 5, false).statusCode()).isEqualTo(200);
+			}
+		}
+	}
+
 }
