Do not count connections without a request in the tests' servers

ServerLimitTests failed twice beside load: the test's server recorded the gateway's connection that finds out whether a server has crashed as a second request. It carries none, and a server that runs requests sees none. The tests' servers now record requests only; the assertions are as before. EndlessResponseTests and the test of the registry no longer depend on real time: the clock is paused, so only the limits, and the change of the registry, end a response.

--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/EndlessResponseTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/EndlessResponseTests.java
@@ -41,6 +41,9 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.fixture = new GatewayFixture().configured();
+		// No deadline passes and no probe is due: only the limits end a response.
+		this.fixture.pauseClock();
+		this.fixture.confirm();
 	}
 
 	@AfterEach
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/FakeBackend.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/FakeBackend.java
@@ -65,6 +65,11 @@
 					length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
 				}
 			}
+			if (head.isEmpty()) {
+				// The gateway connects without a request to find out whether anybody
+				// listens.
+				return;
+			}
 			for (int i = 0; i < length; i++) {
 				reader.read();
 			}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ServerLimitTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ServerLimitTests.java
@@ -68,25 +68,35 @@
 		}
 	}
 
+	// Engine that breaks its stream after the first event, once the registry has changed.
+	private static FakeBackend breakingAfter(CountDownLatch registryChange) throws Exception {
+		return new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, STREAM_HEAD + FIRST_EVENT);
+			registryChange.await(5, TimeUnit.SECONDS);
+		});
+	}
+
 	@Test
 	void removalOfAServerFromTheRegistryAllowsNoFurtherServer() throws Exception {
-		FakeBackend.Script breaking = (head, socket, out) -> {
-			FakeBackend.write(out, STREAM_HEAD + FIRST_EVENT);
-			Thread.sleep(100);
-		};
-		try (FakeBackend first = new FakeBackend(breaking);
-				FakeBackend second = new FakeBackend(breaking);
-				FakeBackend third = new FakeBackend(breaking)) {
+		CountDownLatch secondOnly = new CountDownLatch(1);
+		CountDownLatch thirdOnly = new CountDownLatch(1);
+		this.fixture.pauseClock();
+		this.fixture.confirm();
+		try (FakeBackend first = breakingAfter(secondOnly);
+				FakeBackend second = breakingAfter(thirdOnly);
+				FakeBackend third = breakingAfter(thirdOnly)) {
 			this.fixture.register("pool", "e1", first);
 			Thread.ofVirtual().start(() -> {
 				while (first.requests().isEmpty()) {
 					Thread.onSpinWait();
 				}
 				this.fixture.replace("pool", "e2", second);
+				secondOnly.countDown();
 				while (second.requests().isEmpty()) {
 					Thread.onSpinWait();
 				}
 				this.fixture.replace("pool", "e3", third);
+				thirdOnly.countDown();
 			});
 			this.fixture.call("POST", "/stream/1");
 			assertThat(second.requests()).hasSize(1);
