--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/LateHostTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/LateHostTests.java
@@ -145,4 +145,33 @@
 		}
 	}
 
+	/**
+	 * The caller's request and the end of its connection arrive while the host is busy.
+	 */
+	@Test
+	void requestWhoseCallerHasLeftInTheMeantimeIsNotSent() throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		try (FakeBackend plain = plainServer(); FakeBackend engine = new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, STREAM_HEAD + event(1));
+			await(end);
+		})) {
+			this.fixture.register("ledger", "s1", plain);
+			this.fixture.register("pool", "e1", engine);
+			this.clockDelayMs = STALL_MS;
+			try (Socket stream = beginStream("/once/1")) {
+				Thread.ofVirtual().start(() -> this.fixture.callQuietly("GET", "/safe/1"));
+				await(this.loopBlocked);
+				this.fixture.send("GET", "/safe/2", "key: k1\r\n").close();
+				this.serverHasWritten.countDown();
+				for (int i = 0; i < 3; i++) {
+					assertThat(this.fixture.call("GET", "/none")).startsWith("HTTP/1.1 404");
+				}
+				assertThat(plain.requests()).hasSize(1);
+			}
+		}
+		finally {
+			end.countDown();
+		}
+	}
+
 }
