On a late host, read the caller's close before the first byte is written

On a host whose event loop takes turns of 0.95 s, the connection to the server was ready and the caller's close was in the socket in one turn; the connection came first and the request was written, the close was read 7 ms later.

When a connection is ready 20 ms or more after the decision to send, the request waits for one turn of the event loop, in which the close is read; the ledger then withholds it. A host that is on time writes at once.

LateHostTests.requestIsNotWrittenBeforeTheCallersCloseIsRead blocks the event loop between the decision and the connection while the caller closes: the server received the request before, and none now.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -19,6 +19,7 @@
 import org.medlardrum.transport.internal.Failures;
 import org.medlardrum.transport.internal.HttpClientPool;
 import org.medlardrum.transport.internal.RequestWithheldException;
+import org.medlardrum.transport.internal.WriteCheck;
 
 /**
  * One HTTP request to a backend server on its own connection. A reused connection could
@@ -82,7 +83,7 @@
 		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink,
 				closeAction);
 		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
-		http.context().put(HttpClientPool.WRITE_CHECK, (prepared) -> call.prepare(prepared, request));
+		http.context().put(HttpClientPool.WRITE_CHECK, call.writeCheck(request));
 		if (request.body().length > 0) {
 			http.payloadBody(Publisher.from(client.executionContext().bufferAllocator().wrap(request.body())));
 		}
@@ -91,6 +92,22 @@
 		return call;
 	}
 
+	private WriteCheck writeCheck(BackendRequest request) {
+		return new WriteCheck() {
+
+			@Override
+			public boolean waitsOneTurn() {
+				return request.waitsOneTurn().getAsBoolean();
+			}
+
+			@Override
+			public boolean prepare(StreamingHttpRequest http) {
+				return BackendCall.this.prepare(http, request);
+			}
+
+		};
+	}
+
 	private boolean prepare(StreamingHttpRequest http, BackendRequest request) {
 		Optional<List<String>> headers = request.headers().get();
 		if (headers.isEmpty()) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
@@ -26,8 +26,8 @@
 		if (running.isEmpty()) {
 			return;
 		}
-		BackendCall.send(dependencies.clients(), new BackendRequest(address, "GET", "/", Optional::empty, new byte[0]),
-				(signal) -> {
+		BackendCall.send(dependencies.clients(),
+				new BackendRequest(address, "GET", "/", () -> false, Optional::empty, new byte[0]), (signal) -> {
 					if (signal instanceof Signal.Failed failed && failed.requestNotSent()) {
 						dependencies.quarantine().recordCrash(address, running.get());
 					}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -166,8 +166,12 @@
 		}
 		RequestQuarantine quarantine = this.dependencies.quarantine();
 		quarantine.recordStart(address, this.request);
+		long decidedAtMs = this.dependencies.nowMs();
+		// On a late host, the caller's close may be in the socket when the connection is
+		// ready.
 		BackendRequest toSend = new BackendRequest(address, this.request.method(), this.request.target(),
-				() -> headersToWrite(plan), this.request.body());
+				() -> this.dependencies.nowMs() - decidedAtMs >= TimerLateness.LATE_MS, () -> headersToWrite(plan),
+				this.request.body());
 		return Optional.of(BackendCall.send(this.dependencies.clients(), toSend, this::onSignal,
 				() -> quarantine.recordEnd(address, this.request)));
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/TimerLateness.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/TimerLateness.java
@@ -13,7 +13,7 @@
 	 * Lateness from which the event loop counts as late, beyond the jitter of timers and
 	 * below all thresholds of stalls.
 	 */
-	private static final long LATE_MS = 20;
+	static final long LATE_MS = 20;
 
 	/** Lateness from which a line is logged, several times that of an idle host. */
 	private static final long LOG_FROM_MS = 100;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
@@ -41,9 +41,9 @@
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		AtomicBoolean diagnosed = new AtomicBoolean();
 		int[] status = new int[1];
-		BackendCall call = BackendCall.send(
-				this.dependencies.clients(), new BackendRequest(stalledCall.address(), "GET",
-						this.dependencies.dialect().reportPath(), () -> Optional.of(List.of()), new byte[0]),
+		BackendCall call = BackendCall.send(this.dependencies.clients(),
+				new BackendRequest(stalledCall.address(), "GET", this.dependencies.dialect().reportPath(), () -> false,
+						() -> Optional.of(List.of()), new byte[0]),
 				(signal) -> {
 					switch (signal) {
 						case Signal.Header header -> status[0] = header.status();
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -70,8 +70,14 @@
 	final AtomicReference<Runnable> responseHook = new AtomicReference<>(() -> {
 	});
 
-	private final GatewayClock clock = new GatewayClock(this::monotonicMs,
-			() -> System.currentTimeMillis() + this.clockOffsetMs.get());
+	/** Runs whenever the wall clock is read. */
+	final AtomicReference<Runnable> wallClockHook = new AtomicReference<>(() -> {
+	});
+
+	private final GatewayClock clock = new GatewayClock(this::monotonicMs, () -> {
+		this.wallClockHook.get().run();
+		return System.currentTimeMillis() + this.clockOffsetMs.get();
+	});
 
 	private final Gateway gateway;
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/LateHostTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/LateHostTests.java
@@ -3,6 +3,7 @@
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -174,4 +175,33 @@
 		}
 	}
 
+	/**
+	 * In one turn of a late event loop, the connection to the server is ready and the
+	 * caller's close is in the socket. The gateway reads the wall clock for the third
+	 * time when it logs that it sends the request, right after it has begun to connect.
+	 */
+	@Test
+	void requestIsNotWrittenBeforeTheCallersCloseIsRead() throws Exception {
+		CountDownLatch callerHasLeft = new CountDownLatch(1);
+		AtomicInteger reads = new AtomicInteger();
+		try (FakeBackend plain = new FakeBackend(FakeBackend.response(200, "id: r1\r\nproof: p0\r\n", "x"))) {
+			this.fixture.register("ledger", "s1", plain);
+			this.fixture.wallClockHook.set(() -> {
+				if (reads.incrementAndGet() == 3) {
+					this.loopBlocked.countDown();
+					await(callerHasLeft);
+					this.fixture.clockOffsetMs.addAndGet(STALL_MS);
+				}
+			});
+			Socket caller = this.fixture.send("GET", "/safe/1", "key: k1\r\n");
+			await(this.loopBlocked);
+			caller.close();
+			callerHasLeft.countDown();
+			for (int i = 0; i < 3; i++) {
+				assertThat(this.fixture.call("GET", "/none")).startsWith("HTTP/1.1 404");
+			}
+			assertThat(plain.requests()).isEmpty();
+		}
+	}
+
 }
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/call/BackendCallTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/call/BackendCallTests.java
@@ -31,7 +31,7 @@
 				ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			server.setSoTimeout(SOCKET_TIMEOUT_MS);
 			BackendCall call = BackendCall.send(clients, new BackendRequest("127.0.0.1:" + server.getLocalPort(),
-					"POST", "/x", Optional::empty, new byte[] { 1 }), signals::add);
+					"POST", "/x", () -> false, Optional::empty, new byte[] { 1 }), signals::add);
 			try (Socket connection = server.accept()) {
 				connection.setSoTimeout(SOCKET_TIMEOUT_MS);
 				assertThat(connection.getInputStream().read()).isEqualTo(-1);
@@ -46,7 +46,7 @@
 				ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			server.setSoTimeout(SOCKET_TIMEOUT_MS);
 			BackendCall.send(clients,
-					new BackendRequest("127.0.0.1:" + server.getLocalPort(), "GET", "/x",
+					new BackendRequest("127.0.0.1:" + server.getLocalPort(), "GET", "/x", () -> false,
 							() -> Optional.of(List.of("host", "a.example", "part", "1", "part", "2")), new byte[0]),
 					(signal) -> {
 					});
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
@@ -1,5 +1,7 @@
 package org.medlardrum.transport.internal;
 
+import java.util.concurrent.TimeUnit;
+
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.FilterableStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpConnectionFilter;
@@ -13,6 +15,9 @@
  */
 final class WriteCheckFilter extends StreamingHttpConnectionFilter {
 
+	/** Shortest timer, which fires after the event loop has polled its channels again. */
+	private static final long ONE_TURN_MS = 1;
+
 	WriteCheckFilter(FilterableStreamingHttpConnection delegate) {
 		super(delegate);
 	}
@@ -24,15 +29,24 @@
 			if (check == null) {
 				return delegate().request(request).shareContextOnSubscribe();
 			}
-			if (check.prepare(request)) {
-				return limitedRequest(request).shareContextOnSubscribe();
+			if (check.waitsOneTurn()) {
+				return executionContext().ioExecutor()
+					.timer(ONE_TURN_MS, TimeUnit.MILLISECONDS)
+					.concat(Single.defer(() -> checkedRequest(check, request)))
+					.shareContextOnSubscribe();
 			}
-			return delegate().closeAsyncGracefully()
-				.concat(Single.<StreamingHttpResponse>failed(new RequestWithheldException()))
-				.shareContextOnSubscribe();
+			return checkedRequest(check, request).shareContextOnSubscribe();
 		});
 	}
 
+	private Single<StreamingHttpResponse> checkedRequest(WriteCheck check, StreamingHttpRequest request) {
+		if (check.prepare(request)) {
+			return limitedRequest(request);
+		}
+		return delegate().closeAsyncGracefully()
+			.concat(Single.<StreamingHttpResponse>failed(new RequestWithheldException()));
+	}
+
 	private Single<StreamingHttpResponse> limitedRequest(StreamingHttpRequest request) {
 		UndecodedBytesLimit limit = UndecodedBytesLimit.install(connectionContext());
 		return delegate().request(request).map((response) -> {
