Do not serve connections that are accepted while a peer server closes

Cause: a thread that is blocked in accept() keeps the kernel's port open until it has woken up. A connection that arrives before that is returned by accept() although the socket was closed in between; handleConnection then added it after close() had closed all others, and served it. A busy machine widens the window.

close() now waits for the accepting thread, and a connection that accept() still returns is closed unserved. The two new tests fail without it: the first with a read timeout (run with the check taken out); the second has no accessor to compile against on the old code.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerServer.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/PeerServer.java
@@ -29,6 +29,9 @@
 
 	private static final int BACKLOG = 128;
 
+	/** Longest wait for the accepting thread, which wakes up when its port is closed. */
+	private static final long CLOSE_TIMEOUT_MS = 1_000;
+
 	private final PeerHandler handler;
 
 	private final PeerOptions options;
@@ -51,6 +54,8 @@
 
 	private volatile boolean closed;
 
+	private Thread acceptor;
+
 	/**
 	 * Binds both ports.
 	 * @param address address to listen on; port 0 takes a free port
@@ -76,7 +81,7 @@
 	 */
 	public void start() {
 		Thread.ofPlatform().name("peer-udp").daemon().start(this::receiveDatagrams);
-		Thread.ofPlatform().name("peer-tcp").daemon().start(this::acceptConnections);
+		this.acceptor = Thread.ofPlatform().name("peer-tcp").daemon().start(this::acceptConnections);
 	}
 
 	/**
@@ -87,6 +92,10 @@
 		return this.tcp.getLocalPort();
 	}
 
+	Thread acceptor() {
+		return this.acceptor;
+	}
+
 	/**
 	 * Returns the counters.
 	 * @return the counters
@@ -151,7 +160,7 @@
 		}
 	}
 
-	private void handleConnection(Socket socket) throws IOException {
+	void handleConnection(Socket socket) throws IOException {
 		if (!this.options.allows(socket.getInetAddress())) {
 			this.refusedAddresses.increment();
 			socket.close();
@@ -166,6 +175,12 @@
 			return;
 		}
 		this.connections.add(socket);
+		if (this.closed) {
+			// A pending accept may still return a connection after the port was closed.
+			this.connections.remove(socket);
+			socket.close();
+			return;
+		}
 		Thread.ofVirtual().name("peer-connection").start(() -> {
 			try {
 				connection.run();
@@ -177,16 +192,30 @@
 	}
 
 	/**
-	 * Closes the ports and all connections.
+	 * Closes the ports and all connections. No connection is established afterwards.
 	 */
 	@Override
 	public void close() {
 		this.closed = true;
 		this.udp.close();
 		closeQuietly(this.tcp);
+		awaitAcceptor();
 		this.connections.forEach(PeerServer::closeQuietly);
 	}
 
+	// The kernel keeps a closed port open until a pending accept has returned.
+	private void awaitAcceptor() {
+		if (this.acceptor == null) {
+			return;
+		}
+		try {
+			this.acceptor.join(CLOSE_TIMEOUT_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void closeQuietly(AutoCloseable closeable) {
 		try {
 			closeable.close();
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/peer/PeerNetworkTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/peer/PeerNetworkTests.java
@@ -234,6 +234,27 @@
 		assertThat(network.claim(host(port), claim("k2"))).isInstanceOf(PeerResult.Unreachable.class);
 	}
 
+	@Test
+	void connectionThatAPendingAcceptReturnsAfterCloseIsNotServed() throws Exception {
+		PeerServer server = serve(this.handler);
+		server.close();
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				Socket socket = new Socket(InetAddress.getLoopbackAddress(), listener.getLocalPort())) {
+			socket.setSoTimeout(10_000);
+			server.handleConnection(listener.accept());
+			assertThat(readsEnd(socket)).isTrue();
+			assertThat(server.stats().connections()).isEqualTo(0);
+		}
+	}
+
+	@Test
+	void closeEndsTheAcceptingThread() throws Exception {
+		PeerServer server = serve(this.handler);
+		Thread acceptor = server.acceptor();
+		server.close();
+		assertThat(acceptor.isAlive()).isFalse();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "10.1.0.0/16, 10.1.255.7, true", "10.1.0.0/16, 10.2.0.1, false", "0.0.0.0/0, 203.0.113.9, true",
 			"192.168.7.5, 192.168.7.5, true", "192.168.7.5, 192.168.7.6, false", "10.0.0.0/8, ::1, false" })
