Log which requests a crashed server had not begun to answer

One line a crash: address, server, number of attempts, and the attempts that were written and had no answer yet, with the parts of their prompts, at most eight.

No decision changes. Test calls follow the new signatures; what they check is the same.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/CallerAttributes.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/CallerAttributes.java
@@ -1,5 +1,6 @@
 package org.medlardrum.gateway;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -15,7 +16,9 @@
  * tokens, 0 for none
  * @param lastEventId identifier of the last event the caller has received, negative for
  * none
+ * @param promptParts identifiers of the parts of the prompt in order, empty if not given;
+ * prompts share parts, except the last one
  */
 public record CallerAttributes(String requestId, long deadlineMs, Optional<String> apiKey, int promptTokens,
-		int maxGeneratedTokens, int estimatedGeneratedTokens, long lastEventId) {
+		int maxGeneratedTokens, int estimatedGeneratedTokens, long lastEventId, List<String> promptParts) {
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -1,11 +1,10 @@
 package org.medlardrum.gateway.internal.quarantine;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -45,14 +44,16 @@
 	/** Limit of statuses in a digest; each takes about 30 bytes. */
 	private static final int MAX_RUMOURS = 8;
 
+	/** Limit of the attempts that a line about a crash names. */
+	private static final int MAX_LOGGED_ATTEMPTS = 8;
+
 	private final GatewayClock clock;
 
 	private final DecisionLog log;
 
 	private final CrashLedger ledger = new CrashLedger(QUARANTINE_MS);
 
-	/** Requests by the address of the server; requests are compared by identity. */
-	private final Map<String, Set<GatewayRequest>> runningByAddress = new HashMap<>();
+	private final Map<String, Set<RunningAttempt>> runningByAddress = new HashMap<>();
 
 	/** Times of the last probes on the monotonic clock, by address. */
 	private final Map<String, Long> probedAtMs = new HashMap<>();
@@ -84,26 +85,36 @@
 	}
 
 	/**
-	 * Records that a request was sent to a server.
+	 * Records that a request is sent to a server.
+	 * @param serverId identifier of the server instance
 	 * @param address address of the server
 	 * @param request the request
+	 * @return the attempt, to be ended with {@link #recordEnd}
 	 */
-	public synchronized void recordStart(String address, GatewayRequest request) {
-		this.runningByAddress.computeIfAbsent(address, (key) -> Collections.newSetFromMap(new IdentityHashMap<>()))
-			.add(request);
+	public synchronized RunningAttempt recordStart(String serverId, String address, GatewayRequest request) {
+		RunningAttempt attempt = new RunningAttempt(serverId, address, request);
+		this.runningByAddress.computeIfAbsent(address, (key) -> new LinkedHashSet<>()).add(attempt);
+		return attempt;
 	}
 
 	/**
-	 * Records that a request no longer runs at a server.
-	 * @param address address of the server
-	 * @param request the request
+	 * Records that the server has begun to answer an attempt.
+	 * @param attempt the attempt
 	 */
-	public synchronized void recordEnd(String address, GatewayRequest request) {
-		Set<GatewayRequest> running = this.runningByAddress.get(address);
+	public synchronized void recordBegun(RunningAttempt attempt) {
+		attempt.recordBegun();
+	}
+
+	/**
+	 * Records that an attempt has ended.
+	 * @param attempt the attempt
+	 */
+	public synchronized void recordEnd(RunningAttempt attempt) {
+		Set<RunningAttempt> running = this.runningByAddress.get(attempt.address());
 		if (running != null) {
-			running.remove(request);
+			running.remove(attempt);
 			if (running.isEmpty()) {
-				this.runningByAddress.remove(address);
+				this.runningByAddress.remove(attempt.address());
 			}
 		}
 	}
@@ -112,9 +123,9 @@
 	 * Begins a probe of a server whose call broke. All calls break when a server crashes,
 	 * so a server is probed once for all of them.
 	 * @param address address of the server
-	 * @return the requests that run at the server, empty if it was probed lately
+	 * @return the attempts that run at the server, empty if it was probed lately
 	 */
-	public synchronized Optional<List<GatewayRequest>> tryBeginProbe(String address) {
+	public synchronized Optional<List<RunningAttempt>> tryBeginProbe(String address) {
 		long nowMs = this.clock.monotonicMs();
 		this.probedAtMs.values().removeIf((atMs) -> nowMs - atMs >= PROBE_INTERVAL_MS);
 		if (this.probedAtMs.putIfAbsent(address, nowMs) != null) {
@@ -126,11 +137,12 @@
 	/**
 	 * Records the crash of a server.
 	 * @param address address of the server
-	 * @param requests requests that ran at the server
+	 * @param attempts attempts that ran at the server
 	 */
-	public void recordCrash(String address, List<GatewayRequest> requests) {
+	public void recordCrash(String address, List<RunningAttempt> attempts) {
 		Set<String> fingerprints = new HashSet<>();
-		requests.forEach((request) -> fingerprints.add(RequestFingerprint.of(request)));
+		attempts.forEach((attempt) -> fingerprints.add(RequestFingerprint.of(attempt.request())));
+		logCrash(address, attempts);
 		synchronized (this) {
 			long nowMs = this.clock.wallMs();
 			List<FingerprintStatus> changed = this.ledger.recordCrash(address, Long.toString(nowMs), fingerprints,
@@ -200,6 +212,17 @@
 		return rumours;
 	}
 
+	private void logCrash(String address, List<RunningAttempt> attempts) {
+		List<RunningAttempt> notBegun = attempts.stream().filter(RunningAttempt::mayHaveCrashedServer).toList();
+		this.log.event("quarantine", "crash", "address", address, "server",
+				attempts.isEmpty() ? "none" : attempts.getFirst().serverId(), "attempts", attempts.size(), "notBegun",
+				notBegun.stream().limit(MAX_LOGGED_ATTEMPTS).map(RequestQuarantine::describe).toList());
+	}
+
+	private static String describe(RunningAttempt attempt) {
+		return attempt.request().id() + attempt.request().attributes().promptParts();
+	}
+
 	private void logStatus(FingerprintStatus status, String reason) {
 		this.log.event("quarantine", status.kind().name().toLowerCase(Locale.ROOT), "fingerprint", status.fingerprint(),
 				"crashes", status.crashes(), "reason", reason, "forMs",
--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
@@ -0,0 +1,62 @@
+package org.medlardrum.gateway.internal.quarantine;
+
+import org.medlardrum.gateway.internal.request.GatewayRequest;
+
+/**
+ * One attempt of a request at a server, as far as it says something about a crash of the
+ * server. Confined to the event loop.
+ */
+public final class RunningAttempt {
+
+	private final String serverId;
+
+	private final String address;
+
+	private final GatewayRequest request;
+
+	private boolean written;
+
+	private boolean begun;
+
+	RunningAttempt(String serverId, String address, GatewayRequest request) {
+		this.serverId = serverId;
+		this.address = address;
+		this.request = request;
+	}
+
+	String serverId() {
+		return this.serverId;
+	}
+
+	String address() {
+		return this.address;
+	}
+
+	GatewayRequest request() {
+		return this.request;
+	}
+
+	/**
+	 * Records that the request is being written.
+	 */
+	public void recordWriting() {
+		this.written = true;
+	}
+
+	void recordBegun() {
+		this.begun = true;
+	}
+
+	boolean hasBegun() {
+		return this.begun;
+	}
+
+	/**
+	 * Returns whether the server may have crashed when it began to answer the request.
+	 * @return {@code true} if the server has the request and has not begun to answer
+	 */
+	boolean mayHaveCrashedServer() {
+		return this.written && !this.begun;
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
@@ -6,6 +6,7 @@
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
+import org.medlardrum.gateway.internal.quarantine.RunningAttempt;
 
 /**
  * Tells a server that crashed from one that lost a single answer: nobody listens at the
@@ -22,7 +23,7 @@
 	 * @param address address of the server
 	 */
 	static void probe(RequestDependencies dependencies, String address) {
-		Optional<List<GatewayRequest>> running = dependencies.quarantine().tryBeginProbe(address);
+		Optional<List<RunningAttempt>> running = dependencies.quarantine().tryBeginProbe(address);
 		if (running.isEmpty()) {
 			return;
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -1,7 +1,9 @@
 package org.medlardrum.gateway.internal.request;
 
 import java.util.EnumSet;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +20,7 @@
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
+import org.medlardrum.gateway.internal.quarantine.RunningAttempt;
 
 /**
  * Execution of one request as a state machine on the event loop. It handles signals and a
@@ -46,6 +49,8 @@
 
 	private final Set<SendDenial> loggedDenials = EnumSet.noneOf(SendDenial.class);
 
+	private final Map<BackendCall, RunningAttempt> attempts = new IdentityHashMap<>();
+
 	private final IoExecutor executor;
 
 	private final Consumer<String> outcomeListener;
@@ -93,6 +98,9 @@
 	 */
 	public final void onSignal(Signal signal) {
 		if (!this.ended) {
+			if (signal instanceof Signal.Writing writing && this.attempts.containsKey(writing.call())) {
+				this.attempts.get(writing.call()).recordWriting();
+			}
 			if (signal instanceof Signal.Failed failed && !failed.requestNotSent()) {
 				CrashProbe.probe(this.dependencies, failed.call().address());
 			}
@@ -165,15 +173,29 @@
 			return Optional.empty();
 		}
 		RequestQuarantine quarantine = this.dependencies.quarantine();
-		quarantine.recordStart(address, this.request);
+		RunningAttempt attempt = quarantine.recordStart(plan.instanceId(), address, this.request);
 		long decidedAtMs = this.dependencies.nowMs();
 		// On a late host, the caller's close may be in the socket when the connection is
 		// ready.
 		BackendRequest toSend = new BackendRequest(address, this.request.method(), this.request.target(),
 				() -> this.dependencies.nowMs() - decidedAtMs >= TimerLateness.LATE_MS, () -> headersToWrite(plan),
 				this.request.body());
-		return Optional.of(BackendCall.send(this.dependencies.clients(), toSend, this::onSignal,
-				() -> quarantine.recordEnd(address, this.request)));
+		BackendCall call = BackendCall.send(this.dependencies.clients(), toSend, this::onSignal,
+				() -> quarantine.recordEnd(attempt));
+		this.attempts.put(call, attempt);
+		return Optional.of(call);
+	}
+
+	/**
+	 * Records that a server has begun to answer, which proves that the request has not
+	 * crashed it.
+	 * @param call the call
+	 */
+	protected final void recordBegun(BackendCall call) {
+		RunningAttempt attempt = this.attempts.get(call);
+		if (attempt != null) {
+			this.dependencies.quarantine().recordBegun(attempt);
+		}
 	}
 
 	private Optional<SendDenial> takeSend() {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -401,6 +401,7 @@
 		}
 		List<StreamedEvent> events = attempt.addToStream(data.bytes());
 		if (!events.isEmpty()) {
+			recordBegun(data.call());
 			keepFirstToRespond(attempt);
 		}
 		for (StreamedEvent event : events) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -35,7 +35,8 @@
 	public CallerAttributes parseAttributes(HeaderLookup headers) {
 		return new CallerAttributes(headers.first("id").orElse(""),
 				headers.first("deadline").map(Long::parseLong).orElse(0L), headers.first("key"), PROMPT_TOKENS,
-				MAX_GENERATED_TOKENS, NO_ESTIMATE, headers.first("after").map(Long::parseLong).orElse(-1L));
+				MAX_GENERATED_TOKENS, NO_ESTIMATE, headers.first("after").map(Long::parseLong).orElse(-1L),
+				headers.first("parts").map((parts) -> List.of(parts.split(","))).orElse(List.of()));
 	}
 
 	@Override
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantineTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantineTests.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.quarantine;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
@@ -34,16 +35,22 @@
 	}
 
 	private static GatewayRequest request(String id, String body) {
-		CallerAttributes attributes = new CallerAttributes(id, 0, Optional.empty(), 0, 0, 0, -1);
+		CallerAttributes attributes = new CallerAttributes(id, 0, Optional.empty(), 0, 0, 0, -1, List.of());
 		ServiceRoute route = new ServiceRoute("r", "test", "/r/", TrafficKind.SAFE, List.of(new ServiceShare("s", 1)),
 				1_000, 500, 0, 0, 2, false, false);
 		return new GatewayRequest("POST", "/r/1", List.of("id", id), body.getBytes(StandardCharsets.UTF_8), attributes,
 				route, new RoutedService("s", 1, Optional.empty()), Optional.of("org-1"), 0, 0, 1_000);
 	}
 
+	private static RunningAttempt running(RequestQuarantine host, String address, GatewayRequest request) {
+		RunningAttempt attempt = host.recordStart("id-" + address, address, request);
+		attempt.recordWriting();
+		return attempt;
+	}
+
 	private void crash(RequestQuarantine host, String address, GatewayRequest... running) {
 		this.nowMs.addAndGet(100);
-		host.recordCrash(address, List.of(running));
+		host.recordCrash(address, Arrays.stream(running).map((request) -> running(host, address, request)).toList());
 	}
 
 	@Test
@@ -85,14 +92,14 @@
 	void serverIsProbedOnceForAllRequestsThatBreak() {
 		GatewayRequest one = request("1", "x");
 		GatewayRequest same = request("1", "x");
-		this.first.recordStart("a:1", one);
-		this.first.recordStart("a:1", same);
+		RunningAttempt firstAttempt = running(this.first, "a:1", one);
+		RunningAttempt secondAttempt = running(this.first, "a:1", same);
 		assertThat(this.first.tryBeginProbe("a:1").orElseThrow()).hasSize(2);
-		this.first.recordEnd("a:1", one);
+		this.first.recordEnd(firstAttempt);
 		assertThat(this.first.tryBeginProbe("a:1")).isEmpty();
 		this.nowMs.addAndGet(RequestQuarantine.PROBE_INTERVAL_MS);
 		assertThat(this.first.tryBeginProbe("a:1").orElseThrow()).hasSize(1);
-		this.first.recordEnd("a:1", same);
+		this.first.recordEnd(secondAttempt);
 		this.nowMs.addAndGet(RequestQuarantine.PROBE_INTERVAL_MS);
 		assertThat(this.first.tryBeginProbe("a:1").orElseThrow()).isEmpty();
 	}
