--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/FakeBackend.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/FakeBackend.java
@@ -98,6 +98,10 @@
 		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
 	}
 
+	boolean isClosed() {
+		return this.listener.isClosed();
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.listener.close();
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Dialect for tests with short header names. A status report has one line
@@ -14,6 +16,9 @@
  */
 final class TestDialect implements RequestDialect {
 
+	/** Headers of the caller that are passed on to servers. */
+	private static final Set<String> FORWARDED = Set.of("id", "parts");
+
 	private static final int PROMPT_TOKENS = 100;
 
 	private static final int MAX_GENERATED_TOKENS = 20;
@@ -44,8 +49,8 @@
 		List<String> headers = new ArrayList<>(List.of("instance", plan.instanceId(), "deadline",
 				Long.toString(plan.remainingMs()), "chain-length", Integer.toString(plan.chain().size())));
 		for (int i = 0; i + 1 < callerHeaders.size(); i += 2) {
-			if (callerHeaders.get(i).equalsIgnoreCase("id")) {
-				headers.addAll(List.of("id", callerHeaders.get(i + 1)));
+			if (FORWARDED.contains(callerHeaders.get(i).toLowerCase(Locale.ROOT))) {
+				headers.addAll(List.of(callerHeaders.get(i), callerHeaders.get(i + 1)));
 			}
 		}
 		plan.organisation().ifPresent((name) -> headers.addAll(List.of("organisation", name)));
