--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/Evidence.java
@@ -0,0 +1,33 @@
+package org.medlardrum.decisions.crash;
+
+/**
+ * One subject of a request that a server had not begun to answer when it crashed.
+ *
+ * @param crash identifier of the crash: of the server's instance, so that all hosts name
+ * it alike
+ * @param subject the subject
+ * @param position position of a part in its prompt, 0 for the first one and for a
+ * request; fewer requests share a part the later it stands
+ * @param state how far the subject is cleared of this crash
+ * @param ageMs time in milliseconds since the crash was first recorded
+ */
+public record Evidence(String crash, Subject subject, int position, State state, long ageMs) {
+
+	/**
+	 * How far a subject is cleared of a crash. Hosts merge evidence by keeping the later
+	 * constant, so they converge regardless of the order in which they receive it.
+	 */
+	public enum State {
+
+		/** No server is known to have begun an answer with the subject. */
+		SUSPECT,
+
+		/** A server had begun an answer with the subject before the crash was known. */
+		KNOWN_BEFORE,
+
+		/** A server has begun an answer with the subject since the crash was known. */
+		CLEARED
+
+	}
+
+}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
@@ -22,9 +22,17 @@
 	/** A server may have executed the request, and it is not idempotent. */
 	NOT_IDEMPOTENT,
 
-	/** The request is in quarantine, because it crashed servers. */
+	/**
+	 * The request is in quarantine, because it or a part of its prompt crashes servers.
+	 */
 	QUARANTINED,
 
+	/**
+	 * A part of the prompt may have crashed a server. Another request with it is being
+	 * tried, or the turn of this host has not come.
+	 */
+	SUSPECTED,
+
 	/** The retry budget of this host is used up. */
 	RETRY_BUDGET;
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -97,7 +97,7 @@
 		LoadTable loads = new LoadTable();
 		PeerOptions peerOptions = PeerOptions.of(List.of(CidrRange.parse("0.0.0.0/0")));
 		this.network = new ThriftPeerNetwork(peerOptions);
-		RequestQuarantine quarantine = new RequestQuarantine(clock, log);
+		RequestQuarantine quarantine = new RequestQuarantine(clock, log, settings.hostId());
 		this.exchange = new LoadExchange(this.state, loads, quarantine, this.network::send, settings.hostId(),
 				settings.availabilityZone());
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()), new DigestReceiver(this.exchange),
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -6,15 +6,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 
 import org.medlardrum.coordination.internal.BackgroundThread;
+import org.medlardrum.decisions.crash.Evidence;
 import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
-import org.medlardrum.peer.gen.Rumour;
 import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.peer.gen.SilentServer;
 import org.medlardrum.state.Host;
@@ -145,16 +146,17 @@
 		if (digest.getHostId().equals(this.hostId)) {
 			return;
 		}
-		Map<String, ServerLoad> loadByServer = new HashMap<>();
 		if (digest.isSetServerShares()) {
+			Map<String, ServerLoad> loadByServer = new HashMap<>();
 			for (ServerShare share : digest.getServerShares()) {
 				loadByServer.put(share.getServer(),
 						new ServerLoad(share.getTokenLayers(), share.getSequences(), share.getAsFirst()));
 			}
+			this.loads.updatePeer(digest.getHostId(), loadByServer, this.state.clock().monotonicMs());
 		}
-		this.loads.updatePeer(digest.getHostId(), loadByServer, this.state.clock().monotonicMs());
-		if (digest.isSetRumours()) {
-			this.quarantine.merge(digest.getRumours());
+		if (digest.isSetCrashEvidence()) {
+			this.quarantine.merge(
+					digest.getCrashEvidence().stream().map(EvidenceCodec::decode).flatMap(Optional::stream).toList());
 		}
 		if (digest.isSetSilentServers()) {
 			for (SilentServer silent : digest.getSilentServers()) {
@@ -179,24 +181,34 @@
 		this.urgent = false;
 		Map<String, ServerLoad> own = this.loads.own();
 		List<Suspicion> suspicions = this.state.ownSuspicions();
-		List<Rumour> rumours = this.quarantine.rumours();
-		boolean idle = own.isEmpty() && suspicions.isEmpty() && rumours.isEmpty();
+		List<Evidence> evidence = this.quarantine.evidenceToTell();
+		boolean idle = own.isEmpty() && suspicions.isEmpty() && evidence.isEmpty();
 		if (idle && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
 			return busyIntervalMs;
 		}
 		this.wasIdle = idle;
 		this.sentAtMs = nowMs;
 		Digest digest = digest(own, suspicions);
-		digest.setRumours(rumours);
 		receivers.forEach((peer) -> this.sender.accept(peer, digest));
+		if (!evidence.isEmpty()) {
+			// In a datagram of its own, since the loads may fill one.
+			Digest evidenceDigest = emptyDigest();
+			evidenceDigest.setCrashEvidence(evidence.stream().map(EvidenceCodec::encode).toList());
+			receivers.forEach((peer) -> this.sender.accept(peer, evidenceDigest));
+		}
 		return busyIntervalMs;
 	}
 
-	private Digest digest(Map<String, ServerLoad> own, List<Suspicion> suspicions) {
+	private Digest emptyDigest() {
 		Digest digest = new Digest();
 		digest.setHostId(this.hostId);
 		digest.setAvailabilityZone(this.availabilityZone);
 		digest.setDraining(this.state.isDraining());
+		return digest;
+	}
+
+	private Digest digest(Map<String, ServerLoad> own, List<Suspicion> suspicions) {
+		Digest digest = emptyDigest();
 		List<ServerShare> shares = new ArrayList<>();
 		own.entrySet()
 			.stream()
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -4,36 +4,37 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
-import org.medlardrum.decisions.CrashLedger;
-import org.medlardrum.decisions.FingerprintStatus;
+import org.medlardrum.decisions.crash.CrashEvidence;
+import org.medlardrum.decisions.crash.Evidence;
+import org.medlardrum.decisions.crash.Subject;
+import org.medlardrum.decisions.crash.TrialTurns;
+import org.medlardrum.decisions.crash.Verdict;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
-import org.medlardrum.peer.gen.Rumour;
-import org.medlardrum.peer.gen.RumourKind;
 
 /**
- * Requests that run at each server, and those that are suspected of crashing servers or
- * quarantined for it. Statuses are shared with the other entry hosts, since the caller of
- * such a request sends it again through any of them.
+ * Requests that run at each server, and the parts of prompts and requests that are
+ * suspected of crashing servers or quarantined for it. The evidence is shared with the
+ * other entry hosts, since such requests come to any of them. While a part is suspected,
+ * one request with it at a time is tried, and the others are held.
  */
 public final class RequestQuarantine {
 
-	/**
-	 * Duration of a quarantine and of a suspicion. A request that was suspected wrongly
-	 * clears itself by completing.
-	 */
+	/** Time for which evidence counts, and so the longest quarantine. */
 	static final long QUARANTINE_MS = 60_000;
 
-	/** Time for which a cleared suspicion is told to other hosts: several digests. */
-	private static final long CLEARED_RETENTION_MS = 3_000;
+	/**
+	 * Time for which a change of the evidence is told to other hosts: several digests.
+	 */
+	private static final long TELLING_MS = 3_000;
 
 	/**
 	 * Shortest time between two probes of a server: its calls break within the lateness
@@ -41,25 +42,39 @@
 	 */
 	static final long PROBE_INTERVAL_MS = 2_000;
 
-	/** Limit of statuses in a digest; each takes about 30 bytes. */
-	private static final int MAX_RUMOURS = 8;
+	/** Limit of evidence in a datagram; each takes about 45 bytes. */
+	private static final int MAX_TOLD_EVIDENCE = 24;
 
 	/** Limit of the attempts that a line about a crash names. */
 	private static final int MAX_LOGGED_ATTEMPTS = 8;
 
+	/** Accusations before clearances, and the latest first. */
+	private static final Comparator<Evidence> TELLING_ORDER = Comparator.comparing(Evidence::state)
+		.thenComparing(Evidence::ageMs);
+
 	private final GatewayClock clock;
 
 	private final DecisionLog log;
 
-	private final CrashLedger ledger = new CrashLedger(QUARANTINE_MS);
+	private final String hostId;
+
+	private final CrashEvidence evidence = new CrashEvidence(QUARANTINE_MS);
 
 	private final Map<String, Set<RunningAttempt>> runningByAddress = new HashMap<>();
 
 	/** Times of the last probes on the monotonic clock, by address. */
 	private final Map<String, Long> probedAtMs = new HashMap<>();
 
-	/** Statuses that this host has cleared, with the time in Unix milliseconds. */
-	private final Map<FingerprintStatus, Long> cleared = new HashMap<>();
+	private final Set<String> probing = new HashSet<>();
+
+	/** Subjects of this host's own requests at crashed servers. */
+	private final Set<Subject> witnessed = new HashSet<>();
+
+	/** Attempts with a suspected part that have not begun. */
+	private final Set<RunningAttempt> trials = new HashSet<>();
+
+	/** Changed evidence, with the time of the change on the monotonic clock. */
+	private final Map<EvidenceKey, ToldEvidence> toTell = new LinkedHashMap<>();
 
 	private volatile boolean empty = true;
 
@@ -68,16 +83,18 @@
 
 	/**
 	 * Creates an empty quarantine.
-	 * @param clock the clocks; statuses use the wall clock, which the hosts share
+	 * @param clock the clocks
 	 * @param log the log
+	 * @param hostId identifier of the host
 	 */
-	public RequestQuarantine(GatewayClock clock, DecisionLog log) {
+	public RequestQuarantine(GatewayClock clock, DecisionLog log, String hostId) {
 		this.clock = clock;
 		this.log = log;
+		this.hostId = hostId;
 	}
 
 	/**
-	 * Sets the listener that runs when a status that other hosts should know has changed.
+	 * Sets the listener that runs when evidence that other hosts should know has changed.
 	 * @param newListener must not block
 	 */
 	public void onChange(Runnable newListener) {
@@ -89,20 +106,39 @@
 	 * @param serverId identifier of the server instance
 	 * @param address address of the server
 	 * @param request the request
+	 * @param begunBefore whether another server has begun to answer the request
 	 * @return the attempt, to be ended with {@link #recordEnd}
 	 */
-	public synchronized RunningAttempt recordStart(String serverId, String address, GatewayRequest request) {
-		RunningAttempt attempt = new RunningAttempt(serverId, address, request);
+	public synchronized RunningAttempt recordStart(String serverId, String address, GatewayRequest request,
+			boolean begunBefore) {
+		RunningAttempt attempt = new RunningAttempt(serverId, address, request, begunBefore);
 		this.runningByAddress.computeIfAbsent(address, (key) -> new LinkedHashSet<>()).add(attempt);
+		if (!this.empty && verdict(request) instanceof Verdict.Suspected suspected) {
+			this.trials.add(attempt);
+			this.log.event("quarantine", "trial", "id", request.id(), "subject", suspected.subject().id(), "server",
+					serverId, "crashMsAgo", this.clock.monotonicMs() - suspected.sinceMs());
+		}
 		return attempt;
 	}
 
 	/**
-	 * Records that the server has begun to answer an attempt.
+	 * Records that the server has begun to answer an attempt, which clears the parts of
+	 * its prompt.
 	 * @param attempt the attempt
 	 */
-	public synchronized void recordBegun(RunningAttempt attempt) {
-		attempt.recordBegun();
+	public void recordBegun(RunningAttempt attempt) {
+		if (attempt.hasBegun()) {
+			return;
+		}
+		List<Evidence> changed;
+		synchronized (this) {
+			attempt.recordBegun();
+			this.trials.remove(attempt);
+			Set<Subject> subjects = (this.empty) ? parts(attempt.request()) : subjects(attempt.request());
+			changed = this.evidence.recordBegun(subjects, this.clock.monotonicMs());
+			tell(changed, "begun by " + attempt.request().id());
+		}
+		notifyListener(changed);
 	}
 
 	/**
@@ -110,6 +146,7 @@
 	 * @param attempt the attempt
 	 */
 	public synchronized void recordEnd(RunningAttempt attempt) {
+		this.trials.remove(attempt);
 		Set<RunningAttempt> running = this.runningByAddress.get(attempt.address());
 		if (running != null) {
 			running.remove(attempt);
@@ -131,85 +168,174 @@
 		if (this.probedAtMs.putIfAbsent(address, nowMs) != null) {
 			return Optional.empty();
 		}
+		this.probing.add(address);
 		return Optional.of(List.copyOf(this.runningByAddress.getOrDefault(address, Set.of())));
 	}
 
 	/**
-	 * Records the crash of a server.
+	 * Ends a probe of a server that is still there.
+	 * @param address address of the server
+	 */
+	public synchronized void endProbe(String address) {
+		this.probing.remove(address);
+	}
+
+	/**
+	 * Returns whether a server is being probed, so that it is not yet known whether it
+	 * has crashed.
+	 * @param address address of the server
+	 * @return {@code true} during a probe
+	 */
+	public synchronized boolean isProbing(String address) {
+		return this.probing.contains(address);
+	}
+
+	/**
+	 * Records the crash of a server, and ends its probe.
 	 * @param address address of the server
 	 * @param attempts attempts that ran at the server
 	 */
 	public void recordCrash(String address, List<RunningAttempt> attempts) {
-		Set<String> fingerprints = new HashSet<>();
-		attempts.forEach((attempt) -> fingerprints.add(RequestFingerprint.of(attempt.request())));
-		logCrash(address, attempts);
+		List<Evidence> changed = new ArrayList<>();
 		synchronized (this) {
-			long nowMs = this.clock.wallMs();
-			List<FingerprintStatus> changed = this.ledger.recordCrash(address, Long.toString(nowMs), fingerprints,
-					nowMs);
-			changed.forEach((status) -> logStatus(status,
-					"crash of " + address + " with " + fingerprints.size() + " different requests"));
-			this.empty = this.ledger.entries().isEmpty();
+			this.probing.remove(address);
+			logCrash(address, attempts);
+			for (RunningAttempt attempt : attempts) {
+				if (attempt.mayHaveCrashedServer()) {
+					Set<Subject> subjects = subjects(attempt.request());
+					this.witnessed.addAll(subjects);
+					changed.addAll(this.evidence.recordCrash(attempt.serverId(), subjects, this.clock.monotonicMs()));
+				}
+			}
+			this.empty = this.evidence.isEmpty();
+			tell(changed, "crash of " + address);
 		}
-		this.listener.run();
+		notifyListener(changed);
 	}
 
 	/**
-	 * Records that a request has completed, which clears a suspicion.
+	 * Returns for how long a request stays in quarantine.
 	 * @param request the request
+	 * @return the time in milliseconds, 0 if it is not in quarantine
 	 */
-	public void recordCompletion(GatewayRequest request) {
-		if (this.empty) {
-			return;
-		}
-		String fingerprint = RequestFingerprint.of(request);
-		synchronized (this) {
-			this.ledger.recordCompletion(fingerprint).ifPresent((status) -> {
-				this.cleared.put(status, this.clock.wallMs());
-				logStatus(status, "completed");
-			});
-			this.empty = this.ledger.entries().isEmpty();
+	public synchronized long quarantinedForMs(GatewayRequest request) {
+		if (!this.empty && verdict(request) instanceof Verdict.Convicted convicted) {
+			return Math.max(1, convicted.untilMs() - this.clock.monotonicMs());
 		}
+		return 0;
 	}
 
 	/**
-	 * Returns for how long a request stays in quarantine.
+	 * Returns whether a request has to wait because a part of its prompt is suspected.
 	 * @param request the request
-	 * @return the time in milliseconds, 0 if it is not in quarantine
+	 * @return {@code false} if it may be sent, as a trial if a part is suspected
 	 */
-	public long quarantinedForMs(GatewayRequest request) {
-		if (this.empty) {
-			return 0;
+	public synchronized boolean isHeld(GatewayRequest request) {
+		if (this.empty || !(verdict(request) instanceof Verdict.Suspected suspected)) {
+			return false;
 		}
-		String fingerprint = RequestFingerprint.of(request);
-		synchronized (this) {
-			long nowMs = this.clock.wallMs();
-			return Math.max(0, this.ledger.quarantinedUntilMs(fingerprint, nowMs) - nowMs);
+		long delayMs = TrialTurns.delayMs(suspected.subject(), this.hostId,
+				this.witnessed.contains(suspected.subject()));
+		return !this.trials.isEmpty() || this.clock.monotonicMs() - suspected.sinceMs() < delayMs;
+	}
+
+	private Verdict verdict(GatewayRequest request) {
+		Verdict verdict = this.evidence.verdict(subjects(request), this.clock.monotonicMs());
+		if (this.evidence.isEmpty()) {
+			this.empty = true;
+			this.witnessed.clear();
 		}
+		return verdict;
+	}
+
+	private static Set<Subject> subjects(GatewayRequest request) {
+		Set<Subject> subjects = parts(request);
+		subjects.add(Subject.request(RequestFingerprint.of(request)));
+		return subjects;
+	}
+
+	// The last part of a prompt is the request's or its session's own.
+	private static Set<Subject> parts(GatewayRequest request) {
+		List<String> parts = request.attributes().promptParts();
+		Set<Subject> subjects = new LinkedHashSet<>();
+		parts.subList(0, Math.max(0, parts.size() - 1)).forEach((id) -> subjects.add(Subject.promptPart(id)));
+		return subjects;
 	}
 
 	/**
-	 * Returns the statuses for other hosts, those with the most crashes first.
-	 * @return the statuses
+	 * Returns the evidence for other hosts: recent changes and, for hosts that have
+	 * joined since, all against convicted subjects.
+	 * @return the evidence
 	 */
-	public synchronized List<Rumour> rumours() {
-		if (this.empty && this.cleared.isEmpty()) {
+	public synchronized List<Evidence> evidenceToTell() {
+		if (this.empty && this.toTell.isEmpty()) {
 			return List.of();
 		}
-		long nowMs = this.clock.wallMs();
-		this.cleared.values().removeIf((atMs) -> nowMs - atMs > CLEARED_RETENTION_MS);
-		this.ledger.expire(nowMs);
-		this.empty = this.ledger.entries().isEmpty();
-		List<Rumour> rumours = new ArrayList<>();
-		this.ledger.entries()
+		long nowMs = this.clock.monotonicMs();
+		this.toTell.values().removeIf((told) -> nowMs - told.changedAtMs > TELLING_MS);
+		Map<EvidenceKey, Evidence> result = new LinkedHashMap<>();
+		this.toTell.forEach((key, told) -> result.put(key, told.atAge(nowMs)));
+		this.evidence.evidenceOfConvictions(nowMs)
+			.forEach((entry) -> result.putIfAbsent(new EvidenceKey(entry.crash(), entry.subject()), entry));
+		this.empty = this.evidence.isEmpty();
+		return result.values()
 			.stream()
-			.sorted(Comparator.comparingInt(FingerprintStatus::crashes)
-				.reversed()
-				.thenComparing(Comparator.comparingLong(FingerprintStatus::untilMs).reversed()))
-			.limit(MAX_RUMOURS)
-			.forEach((status) -> rumours.add(rumour(status)));
-		this.cleared.keySet().stream().limit(MAX_RUMOURS).forEach((status) -> rumours.add(rumour(status)));
-		return rumours;
+			.sorted(Comparator.comparing((Evidence entry) -> entry.subject().kind()).thenComparing(TELLING_ORDER))
+			.limit(MAX_TOLD_EVIDENCE)
+			.toList();
+	}
+
+	/**
+	 * Merges evidence of another host.
+	 * @param told the evidence
+	 */
+	public void merge(List<Evidence> told) {
+		List<Evidence> known = new ArrayList<>();
+		synchronized (this) {
+			long nowMs = this.clock.monotonicMs();
+			for (Evidence entry : told) {
+				boolean convicted = isConvicted(entry.subject(), nowMs);
+				this.evidence.merge(entry, nowMs).ifPresent((merged) -> {
+					if (merged.state() != entry.state()) {
+						known.add(merged);
+					}
+					if (!convicted && isConvicted(entry.subject(), nowMs)) {
+						logEvidence("quarantined", entry, "told by another host");
+					}
+				});
+			}
+			this.empty = this.evidence.isEmpty();
+			tell(known, "known here");
+		}
+		notifyListener(known);
+	}
+
+	private boolean isConvicted(Subject subject, long nowMs) {
+		return this.evidence.verdict(Set.of(subject), nowMs) instanceof Verdict.Convicted;
+	}
+
+	private void notifyListener(List<Evidence> changed) {
+		if (!changed.isEmpty()) {
+			this.listener.run();
+		}
+	}
+
+	private void tell(List<Evidence> changed, String reason) {
+		long nowMs = this.clock.monotonicMs();
+		for (Evidence entry : changed) {
+			this.toTell.put(new EvidenceKey(entry.crash(), entry.subject()), new ToldEvidence(entry, nowMs));
+			String event = switch (entry.state()) {
+				case SUSPECT -> (isConvicted(entry.subject(), nowMs)) ? "quarantined" : "suspect";
+				case KNOWN_BEFORE -> "known-before";
+				case CLEARED -> "cleared";
+			};
+			logEvidence(event, entry, reason);
+		}
+	}
+
+	private void logEvidence(String event, Evidence entry, String reason) {
+		this.log.event("quarantine", event, "kind", entry.subject().kind(), "subject", entry.subject().id(), "crash",
+				entry.crash(), "ageMs", entry.ageMs(), "reason", reason);
 	}
 
 	private void logCrash(String address, List<RunningAttempt> attempts) {
@@ -223,42 +349,16 @@
 		return attempt.request().id() + attempt.request().attributes().promptParts();
 	}
 
-	private void logStatus(FingerprintStatus status, String reason) {
-		this.log.event("quarantine", status.kind().name().toLowerCase(Locale.ROOT), "fingerprint", status.fingerprint(),
-				"crashes", status.crashes(), "reason", reason, "forMs",
-				Math.max(0, status.untilMs() - this.clock.wallMs()));
+	private record EvidenceKey(String crash, Subject subject) {
 	}
 
-	private static Rumour rumour(FingerprintStatus status) {
-		RumourKind kind = switch (status.kind()) {
-			case QUARANTINED -> RumourKind.QUARANTINED;
-			case SUSPECT -> RumourKind.SUSPECT;
-			case CLEARED -> RumourKind.CLEARED;
-		};
-		return new Rumour(kind, status.fingerprint(), status.untilMs(), status.crashes());
-	}
+	private record ToldEvidence(Evidence evidence, long changedAtMs) {
 
-	/**
-	 * Merges the statuses of another host.
-	 * @param rumours the statuses
-	 */
-	public synchronized void merge(List<Rumour> rumours) {
-		long nowMs = this.clock.wallMs();
-		for (Rumour rumour : rumours) {
-			FingerprintStatus.Kind kind = switch (rumour.getKind()) {
-				case QUARANTINED -> FingerprintStatus.Kind.QUARANTINED;
-				case SUSPECT -> FingerprintStatus.Kind.SUSPECT;
-				case CLEARED, LEAVING -> FingerprintStatus.Kind.CLEARED;
-			};
-			FingerprintStatus status = new FingerprintStatus(kind, rumour.getSubject(), rumour.getCount(),
-					rumour.getUntilMs());
-			boolean wasQuarantined = this.ledger.quarantinedUntilMs(status.fingerprint(), nowMs) > 0;
-			this.ledger.merge(status, nowMs);
-			if (!wasQuarantined && this.ledger.quarantinedUntilMs(status.fingerprint(), nowMs) > 0) {
-				logStatus(status, "told by another host");
-			}
+		Evidence atAge(long nowMs) {
+			return new Evidence(this.evidence.crash(), this.evidence.subject(), this.evidence.position(),
+					this.evidence.state(), this.evidence.ageMs() + nowMs - this.changedAtMs);
 		}
-		this.empty = this.ledger.entries().isEmpty();
+
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
@@ -14,14 +14,17 @@
 
 	private final GatewayRequest request;
 
+	private final boolean begunBefore;
+
 	private boolean written;
 
 	private boolean begun;
 
-	RunningAttempt(String serverId, String address, GatewayRequest request) {
+	RunningAttempt(String serverId, String address, GatewayRequest request, boolean begunBefore) {
 		this.serverId = serverId;
 		this.address = address;
 		this.request = request;
+		this.begunBefore = begunBefore;
 	}
 
 	String serverId() {
@@ -53,10 +56,11 @@
 
 	/**
 	 * Returns whether the server may have crashed when it began to answer the request.
-	 * @return {@code true} if the server has the request and has not begun to answer
+	 * @return {@code true} if the server has the request and neither it nor a server
+	 * before it has begun to answer
 	 */
-	boolean mayHaveCrashedServer() {
-		return this.written && !this.begun;
+	public boolean mayHaveCrashedServer() {
+		return this.written && !this.begun && !this.begunBefore;
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
@@ -32,6 +32,9 @@
 					if (signal instanceof Signal.Failed failed && failed.requestNotSent()) {
 						dependencies.quarantine().recordCrash(address, running.get());
 					}
+					else {
+						dependencies.quarantine().endProbe(address);
+					}
 				});
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -51,6 +51,12 @@
 
 	private final Map<BackendCall, RunningAttempt> attempts = new IdentityHashMap<>();
 
+	/**
+	 * Address of the server whose call broke before it began to answer, {@code null} for
+	 * none.
+	 */
+	private String brokenAddress;
+
 	private final IoExecutor executor;
 
 	private final Consumer<String> outcomeListener;
@@ -59,6 +65,9 @@
 
 	private long timerAtMs = Long.MAX_VALUE;
 
+	/** Whether any server has begun to answer the request. */
+	private boolean begun;
+
 	private boolean ended;
 
 	/**
@@ -102,6 +111,7 @@
 				this.attempts.get(writing.call()).recordWriting();
 			}
 			if (signal instanceof Signal.Failed failed && !failed.requestNotSent()) {
+				recordBroken(failed.call());
 				CrashProbe.probe(this.dependencies, failed.call().address());
 			}
 			runStep(() -> handleSignal(signal));
@@ -151,6 +161,9 @@
 		if (denial.isEmpty() && this.dependencies.quarantine().quarantinedForMs(this.request) > 0) {
 			return Optional.of(SendDenial.QUARANTINED);
 		}
+		if (denial.isEmpty() && isHeld()) {
+			return Optional.of(SendDenial.SUSPECTED);
+		}
 		if (denial.isEmpty() && this.ledger.sends() > 0
 				&& !this.dependencies.retries().hasRetry(this.request.service().name(), nowMs)) {
 			return Optional.of(SendDenial.RETRY_BUDGET);
@@ -158,6 +171,20 @@
 		return denial;
 	}
 
+	// A request that a server had not begun to answer when the call broke waits until it
+	// is known whether the server has crashed.
+	private boolean isHeld() {
+		RequestQuarantine quarantine = this.dependencies.quarantine();
+		return (this.brokenAddress != null && quarantine.isProbing(this.brokenAddress))
+				|| quarantine.isHeld(this.request);
+	}
+
+	private void recordBroken(BackendCall call) {
+		RunningAttempt attempt = this.attempts.get(call);
+		boolean hasParts = !this.request.attributes().promptParts().isEmpty();
+		this.brokenAddress = (hasParts && attempt != null && attempt.mayHaveCrashedServer()) ? call.address() : null;
+	}
+
 	/**
 	 * Sends the request to a server, unless it must not be sent. The server counts before
 	 * the connection is set up. The request is withheld if it has ended, or its deadline
@@ -173,7 +200,7 @@
 			return Optional.empty();
 		}
 		RequestQuarantine quarantine = this.dependencies.quarantine();
-		RunningAttempt attempt = quarantine.recordStart(plan.instanceId(), address, this.request);
+		RunningAttempt attempt = quarantine.recordStart(plan.instanceId(), address, this.request, this.begun);
 		long decidedAtMs = this.dependencies.nowMs();
 		// On a late host, the caller's close may be in the socket when the connection is
 		// ready.
@@ -192,6 +219,7 @@
 	 * @param call the call
 	 */
 	protected final void recordBegun(BackendCall call) {
+		this.begun = true;
 		RunningAttempt attempt = this.attempts.get(call);
 		if (attempt != null) {
 			this.dependencies.quarantine().recordBegun(attempt);
@@ -245,9 +273,6 @@
 				this.timer.cancel();
 			}
 			close();
-			if (outcome.equals(ANSWERED)) {
-				this.dependencies.quarantine().recordCompletion(this.request);
-			}
 			this.outcomeListener.accept(outcome);
 			return;
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -48,6 +48,17 @@
 	 */
 	private static final long LEAVING_RETRY_INTERVAL_MS = 200;
 
+	/**
+	 * Longest wait of a request with a suspected part of its prompt; the trial of another
+	 * request usually ends within it.
+	 */
+	private static final long MAX_HOLD_MS = 1_000;
+
+	/**
+	 * Interval at which a request that waits for a trial checks whether it may be sent.
+	 */
+	private static final long HOLD_CHECK_INTERVAL_MS = 20;
+
 	/** Size limit of the body of a response that is not a stream. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
@@ -118,6 +129,9 @@
 	@Override
 	protected String firstStep() {
 		this.dependencies.retries().onFirstAttempt(this.request.service().name(), this.dependencies.nowMs());
+		if (sendDenial().equals(Optional.of(SendDenial.SUSPECTED))) {
+			return hold("first", this.dependencies.nowMs());
+		}
 		return (send("first")) ? null : abandon("no chain has room");
 	}
 
@@ -548,29 +562,60 @@
 			return null;
 		}
 		endCurrent();
+		long nowMs = this.dependencies.nowMs();
 		Optional<SendDenial> denial = sendDenial();
+		if (denial.equals(Optional.of(SendDenial.SUSPECTED))) {
+			return hold(event, nowMs);
+		}
 		if (denial.isPresent()) {
 			logDenial(denial.get());
 			return abandon(reason);
 		}
-		long nowMs = this.dependencies.nowMs();
 		this.searchReason = event;
 		this.searchUntilMs = nowMs + ((this.responseStarted) ? StreamLimits.MAX_RESUME_SEARCH_MS : 0);
 		return search(nowMs);
 	}
 
+	// Waits until the suspected part of the prompt is cleared or this request may try it.
+	private String hold(String reason, long nowMs) {
+		logDenial(SendDenial.SUSPECTED);
+		this.searchReason = reason;
+		this.searchUntilMs = nowMs + MAX_HOLD_MS;
+		this.searchAtMs = nowMs + HOLD_CHECK_INTERVAL_MS;
+		return null;
+	}
+
 	// Searches until a chain has room, the search has lasted too long, or the request
 	// must
 	// not be sent any more.
 	private String search(long nowMs) {
-		if (send(this.searchReason)) {
+		Optional<SendDenial> denial = sendDenial();
+		boolean held = denial.equals(Optional.of(SendDenial.SUSPECTED));
+		if (!held && send(this.searchReason)) {
 			this.searchReason = null;
 			return null;
 		}
-		this.searchAtMs = nowMs + StreamLimits.SEARCH_RETRY_INTERVAL_MS;
+		this.searchAtMs = nowMs + ((held) ? HOLD_CHECK_INTERVAL_MS : StreamLimits.SEARCH_RETRY_INTERVAL_MS);
+		if (held && nowMs < this.searchUntilMs) {
+			return null;
+		}
+		if (held && this.ledger.possibleExecutions() == 0) {
+			return refuseSuspected();
+		}
 		return (nowMs >= this.searchUntilMs || sendDenial().isPresent()) ? abandon(this.lastFailure) : null;
 	}
 
+	private String refuseSuspected() {
+		long retryAfterMs = RetryAfter.overloadedMs(this.request.rank(),
+				this.request.deadlineAtMs() - this.dependencies.nowMs(), this.dependencies.random());
+		this.dependencies.log()
+			.event(PART, "refuse", "id", this.request.id(), "reason", SendDenial.SUSPECTED.label(), "rank",
+					this.request.rank(), "retryAfterMs", retryAfterMs);
+		this.response.refuse(ProblemType.QUARANTINED, "A part of the prompt may have crashed a server",
+				this.request.rank(), retryAfterMs);
+		return "refused";
+	}
+
 	private String abandon(String reason) {
 		if (this.responseStarted) {
 			this.response.abort();
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantineTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantineTests.java
@@ -31,7 +31,8 @@
 	private final RequestQuarantine second = quarantine();
 
 	private RequestQuarantine quarantine() {
-		return new RequestQuarantine(new GatewayClock(this.nowMs::get, this.nowMs::get), new DecisionLog(System.out));
+		return new RequestQuarantine(new GatewayClock(this.nowMs::get, this.nowMs::get), new DecisionLog(System.out),
+				"host");
 	}
 
 	private static GatewayRequest request(String id, String body) {
@@ -43,7 +44,7 @@
 	}
 
 	private static RunningAttempt running(RequestQuarantine host, String address, GatewayRequest request) {
-		RunningAttempt attempt = host.recordStart("id-" + address, address, request);
+		RunningAttempt attempt = host.recordStart("id-" + address, address, request, false);
 		attempt.recordWriting();
 		return attempt;
 	}
@@ -56,10 +57,10 @@
 	@Test
 	void crashesThroughDifferentHostsCount() {
 		crash(this.first, "a:1", request("1", "bad"));
-		this.second.merge(this.first.rumours());
+		this.second.merge(this.first.evidenceToTell());
 		crash(this.second, "a:2", request("2", "bad"));
 		assertThat(this.second.quarantinedForMs(request("3", "bad"))).isGreaterThan(0L);
-		this.first.merge(this.second.rumours());
+		this.first.merge(this.second.evidenceToTell());
 		assertThat(this.first.quarantinedForMs(request("3", "bad"))).isGreaterThan(0L);
 		assertThat(this.first.quarantinedForMs(request("3", "good"))).isEqualTo(0L);
 	}
@@ -67,9 +68,9 @@
 	@Test
 	void completionClearsASuspicionOnAllHosts() {
 		crash(this.first, "a:1", request("1", "good"), request("2", "bad"));
-		this.second.merge(this.first.rumours());
-		this.first.recordCompletion(request("3", "good"));
-		this.second.merge(this.first.rumours());
+		this.second.merge(this.first.evidenceToTell());
+		this.first.recordBegun(running(this.first, "a:9", request("3", "good")));
+		this.second.merge(this.first.evidenceToTell());
 		crash(this.second, "a:2", request("4", "good"), request("5", "bad"));
 		assertThat(this.second.quarantinedForMs(request("6", "good"))).isEqualTo(0L);
 		assertThat(this.second.quarantinedForMs(request("6", "bad"))).isGreaterThan(0L);
@@ -82,7 +83,7 @@
 		assertThat(this.first.quarantinedForMs(request("3", "bad"))).isEqualTo(RequestQuarantine.QUARANTINE_MS);
 		this.nowMs.addAndGet(RequestQuarantine.QUARANTINE_MS);
 		assertThat(this.first.quarantinedForMs(request("3", "bad"))).isEqualTo(0L);
-		assertThat(this.first.rumours()).isEmpty();
+		assertThat(this.first.evidenceToTell()).isEmpty();
 	}
 
 	/**
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimAnswer.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimAnswer.java
@@ -6,6 +6,9 @@
  */
 package org.medlardrum.peer.gen;
 
+/**
+ * Response to a claim; contains the recorded outcome if the request has completed.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ClaimAnswer implements org.apache.thrift.TBase<ClaimAnswer, ClaimAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<ClaimAnswer> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ClaimAnswer");
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimOutcome.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimOutcome.java
@@ -6,6 +6,9 @@
  */
 package org.medlardrum.peer.gen;
 
+/**
+ * The outcome of a claimed request, with its response, to be recorded in the store.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ClaimOutcome implements org.apache.thrift.TBase<ClaimOutcome, ClaimOutcome._Fields>, java.io.Serializable, Cloneable, Comparable<ClaimOutcome> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ClaimOutcome");
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimRequest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimRequest.java
@@ -6,6 +6,9 @@
  */
 package org.medlardrum.peer.gen;
 
+/**
+ * A claim on an idempotency key, sent to the entry host that decides the claims of its bucket.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ClaimRequest implements org.apache.thrift.TBase<ClaimRequest, ClaimRequest._Fields>, java.io.Serializable, Cloneable, Comparable<ClaimRequest> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ClaimRequest");
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimVerdict.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ClaimVerdict.java
@@ -7,6 +7,9 @@
 package org.medlardrum.peer.gen;
 
 
+/**
+ * Decision on a claim.
+ */
 public enum ClaimVerdict implements org.apache.thrift.TEnum {
   GRANTED(1),
   COMPLETED(2),
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ConfigPull.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ConfigPull.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * Changes after a version, or a snapshot when the peer no longer has them all.
+ * The changes after a version, or a snapshot when the peer no longer has all of them.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ConfigPull implements org.apache.thrift.TBase<ConfigPull, ConfigPull._Fields>, java.io.Serializable, Cloneable, Comparable<ConfigPull> {
@@ -517,14 +517,14 @@
           case 3: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<ConfigEntry>(_list40.size);
-                @org.apache.thrift.annotation.Nullable ConfigEntry _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<ConfigEntry>(_list48.size);
+                @org.apache.thrift.annotation.Nullable ConfigEntry _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem41 = new ConfigEntry();
-                  _elem41.read(iprot);
-                  struct.changes.add(_elem41);
+                  _elem49 = new ConfigEntry();
+                  _elem49.read(iprot);
+                  struct.changes.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -563,9 +563,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (ConfigEntry _iter43 : struct.changes)
+          for (ConfigEntry _iter51 : struct.changes)
           {
-            _iter43.write(oprot);
+            _iter51.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -609,9 +609,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (ConfigEntry _iter44 : struct.changes)
+          for (ConfigEntry _iter52 : struct.changes)
           {
-            _iter44.write(oprot);
+            _iter52.write(oprot);
           }
         }
       }
@@ -631,14 +631,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<ConfigEntry>(_list45.size);
-          @org.apache.thrift.annotation.Nullable ConfigEntry _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<ConfigEntry>(_list53.size);
+          @org.apache.thrift.annotation.Nullable ConfigEntry _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem46 = new ConfigEntry();
-            _elem46.read(iprot);
-            struct.changes.add(_elem46);
+            _elem54 = new ConfigEntry();
+            _elem54.read(iprot);
+            struct.changes.add(_elem54);
           }
         }
         struct.setChangesIsSet(true);
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * What one entry host tells another once a second.
+ * State that an entry host sends to another once a second.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Digest implements org.apache.thrift.TBase<Digest, Digest._Fields>, java.io.Serializable, Cloneable, Comparable<Digest> {
@@ -24,6 +24,7 @@
   private static final org.apache.thrift.protocol.TField REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("reply", org.apache.thrift.protocol.TType.BOOL, (short)9);
   private static final org.apache.thrift.protocol.TField SERVER_SHARES_FIELD_DESC = new org.apache.thrift.protocol.TField("serverShares", org.apache.thrift.protocol.TType.LIST, (short)10);
   private static final org.apache.thrift.protocol.TField SILENT_SERVERS_FIELD_DESC = new org.apache.thrift.protocol.TField("silentServers", org.apache.thrift.protocol.TType.LIST, (short)11);
+  private static final org.apache.thrift.protocol.TField CRASH_EVIDENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("crashEvidence", org.apache.thrift.protocol.TType.LIST, (short)12);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -39,6 +40,7 @@
   public boolean reply; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<ServerShare> serverShares; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<SilentServer> silentServers; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<CrashEvidence> crashEvidence; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -52,7 +54,8 @@
     RUMOURS((short)8, "rumours"),
     REPLY((short)9, "reply"),
     SERVER_SHARES((short)10, "serverShares"),
-    SILENT_SERVERS((short)11, "silentServers");
+    SILENT_SERVERS((short)11, "silentServers"),
+    CRASH_EVIDENCE((short)12, "crashEvidence");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -90,6 +93,8 @@
           return SERVER_SHARES;
         case 11: // SILENT_SERVERS
           return SILENT_SERVERS;
+        case 12: // CRASH_EVIDENCE
+          return CRASH_EVIDENCE;
         default:
           return null;
       }
@@ -138,7 +143,7 @@
   private static final int __SENTATMS_ISSET_ID = 2;
   private static final int __REPLY_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS};
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -169,6 +174,9 @@
     tmpMap.put(_Fields.SILENT_SERVERS, new org.apache.thrift.meta_data.FieldMetaData("silentServers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SilentServer.class))));
+    tmpMap.put(_Fields.CRASH_EVIDENCE, new org.apache.thrift.meta_data.FieldMetaData("crashEvidence", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashEvidence.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -253,6 +261,13 @@
       }
       this.silentServers = __this__silentServers;
     }
+    if (other.isSetCrashEvidence()) {
+      java.util.List<CrashEvidence> __this__crashEvidence = new java.util.ArrayList<CrashEvidence>(other.crashEvidence.size());
+      for (CrashEvidence other_element : other.crashEvidence) {
+        __this__crashEvidence.add(new CrashEvidence(other_element));
+      }
+      this.crashEvidence = __this__crashEvidence;
+    }
   }
 
   @Override
@@ -277,6 +292,7 @@
     this.reply = false;
     this.serverShares = null;
     this.silentServers = null;
+    this.crashEvidence = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -626,6 +642,47 @@
     }
   }
 
+  public int getCrashEvidenceSize() {
+    return (this.crashEvidence == null) ? 0 : this.crashEvidence.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<CrashEvidence> getCrashEvidenceIterator() {
+    return (this.crashEvidence == null) ? null : this.crashEvidence.iterator();
+  }
+
+  public void addToCrashEvidence(CrashEvidence elem) {
+    if (this.crashEvidence == null) {
+      this.crashEvidence = new java.util.ArrayList<CrashEvidence>();
+    }
+    this.crashEvidence.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<CrashEvidence> getCrashEvidence() {
+    return this.crashEvidence;
+  }
+
+  public Digest setCrashEvidence(@org.apache.thrift.annotation.Nullable java.util.List<CrashEvidence> crashEvidence) {
+    this.crashEvidence = crashEvidence;
+    return this;
+  }
+
+  public void unsetCrashEvidence() {
+    this.crashEvidence = null;
+  }
+
+  /** Returns true if field crashEvidence is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashEvidence() {
+    return this.crashEvidence != null;
+  }
+
+  public void setCrashEvidenceIsSet(boolean value) {
+    if (!value) {
+      this.crashEvidence = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -717,6 +774,14 @@
       }
       break;
 
+    case CRASH_EVIDENCE:
+      if (value == null) {
+        unsetCrashEvidence();
+      } else {
+        setCrashEvidence((java.util.List<CrashEvidence>)value);
+      }
+      break;
+
     }
   }
 
@@ -757,6 +822,9 @@
     case SILENT_SERVERS:
       return getSilentServers();
 
+    case CRASH_EVIDENCE:
+      return getCrashEvidence();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -791,6 +859,8 @@
       return isSetServerShares();
     case SILENT_SERVERS:
       return isSetSilentServers();
+    case CRASH_EVIDENCE:
+      return isSetCrashEvidence();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -907,6 +977,15 @@
         return false;
     }
 
+    boolean this_present_crashEvidence = true && this.isSetCrashEvidence();
+    boolean that_present_crashEvidence = true && that.isSetCrashEvidence();
+    if (this_present_crashEvidence || that_present_crashEvidence) {
+      if (!(this_present_crashEvidence && that_present_crashEvidence))
+        return false;
+      if (!this.crashEvidence.equals(that.crashEvidence))
+        return false;
+    }
+
     return true;
   }
 
@@ -950,6 +1029,10 @@
     if (isSetSilentServers())
       hashCode = hashCode * 8191 + silentServers.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCrashEvidence()) ? 131071 : 524287);
+    if (isSetCrashEvidence())
+      hashCode = hashCode * 8191 + crashEvidence.hashCode();
+
     return hashCode;
   }
 
@@ -1071,6 +1154,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCrashEvidence(), other.isSetCrashEvidence());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashEvidence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashEvidence, other.crashEvidence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1170,6 +1263,16 @@
       }
       first = false;
     }
+    if (isSetCrashEvidence()) {
+      if (!first) sb.append(", ");
+      sb.append("crashEvidence:");
+      if (this.crashEvidence == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.crashEvidence);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1360,6 +1463,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 12: // CRASH_EVIDENCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list15 = iprot.readListBegin();
+                struct.crashEvidence = new java.util.ArrayList<CrashEvidence>(_list15.size);
+                @org.apache.thrift.annotation.Nullable CrashEvidence _elem16;
+                for (int _i17 = 0; _i17 < _list15.size; ++_i17)
+                {
+                  _elem16 = new CrashEvidence();
+                  _elem16.read(iprot);
+                  struct.crashEvidence.add(_elem16);
+                }
+                iprot.readListEnd();
+              }
+              struct.setCrashEvidenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1399,9 +1521,9 @@
         oprot.writeFieldBegin(RANKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ranks.size()));
-          for (RankDemand _iter15 : struct.ranks)
+          for (RankDemand _iter18 : struct.ranks)
           {
-            _iter15.write(oprot);
+            _iter18.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1411,9 +1533,9 @@
         oprot.writeFieldBegin(ORGANISATIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.organisations.size()));
-          for (OrganisationDemand _iter16 : struct.organisations)
+          for (OrganisationDemand _iter19 : struct.organisations)
           {
-            _iter16.write(oprot);
+            _iter19.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1423,9 +1545,9 @@
         oprot.writeFieldBegin(RUMOURS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rumours.size()));
-          for (Rumour _iter17 : struct.rumours)
+          for (Rumour _iter20 : struct.rumours)
           {
-            _iter17.write(oprot);
+            _iter20.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1439,9 +1561,9 @@
           oprot.writeFieldBegin(SERVER_SHARES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serverShares.size()));
-            for (ServerShare _iter18 : struct.serverShares)
+            for (ServerShare _iter21 : struct.serverShares)
             {
-              _iter18.write(oprot);
+              _iter21.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1453,9 +1575,23 @@
           oprot.writeFieldBegin(SILENT_SERVERS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentServers.size()));
-            for (SilentServer _iter19 : struct.silentServers)
+            for (SilentServer _iter22 : struct.silentServers)
             {
-              _iter19.write(oprot);
+              _iter22.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.crashEvidence != null) {
+        if (struct.isSetCrashEvidence()) {
+          oprot.writeFieldBegin(CRASH_EVIDENCE_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashEvidence.size()));
+            for (CrashEvidence _iter23 : struct.crashEvidence)
+            {
+              _iter23.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1514,7 +1650,10 @@
       if (struct.isSetSilentServers()) {
         optionals.set(10);
       }
-      oprot.writeBitSet(optionals, 11);
+      if (struct.isSetCrashEvidence()) {
+        optionals.set(11);
+      }
+      oprot.writeBitSet(optionals, 12);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -1533,27 +1672,27 @@
       if (struct.isSetRanks()) {
         {
           oprot.writeI32(struct.ranks.size());
-          for (RankDemand _iter20 : struct.ranks)
+          for (RankDemand _iter24 : struct.ranks)
           {
-            _iter20.write(oprot);
+            _iter24.write(oprot);
           }
         }
       }
       if (struct.isSetOrganisations()) {
         {
           oprot.writeI32(struct.organisations.size());
-          for (OrganisationDemand _iter21 : struct.organisations)
+          for (OrganisationDemand _iter25 : struct.organisations)
           {
-            _iter21.write(oprot);
+            _iter25.write(oprot);
           }
         }
       }
       if (struct.isSetRumours()) {
         {
           oprot.writeI32(struct.rumours.size());
-          for (Rumour _iter22 : struct.rumours)
+          for (Rumour _iter26 : struct.rumours)
           {
-            _iter22.write(oprot);
+            _iter26.write(oprot);
           }
         }
       }
@@ -1563,18 +1702,27 @@
       if (struct.isSetServerShares()) {
         {
           oprot.writeI32(struct.serverShares.size());
-          for (ServerShare _iter23 : struct.serverShares)
+          for (ServerShare _iter27 : struct.serverShares)
           {
-            _iter23.write(oprot);
+            _iter27.write(oprot);
           }
         }
       }
       if (struct.isSetSilentServers()) {
         {
           oprot.writeI32(struct.silentServers.size());
-          for (SilentServer _iter24 : struct.silentServers)
+          for (SilentServer _iter28 : struct.silentServers)
           {
-            _iter24.write(oprot);
+            _iter28.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetCrashEvidence()) {
+        {
+          oprot.writeI32(struct.crashEvidence.size());
+          for (CrashEvidence _iter29 : struct.crashEvidence)
+          {
+            _iter29.write(oprot);
           }
         }
       }
@@ -1583,7 +1731,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(11);
+      java.util.BitSet incoming = iprot.readBitSet(12);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -1606,42 +1754,42 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list25 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.ranks = new java.util.ArrayList<RankDemand>(_list25.size);
-          @org.apache.thrift.annotation.Nullable RankDemand _elem26;
-          for (int _i27 = 0; _i27 < _list25.size; ++_i27)
+          org.apache.thrift.protocol.TList _list30 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.ranks = new java.util.ArrayList<RankDemand>(_list30.size);
+          @org.apache.thrift.annotation.Nullable RankDemand _elem31;
+          for (int _i32 = 0; _i32 < _list30.size; ++_i32)
           {
-            _elem26 = new RankDemand();
-            _elem26.read(iprot);
-            struct.ranks.add(_elem26);
+            _elem31 = new RankDemand();
+            _elem31.read(iprot);
+            struct.ranks.add(_elem31);
           }
         }
         struct.setRanksIsSet(true);
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list28 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list28.size);
-          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem29;
-          for (int _i30 = 0; _i30 < _list28.size; ++_i30)
+          org.apache.thrift.protocol.TList _list33 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list33.size);
+          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem34;
+          for (int _i35 = 0; _i35 < _list33.size; ++_i35)
           {
-            _elem29 = new OrganisationDemand();
-            _elem29.read(iprot);
-            struct.organisations.add(_elem29);
+            _elem34 = new OrganisationDemand();
+            _elem34.read(iprot);
+            struct.organisations.add(_elem34);
           }
         }
         struct.setOrganisationsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list31 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.rumours = new java.util.ArrayList<Rumour>(_list31.size);
-          @org.apache.thrift.annotation.Nullable Rumour _elem32;
-          for (int _i33 = 0; _i33 < _list31.size; ++_i33)
+          org.apache.thrift.protocol.TList _list36 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.rumours = new java.util.ArrayList<Rumour>(_list36.size);
+          @org.apache.thrift.annotation.Nullable Rumour _elem37;
+          for (int _i38 = 0; _i38 < _list36.size; ++_i38)
           {
-            _elem32 = new Rumour();
-            _elem32.read(iprot);
-            struct.rumours.add(_elem32);
+            _elem37 = new Rumour();
+            _elem37.read(iprot);
+            struct.rumours.add(_elem37);
           }
         }
         struct.setRumoursIsSet(true);
@@ -1652,32 +1800,46 @@
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.serverShares = new java.util.ArrayList<ServerShare>(_list34.size);
-          @org.apache.thrift.annotation.Nullable ServerShare _elem35;
-          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+          org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serverShares = new java.util.ArrayList<ServerShare>(_list39.size);
+          @org.apache.thrift.annotation.Nullable ServerShare _elem40;
+          for (int _i41 = 0; _i41 < _list39.size; ++_i41)
           {
-            _elem35 = new ServerShare();
-            _elem35.read(iprot);
-            struct.serverShares.add(_elem35);
+            _elem40 = new ServerShare();
+            _elem40.read(iprot);
+            struct.serverShares.add(_elem40);
           }
         }
         struct.setServerSharesIsSet(true);
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentServers = new java.util.ArrayList<SilentServer>(_list37.size);
-          @org.apache.thrift.annotation.Nullable SilentServer _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentServers = new java.util.ArrayList<SilentServer>(_list42.size);
+          @org.apache.thrift.annotation.Nullable SilentServer _elem43;
+          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
           {
-            _elem38 = new SilentServer();
-            _elem38.read(iprot);
-            struct.silentServers.add(_elem38);
+            _elem43 = new SilentServer();
+            _elem43.read(iprot);
+            struct.silentServers.add(_elem43);
           }
         }
         struct.setSilentServersIsSet(true);
       }
+      if (incoming.get(11)) {
+        {
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashEvidence = new java.util.ArrayList<CrashEvidence>(_list45.size);
+          @org.apache.thrift.annotation.Nullable CrashEvidence _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          {
+            _elem46 = new CrashEvidence();
+            _elem46.read(iprot);
+            struct.crashEvidence.add(_elem46);
+          }
+        }
+        struct.setCrashEvidenceIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/PeerRequest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/PeerRequest.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * A request over the peers' TCP port. Each request is answered by the response of the same name.
+ * A request over the peers' TCP port. Its response is the PeerResponse member for the same purpose, or an error.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class PeerRequest extends org.apache.thrift.TUnion<PeerRequest, PeerRequest._Fields> {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/RankDemand.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/RankDemand.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * Demand and served cost of one rank of one pool on one entry host.
+ * Demand and served cost of one rank in one pool on one entry host.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class RankDemand implements org.apache.thrift.TBase<RankDemand, RankDemand._Fields>, java.io.Serializable, Cloneable, Comparable<RankDemand> {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Rumour.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Rumour.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * A fact that spreads from host to host.
+ * A fact that entry hosts spread by gossip.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Rumour implements org.apache.thrift.TBase<Rumour, Rumour._Fields>, java.io.Serializable, Cloneable, Comparable<Rumour> {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ServerShare.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ServerShare.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * Work of one entry host at one backend server.
+ * Outstanding load of one entry host at one backend server.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ServerShare implements org.apache.thrift.TBase<ServerShare, ServerShare._Fields>, java.io.Serializable, Cloneable, Comparable<ServerShare> {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/SilentServer.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/SilentServer.java
@@ -7,7 +7,7 @@
 package org.medlardrum.peer.gen;
 
 /**
- * A server that did not answer, as seen from an availability zone.
+ * An unresponsive server, as seen from an availability zone.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class SilentServer implements org.apache.thrift.TBase<SilentServer, SilentServer._Fields>, java.io.Serializable, Cloneable, Comparable<SilentServer> {
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -47,6 +47,29 @@
   4: i32 remainingMs
 }
 
+/** What may crash servers. */
+enum CrashSubjectKind {
+  PROMPT_PART = 1
+  REQUEST = 2
+}
+
+/** How far a subject is cleared of a crash; hosts keep the highest value. */
+enum CrashSubjectState {
+  SUSPECT = 1
+  KNOWN_BEFORE = 2
+  CLEARED = 3
+}
+
+/** One subject of a request that a server had not begun to answer when it crashed. */
+struct CrashEvidence {
+  1: string crash
+  2: CrashSubjectKind kind
+  3: string subject
+  4: i32 position
+  5: CrashSubjectState state
+  6: i64 ageMs
+}
+
 /** State that an entry host sends to another once a second. */
 struct Digest {
   1: string hostId
@@ -60,6 +83,7 @@
   9: bool reply
   10: optional list<ServerShare> serverShares
   11: optional list<SilentServer> silentServers
+  12: optional list<CrashEvidence> crashEvidence
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
