Log the limits of requests that servers name

No source read the limit, so no log could tell whether a server had named one below its demand. No decision changes.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.medlardrum.gateway.internal.load.DigestReceiver;
 import org.medlardrum.gateway.internal.load.LoadExchange;
 import org.medlardrum.gateway.internal.load.LoadTable;
+import org.medlardrum.gateway.internal.load.ServerLimits;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
@@ -98,6 +99,7 @@
 		PeerOptions peerOptions = PeerOptions.of(List.of(CidrRange.parse("0.0.0.0/0")));
 		this.network = new ThriftPeerNetwork(peerOptions);
 		RequestQuarantine quarantine = new RequestQuarantine(clock, log, settings.hostId());
+		ServerLimits limits = new ServerLimits(log);
 		this.exchange = new LoadExchange(this.state, loads, quarantine, this.network::send, settings.hostId(),
 				settings.availabilityZone());
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()), new DigestReceiver(this.exchange),
@@ -106,7 +108,7 @@
 		RetryBudgets retries = new RetryBudgets(settings, this.exchange::peerCount);
 		TimerLateness lateness = new TimerLateness(clock, log);
 		this.handler = new GatewayHandler(new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, quarantine, lateness, RandomGenerator.getDefault()));
+				this.clients, dialect, log, metrics, quarantine, limits, lateness, RandomGenerator.getDefault()));
 		metrics.gauge("medlardrum_gateway_in_progress", "Requests in progress", this.handler::inProgress);
 		metrics.gauge("medlardrum_gateway_config_version", "Version of the configuration in force, 0 for none",
 				() -> (this.state.table() != null) ? this.state.table().version() : 0);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/RequestDialect.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/RequestDialect.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Names and formats of the headers and documents that callers and backend servers use. An
@@ -33,6 +34,14 @@
 	 */
 	BackendVerdict checkResponse(String requestId, int status, HeaderLookup headers);
 
+	/**
+	 * Returns the limit of requests that a backend server names in a response.
+	 * @param headers headers of the response
+	 * @return requests per second that the server accepts from all hosts together, empty
+	 * if it names no limit or none that can be read
+	 */
+	OptionalDouble requestLimitPerS(HeaderLookup headers);
+
 	/**
 	 * Returns the headers of a backend server's response that are passed on to the
 	 * caller.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
@@ -27,7 +27,11 @@
 		this.begunBefore = begunBefore;
 	}
 
-	String serverId() {
+	/**
+	 * Returns the server of the attempt.
+	 * @return identifier of the server instance
+	 */
+	public String serverId() {
 		return this.serverId;
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -7,6 +7,7 @@
 import org.medlardrum.gateway.RequestDialect;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
 import org.medlardrum.gateway.internal.load.LoadTable;
+import org.medlardrum.gateway.internal.load.ServerLimits;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
@@ -25,12 +26,13 @@
  * @param log log of decisions
  * @param metrics the metrics
  * @param quarantine requests that crash servers
+ * @param limits limits of requests that servers name
  * @param timerLateness lateness of the timers of requests
  * @param random source of random numbers
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
-		RequestQuarantine quarantine, TimerLateness timerLateness, RandomGenerator random) {
+		RequestQuarantine quarantine, ServerLimits limits, TimerLateness timerLateness, RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -110,6 +110,11 @@
 			if (signal instanceof Signal.Writing writing && this.attempts.containsKey(writing.call())) {
 				this.attempts.get(writing.call()).recordWriting();
 			}
+			if (signal instanceof Signal.Header header && this.attempts.containsKey(header.call())) {
+				this.dependencies.limits()
+					.recordAnswer(this.attempts.get(header.call()).serverId(),
+							this.dependencies.dialect().requestLimitPerS(HeaderList.lookup(header.headers())));
+			}
 			if (signal instanceof Signal.Failed failed && !failed.requestNotSent()) {
 				recordBroken(failed.call());
 				CrashProbe.probe(this.dependencies, failed.call().address());
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -67,6 +68,13 @@
 				headers.first("proof").isPresent(), headers.first("not-run").isPresent(), headers.first("faulty"));
 	}
 
+	@Override
+	public OptionalDouble requestLimitPerS(HeaderLookup headers) {
+		return headers.first("limit")
+			.map((limit) -> OptionalDouble.of(Double.parseDouble(limit)))
+			.orElse(OptionalDouble.empty());
+	}
+
 	@Override
 	public List<String> responseHeaders(List<String> headers) {
 		List<String> kept = new ArrayList<>();
