Do not put the last first engine at risk by a trial

Cause: a request with a suspected part is tried whatever is left. For 6 s after a crash, a trial now waits while only one of several first engines is neither suspect nor known to have crashed; a pool with a single first engine has nothing to spare and tries as before.

lastServerIsNotPutAtRiskByATrial fails without the change (run with the check taken out: the second server was ended).

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/CrashEvidence.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/CrashEvidence.java
@@ -196,6 +196,15 @@
 		return result;
 	}
 
+	/**
+	 * Returns whether there is evidence of a crash.
+	 * @param crash identifier of the crash
+	 * @return {@code true} if the crash is known and its evidence has not expired
+	 */
+	public boolean hasCrash(String crash) {
+		return this.crashes.containsKey(crash);
+	}
+
 	/**
 	 * Returns whether there is no evidence.
 	 * @return {@code true} if every request may be sent
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/TrialTurns.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/TrialTurns.java
@@ -14,6 +14,12 @@
 	 */
 	static final long TURN_MS = 160;
 
+	/**
+	 * Time after a crash during which the last server that can take over is not put at
+	 * risk by a trial; crashed servers are usually back within it.
+	 */
+	public static final long LAST_SERVER_DELAY_MS = 6_000;
+
 	/** Turns of the hosts that had a request at the crashed server. */
 	static final int WITNESS_TURNS = 4;
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.medlardrum.decisions.crash.CrashEvidence;
 import org.medlardrum.decisions.crash.Evidence;
@@ -228,15 +229,27 @@
 	/**
 	 * Returns whether a request has to wait because a part of its prompt is suspected.
 	 * @param request the request
+	 * @param spareServers tells whether the others go on if the trial ends a server
 	 * @return {@code false} if it may be sent, as a trial if a part is suspected
 	 */
-	public synchronized boolean isHeld(GatewayRequest request) {
+	public synchronized boolean isHeld(GatewayRequest request, BooleanSupplier spareServers) {
 		if (this.empty || !(verdict(request) instanceof Verdict.Suspected suspected)) {
 			return false;
 		}
 		long delayMs = TrialTurns.delayMs(suspected.subject(), this.hostId,
 				this.witnessed.contains(suspected.subject()));
-		return !this.trials.isEmpty() || this.clock.monotonicMs() - suspected.sinceMs() < delayMs;
+		long sinceCrashMs = this.clock.monotonicMs() - suspected.sinceMs();
+		return !this.trials.isEmpty() || sinceCrashMs < delayMs
+				|| (sinceCrashMs < TrialTurns.LAST_SERVER_DELAY_MS && !spareServers.getAsBoolean());
+	}
+
+	/**
+	 * Returns whether a server is known to have crashed.
+	 * @param serverId identifier of the server instance
+	 * @return {@code true} if there is evidence of its crash
+	 */
+	public synchronized boolean hasCrashed(String serverId) {
+		return this.evidence.hasCrash(serverId);
 	}
 
 	private Verdict verdict(GatewayRequest request) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -181,7 +181,15 @@
 	private boolean isHeld() {
 		RequestQuarantine quarantine = this.dependencies.quarantine();
 		return (this.brokenAddress != null && quarantine.isProbing(this.brokenAddress))
-				|| quarantine.isHeld(this.request);
+				|| quarantine.isHeld(this.request, this::hasSpareServers);
+	}
+
+	/**
+	 * Returns whether other requests go on if a trial of this one ends a server.
+	 * @return {@code true} if another server can take over
+	 */
+	protected boolean hasSpareServers() {
+		return true;
 	}
 
 	private void recordBroken(BackendCall call) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -65,6 +65,27 @@
 			.isPresent();
 	}
 
+	/**
+	 * Returns whether chains can still begin elsewhere if the first engine of a chain
+	 * ends. A pool with a single first engine has nothing to spare.
+	 * @param service the service
+	 * @return {@code false} if all first engines but one are suspect or have crashed
+	 */
+	boolean hasSpareFirstEngine(RoutedService service) {
+		GatewayState state = this.dependencies.state();
+		String zone = this.dependencies.settings().availabilityZone();
+		List<PoolServer> first = state.fleet()
+			.poolServers(service)
+			.stream()
+			.filter((server) -> server.layers().fromLayer() == 0)
+			.toList();
+		long usable = first.stream()
+			.filter((server) -> !state.isSuspect(zone, server.id(), server.availabilityZone())
+					&& !this.dependencies.quarantine().hasCrashed(server.id()))
+			.count();
+		return usable > 1 || first.size() <= 1;
+	}
+
 	/**
 	 * Chooses a random availability zone for a stream that fails over to another chain.
 	 * @param service the service
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -576,6 +576,11 @@
 		return search(nowMs);
 	}
 
+	@Override
+	protected boolean hasSpareServers() {
+		return this.chooser.hasSpareFirstEngine(this.request.service());
+	}
+
 	// Waits until the suspected part of the prompt is cleared or this request may try it.
 	private String hold(String reason, long nowMs) {
 		logDenial(SendDenial.SUSPECTED);
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingPromptPartTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingPromptPartTests.java
@@ -101,6 +101,19 @@
 		assertThat(call(CALLS, DEADLY)).startsWith("HTTP/1.1 503");
 	}
 
+	/**
+	 * Without it, the request that ended one of two servers would end the other.
+	 */
+	@Test
+	void lastServerIsNotPutAtRiskByATrial() throws Exception {
+		this.fixture.register("pool", "e1", server(1));
+		this.fixture.register("pool", "e2", server(1));
+		call(1, DEADLY);
+		assertThat(call(2, DEADLY)).startsWith("HTTP/1.1 503");
+		assertThat(call(3, "parts: common-2,own")).startsWith("HTTP/1.1 200");
+		assertThat(this.servers.stream().filter(FakeBackend::isClosed).count()).isEqualTo(1);
+	}
+
 	@Test
 	void soundRequestsOfACrashedBatchAreServedAndTheServersGoOn() throws Exception {
 		int batch = 3;
