Divide the limits of requests that servers name among the hosts

A server that named a limit got its whole demand: 40 of 40 requests in 4 s at a limit of 2 a second (17 allowed), although another server was free.

Cause: no source read the limit. The class: something that a server says in an answer is dropped with the answer's other headers; of the same kind, Server-Load is still unused on purpose (docs/platform.md).

SharedRequestLimits (decisions) is the one owner: each host takes a share, a fifth of the limit evenly and the rest by the demand that the hosts have told each other with the digests. The share is taken in RequestExecution on all paths; a request whose preferred server has none left moves to another server or chain, and is refused at once if there is none. The latest statement of a server applies; an answer without a limit ends it.

SharedRequestLimitsTests plays 3 to 92 hosts with joins, restarts, cuts and idle hosts: in each 4 s within the users' bound, and at least 0.6 of the limit used.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/DecayingRate.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/DecayingRate.java
@@ -3,7 +3,7 @@
 /**
  * Exponentially decaying average of cost per second.
  */
-final class DecayingRate {
+public final class DecayingRate {
 
 	private final double timeConstantMs;
 
@@ -11,16 +11,30 @@
 
 	private long updatedAtMs;
 
-	DecayingRate(double timeConstantMs) {
+	/**
+	 * Creates a rate of 0.
+	 * @param timeConstantMs time in milliseconds in which a cost falls to 1/e
+	 */
+	public DecayingRate(double timeConstantMs) {
 		this.timeConstantMs = timeConstantMs;
 	}
 
-	void add(double cost, long nowMs) {
+	/**
+	 * Adds a cost.
+	 * @param cost the cost
+	 * @param nowMs current time, in milliseconds
+	 */
+	public void add(double cost, long nowMs) {
 		decay(nowMs);
 		this.costPerMs += cost / this.timeConstantMs;
 	}
 
-	double costPerS(long nowMs) {
+	/**
+	 * Returns the average.
+	 * @param nowMs current time, in milliseconds
+	 * @return cost per second
+	 */
+	public double costPerS(long nowMs) {
 		decay(nowMs);
 		return 1000 * this.costPerMs;
 	}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -148,7 +148,8 @@
 					|| this.snapshot.excluded().test(zone, server)) {
 				continue;
 			}
-			if (partial.hop == null && this.snapshot.load(server).headSequences() >= server.slots()) {
+			if (partial.hop == null && (this.snapshot.load(server).headSequences() >= server.slots()
+					|| this.snapshot.excludedAsFirst().test(server))) {
 				continue;
 			}
 			for (int end : splitPoints.subSet(layer, false, held.toLayer(), false)) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
@@ -33,6 +33,9 @@
 	 */
 	SUSPECTED,
 
+	/** This host's share of the limit that the server has named is used up. */
+	REQUEST_LIMIT,
+
 	/** The retry budget of this host is used up. */
 	RETRY_BUDGET;
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -99,8 +99,8 @@
 		PeerOptions peerOptions = PeerOptions.of(List.of(CidrRange.parse("0.0.0.0/0")));
 		this.network = new ThriftPeerNetwork(peerOptions);
 		RequestQuarantine quarantine = new RequestQuarantine(clock, log, settings.hostId());
-		ServerLimits limits = new ServerLimits(log);
-		this.exchange = new LoadExchange(this.state, loads, quarantine, this.network::send, settings.hostId(),
+		ServerLimits limits = new ServerLimits(clock, log, settings.hostId());
+		this.exchange = new LoadExchange(this.state, loads, quarantine, limits, this.network::send, settings.hostId(),
 				settings.availabilityZone());
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()), new DigestReceiver(this.exchange),
 				peerOptions);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -12,10 +12,12 @@
 import org.medlardrum.coordination.internal.BackgroundThread;
 import org.medlardrum.decisions.crash.Evidence;
 import org.medlardrum.decisions.pool.ServerLoad;
+import org.medlardrum.decisions.routing.LimitReport;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.ServerLimit;
 import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.peer.gen.SilentServer;
 import org.medlardrum.state.Host;
@@ -60,6 +62,9 @@
 
 	private static final int MAX_SUSPICIONS = 8;
 
+	/** Limit of the limits of servers in a digest, about 40 bytes each. */
+	private static final int MAX_LIMIT_REPORTS = 24;
+
 	private static final long MS_PER_S = 1_000;
 
 	private final GatewayState state;
@@ -68,6 +73,8 @@
 
 	private final RequestQuarantine quarantine;
 
+	private final ServerLimits limits;
+
 	private final BiConsumer<Host, Digest> sender;
 
 	private final String hostId;
@@ -89,20 +96,23 @@
 	 * @param state state of the host
 	 * @param loads outstanding load at the backend servers
 	 * @param quarantine requests that crash servers
+	 * @param limits limits of requests that servers name
 	 * @param sender sends a digest to another host without reporting its loss
 	 * @param hostId identifier of the host
 	 * @param availabilityZone availability zone of the host
 	 */
-	public LoadExchange(GatewayState state, LoadTable loads, RequestQuarantine quarantine,
+	public LoadExchange(GatewayState state, LoadTable loads, RequestQuarantine quarantine, ServerLimits limits,
 			BiConsumer<Host, Digest> sender, String hostId, String availabilityZone) {
 		this.state = state;
 		this.loads = loads;
 		this.quarantine = quarantine;
+		this.limits = limits;
 		this.sender = sender;
 		this.hostId = hostId;
 		this.availabilityZone = availabilityZone;
 		state.onSuspicion(this::requestUrgentDigest);
 		quarantine.onChange(this::requestUrgentDigest);
+		limits.onChange(this::requestUrgentDigest);
 	}
 
 	private void requestUrgentDigest() {
@@ -128,6 +138,7 @@
 	 */
 	public void updatePeers(Collection<Host> hosts) {
 		this.peers = List.copyOf(hosts);
+		this.limits.updateHosts(hosts.stream().map(Host::id).toList());
 	}
 
 	/**
@@ -158,6 +169,15 @@
 			this.quarantine.merge(
 					digest.getCrashEvidence().stream().map(EvidenceCodec::decode).flatMap(Optional::stream).toList());
 		}
+		if (digest.isSetServerLimits()) {
+			this.limits.merge(digest.getHostId(),
+					digest.getServerLimits()
+						.stream()
+						.filter((limit) -> limit.getServer() != null)
+						.map((limit) -> new LimitReport(limit.getServer(), limit.getLimitPerS(), limit.getAgeMs(),
+								limit.getDemandPerS()))
+						.toList());
+		}
 		if (digest.isSetSilentServers()) {
 			for (SilentServer silent : digest.getSilentServers()) {
 				this.state.recordPeerSuspicion(new Suspicion(silent.getFromZone(), silent.getServer(),
@@ -182,7 +202,8 @@
 		Map<String, ServerLoad> own = this.loads.own();
 		List<Suspicion> suspicions = this.state.ownSuspicions();
 		List<Evidence> evidence = this.quarantine.evidenceToTell();
-		boolean idle = own.isEmpty() && suspicions.isEmpty() && evidence.isEmpty();
+		List<LimitReport> reports = this.limits.takeReports();
+		boolean idle = own.isEmpty() && suspicions.isEmpty() && evidence.isEmpty() && reports.isEmpty();
 		if (idle && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
 			return busyIntervalMs;
 		}
@@ -190,15 +211,24 @@
 		this.sentAtMs = nowMs;
 		Digest digest = digest(own, suspicions);
 		receivers.forEach((peer) -> this.sender.accept(peer, digest));
+		// Each in a datagram of its own, since the loads may fill one.
 		if (!evidence.isEmpty()) {
-			// In a datagram of its own, since the loads may fill one.
 			Digest evidenceDigest = emptyDigest();
 			evidenceDigest.setCrashEvidence(evidence.stream().map(EvidenceCodec::encode).toList());
 			receivers.forEach((peer) -> this.sender.accept(peer, evidenceDigest));
 		}
+		if (!reports.isEmpty()) {
+			Digest limitDigest = emptyDigest();
+			limitDigest.setServerLimits(reports.stream().limit(MAX_LIMIT_REPORTS).map(LoadExchange::encode).toList());
+			receivers.forEach((peer) -> this.sender.accept(peer, limitDigest));
+		}
 		return busyIntervalMs;
 	}
 
+	private static ServerLimit encode(LimitReport report) {
+		return new ServerLimit(report.server(), report.limitPerS(), report.ageMs(), report.demandPerS());
+	}
+
 	private Digest emptyDigest() {
 		Digest digest = new Digest();
 		digest.setHostId(this.hostId);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -74,7 +74,7 @@
 	protected String firstStep() {
 		this.dependencies.retries().onFirstAttempt(this.request.service().name(), this.dependencies.nowMs());
 		if (!send("first")) {
-			return refuseWithoutCapacity("no server of the service is registered");
+			return refuseWithoutCapacity("no server of the service is registered or may be sent more requests");
 		}
 		if (this.request.route().idempotent()) {
 			this.hedgeAtMs = this.request.arrivedAtMs()
@@ -152,10 +152,27 @@
 	}
 
 	private Optional<ServiceInstance> choose(long nowMs) {
+		Optional<ServiceInstance> preferred = choose(nowMs, this.tried);
+		preferred.ifPresent((server) -> this.dependencies.limits().recordDemand(server.id()));
+		if (preferred.isEmpty() || this.dependencies.limits().isAllowed(preferred.get().id())) {
+			return preferred;
+		}
+		Set<String> excludedServers = new HashSet<>(this.tried);
+		this.dependencies.state()
+			.fleet()
+			.instances(this.request.service().name())
+			.stream()
+			.map(ServiceInstance::id)
+			.filter((id) -> !this.dependencies.limits().isAllowed(id))
+			.forEach(excludedServers::add);
+		return choose(nowMs, excludedServers);
+	}
+
+	private Optional<ServiceInstance> choose(long nowMs, Set<String> excludedServers) {
 		String zone = this.dependencies.settings().availabilityZone();
 		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
 		return ServerSelector.choose(this.dependencies.state().fleet().instances(this.request.service().name()), zone,
-				this.tried,
+				excludedServers,
 				(server) -> (double) loads.getOrDefault(server.id(), ServerLoad.NONE).sequences()
 						/ Math.max(1, server.slots()),
 				(server) -> this.dependencies.state().isSuspect(zone, server.id(), server.availabilityZone()));
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -207,7 +207,7 @@
 	 * @return the call, empty if the request must not be sent
 	 */
 	protected final Optional<BackendCall> send(String address, ForwardPlan plan) {
-		Optional<SendDenial> denial = takeSend();
+		Optional<SendDenial> denial = takeSend(plan.instanceId());
 		if (denial.isPresent()) {
 			logDenial(denial.get());
 			return Optional.empty();
@@ -239,12 +239,15 @@
 		}
 	}
 
-	private Optional<SendDenial> takeSend() {
+	private Optional<SendDenial> takeSend(String serverId) {
 		long nowMs = this.dependencies.nowMs();
 		Optional<SendDenial> denial = sendDenial(nowMs);
 		if (denial.isPresent()) {
 			return denial;
 		}
+		if (!this.dependencies.limits().tryTake(serverId)) {
+			return Optional.of(SendDenial.REQUEST_LIMIT);
+		}
 		if (this.ledger.sends() > 0) {
 			this.dependencies.retries().tryRetry(this.request.service().name(), nowMs);
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -14,6 +14,7 @@
 import org.medlardrum.decisions.pool.PoolSnapshot;
 import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.gateway.internal.load.Reservation;
+import org.medlardrum.gateway.internal.load.ServerLimits;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.routing.RoutedService;
@@ -39,10 +40,7 @@
 	 */
 	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
 		PoolSnapshot snapshot = snapshot(service, excluded);
-		ChainSearch search = new ChainSearch(snapshot);
-		Optional<List<ChainHop>> chain = (resumes) ? search.find(request, StreamLimits.RESUME_MAX_UTILISATION)
-				: search.find(request);
-		return chain.map((hops) -> {
+		return findWithinLimits(snapshot, request, resumes).map((hops) -> {
 			double cacheUtilisation = hops.stream()
 				.mapToDouble((hop) -> snapshot.utilisation(hop.server(),
 						(long) request.tokensAtEnd() * hop.layers().length()))
@@ -53,6 +51,23 @@
 		});
 	}
 
+	// Only the first engine of a chain receives the request, so only its limit counts.
+	private Optional<List<ChainHop>> findWithinLimits(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
+		ServerLimits limits = this.dependencies.limits();
+		Optional<List<ChainHop>> preferred = find(snapshot, request, resumes);
+		Optional<String> first = preferred.map((hops) -> hops.getFirst().server().id());
+		first.ifPresent(limits::recordDemand);
+		if (first.isEmpty() || limits.isAllowed(first.get())) {
+			return preferred;
+		}
+		return find(snapshot.withExcludedAsFirst((server) -> !limits.isAllowed(server.id())), request, resumes);
+	}
+
+	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
+		ChainSearch search = new ChainSearch(snapshot);
+		return (resumes) ? search.find(request, StreamLimits.RESUME_MAX_UTILISATION) : search.find(request);
+	}
+
 	/**
 	 * Returns whether a chain with ample free capacity exists.
 	 * @param service the service
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -39,7 +39,8 @@
 	private final List<Digest> sent = new ArrayList<>();
 
 	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(),
-			new RequestQuarantine(this.clock, this.log, "host"), (peer, digest) -> this.sent.add(digest), "host", "a");
+			new RequestQuarantine(this.clock, this.log, "host"), new ServerLimits(this.clock, this.log, "host"),
+			(peer, digest) -> this.sent.add(digest), "host", "a");
 
 	@BeforeEach
 	void addPeerAndSendOnce() {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ConfigPull.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/ConfigPull.java
@@ -517,14 +517,14 @@
           case 3: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<ConfigEntry>(_list48.size);
-                @org.apache.thrift.annotation.Nullable ConfigEntry _elem49;
-                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<ConfigEntry>(_list56.size);
+                @org.apache.thrift.annotation.Nullable ConfigEntry _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem49 = new ConfigEntry();
-                  _elem49.read(iprot);
-                  struct.changes.add(_elem49);
+                  _elem57 = new ConfigEntry();
+                  _elem57.read(iprot);
+                  struct.changes.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -563,9 +563,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (ConfigEntry _iter51 : struct.changes)
+          for (ConfigEntry _iter59 : struct.changes)
           {
-            _iter51.write(oprot);
+            _iter59.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -609,9 +609,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (ConfigEntry _iter52 : struct.changes)
+          for (ConfigEntry _iter60 : struct.changes)
           {
-            _iter52.write(oprot);
+            _iter60.write(oprot);
           }
         }
       }
@@ -631,14 +631,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<ConfigEntry>(_list53.size);
-          @org.apache.thrift.annotation.Nullable ConfigEntry _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<ConfigEntry>(_list61.size);
+          @org.apache.thrift.annotation.Nullable ConfigEntry _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
           {
-            _elem54 = new ConfigEntry();
-            _elem54.read(iprot);
-            struct.changes.add(_elem54);
+            _elem62 = new ConfigEntry();
+            _elem62.read(iprot);
+            struct.changes.add(_elem62);
           }
         }
         struct.setChangesIsSet(true);
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -25,6 +25,7 @@
   private static final org.apache.thrift.protocol.TField SERVER_SHARES_FIELD_DESC = new org.apache.thrift.protocol.TField("serverShares", org.apache.thrift.protocol.TType.LIST, (short)10);
   private static final org.apache.thrift.protocol.TField SILENT_SERVERS_FIELD_DESC = new org.apache.thrift.protocol.TField("silentServers", org.apache.thrift.protocol.TType.LIST, (short)11);
   private static final org.apache.thrift.protocol.TField CRASH_EVIDENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("crashEvidence", org.apache.thrift.protocol.TType.LIST, (short)12);
+  private static final org.apache.thrift.protocol.TField SERVER_LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("serverLimits", org.apache.thrift.protocol.TType.LIST, (short)13);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -41,6 +42,7 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<ServerShare> serverShares; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<SilentServer> silentServers; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<CrashEvidence> crashEvidence; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<ServerLimit> serverLimits; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -55,7 +57,8 @@
     REPLY((short)9, "reply"),
     SERVER_SHARES((short)10, "serverShares"),
     SILENT_SERVERS((short)11, "silentServers"),
-    CRASH_EVIDENCE((short)12, "crashEvidence");
+    CRASH_EVIDENCE((short)12, "crashEvidence"),
+    SERVER_LIMITS((short)13, "serverLimits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -95,6 +98,8 @@
           return SILENT_SERVERS;
         case 12: // CRASH_EVIDENCE
           return CRASH_EVIDENCE;
+        case 13: // SERVER_LIMITS
+          return SERVER_LIMITS;
         default:
           return null;
       }
@@ -143,7 +148,7 @@
   private static final int __SENTATMS_ISSET_ID = 2;
   private static final int __REPLY_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE};
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -177,6 +182,9 @@
     tmpMap.put(_Fields.CRASH_EVIDENCE, new org.apache.thrift.meta_data.FieldMetaData("crashEvidence", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashEvidence.class))));
+    tmpMap.put(_Fields.SERVER_LIMITS, new org.apache.thrift.meta_data.FieldMetaData("serverLimits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ServerLimit.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -268,6 +276,13 @@
       }
       this.crashEvidence = __this__crashEvidence;
     }
+    if (other.isSetServerLimits()) {
+      java.util.List<ServerLimit> __this__serverLimits = new java.util.ArrayList<ServerLimit>(other.serverLimits.size());
+      for (ServerLimit other_element : other.serverLimits) {
+        __this__serverLimits.add(new ServerLimit(other_element));
+      }
+      this.serverLimits = __this__serverLimits;
+    }
   }
 
   @Override
@@ -293,6 +308,7 @@
     this.serverShares = null;
     this.silentServers = null;
     this.crashEvidence = null;
+    this.serverLimits = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -683,6 +699,47 @@
     }
   }
 
+  public int getServerLimitsSize() {
+    return (this.serverLimits == null) ? 0 : this.serverLimits.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ServerLimit> getServerLimitsIterator() {
+    return (this.serverLimits == null) ? null : this.serverLimits.iterator();
+  }
+
+  public void addToServerLimits(ServerLimit elem) {
+    if (this.serverLimits == null) {
+      this.serverLimits = new java.util.ArrayList<ServerLimit>();
+    }
+    this.serverLimits.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ServerLimit> getServerLimits() {
+    return this.serverLimits;
+  }
+
+  public Digest setServerLimits(@org.apache.thrift.annotation.Nullable java.util.List<ServerLimit> serverLimits) {
+    this.serverLimits = serverLimits;
+    return this;
+  }
+
+  public void unsetServerLimits() {
+    this.serverLimits = null;
+  }
+
+  /** Returns true if field serverLimits is set (has been assigned a value) and false otherwise */
+  public boolean isSetServerLimits() {
+    return this.serverLimits != null;
+  }
+
+  public void setServerLimitsIsSet(boolean value) {
+    if (!value) {
+      this.serverLimits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -782,6 +839,14 @@
       }
       break;
 
+    case SERVER_LIMITS:
+      if (value == null) {
+        unsetServerLimits();
+      } else {
+        setServerLimits((java.util.List<ServerLimit>)value);
+      }
+      break;
+
     }
   }
 
@@ -825,6 +890,9 @@
     case CRASH_EVIDENCE:
       return getCrashEvidence();
 
+    case SERVER_LIMITS:
+      return getServerLimits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -861,6 +929,8 @@
       return isSetSilentServers();
     case CRASH_EVIDENCE:
       return isSetCrashEvidence();
+    case SERVER_LIMITS:
+      return isSetServerLimits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -986,6 +1056,15 @@
         return false;
     }
 
+    boolean this_present_serverLimits = true && this.isSetServerLimits();
+    boolean that_present_serverLimits = true && that.isSetServerLimits();
+    if (this_present_serverLimits || that_present_serverLimits) {
+      if (!(this_present_serverLimits && that_present_serverLimits))
+        return false;
+      if (!this.serverLimits.equals(that.serverLimits))
+        return false;
+    }
+
     return true;
   }
 
@@ -1033,6 +1112,10 @@
     if (isSetCrashEvidence())
       hashCode = hashCode * 8191 + crashEvidence.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetServerLimits()) ? 131071 : 524287);
+    if (isSetServerLimits())
+      hashCode = hashCode * 8191 + serverLimits.hashCode();
+
     return hashCode;
   }
 
@@ -1164,6 +1247,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetServerLimits(), other.isSetServerLimits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServerLimits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serverLimits, other.serverLimits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1273,6 +1366,16 @@
       }
       first = false;
     }
+    if (isSetServerLimits()) {
+      if (!first) sb.append(", ");
+      sb.append("serverLimits:");
+      if (this.serverLimits == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.serverLimits);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1482,6 +1585,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 13: // SERVER_LIMITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list18 = iprot.readListBegin();
+                struct.serverLimits = new java.util.ArrayList<ServerLimit>(_list18.size);
+                @org.apache.thrift.annotation.Nullable ServerLimit _elem19;
+                for (int _i20 = 0; _i20 < _list18.size; ++_i20)
+                {
+                  _elem19 = new ServerLimit();
+                  _elem19.read(iprot);
+                  struct.serverLimits.add(_elem19);
+                }
+                iprot.readListEnd();
+              }
+              struct.setServerLimitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1521,9 +1643,9 @@
         oprot.writeFieldBegin(RANKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ranks.size()));
-          for (RankDemand _iter18 : struct.ranks)
+          for (RankDemand _iter21 : struct.ranks)
           {
-            _iter18.write(oprot);
+            _iter21.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1533,9 +1655,9 @@
         oprot.writeFieldBegin(ORGANISATIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.organisations.size()));
-          for (OrganisationDemand _iter19 : struct.organisations)
+          for (OrganisationDemand _iter22 : struct.organisations)
           {
-            _iter19.write(oprot);
+            _iter22.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1545,9 +1667,9 @@
         oprot.writeFieldBegin(RUMOURS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rumours.size()));
-          for (Rumour _iter20 : struct.rumours)
+          for (Rumour _iter23 : struct.rumours)
           {
-            _iter20.write(oprot);
+            _iter23.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1561,9 +1683,9 @@
           oprot.writeFieldBegin(SERVER_SHARES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serverShares.size()));
-            for (ServerShare _iter21 : struct.serverShares)
+            for (ServerShare _iter24 : struct.serverShares)
             {
-              _iter21.write(oprot);
+              _iter24.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1575,9 +1697,9 @@
           oprot.writeFieldBegin(SILENT_SERVERS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentServers.size()));
-            for (SilentServer _iter22 : struct.silentServers)
+            for (SilentServer _iter25 : struct.silentServers)
             {
-              _iter22.write(oprot);
+              _iter25.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1589,9 +1711,23 @@
           oprot.writeFieldBegin(CRASH_EVIDENCE_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashEvidence.size()));
-            for (CrashEvidence _iter23 : struct.crashEvidence)
+            for (CrashEvidence _iter26 : struct.crashEvidence)
             {
-              _iter23.write(oprot);
+              _iter26.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.serverLimits != null) {
+        if (struct.isSetServerLimits()) {
+          oprot.writeFieldBegin(SERVER_LIMITS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serverLimits.size()));
+            for (ServerLimit _iter27 : struct.serverLimits)
+            {
+              _iter27.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1653,7 +1789,10 @@
       if (struct.isSetCrashEvidence()) {
         optionals.set(11);
       }
-      oprot.writeBitSet(optionals, 12);
+      if (struct.isSetServerLimits()) {
+        optionals.set(12);
+      }
+      oprot.writeBitSet(optionals, 13);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -1672,27 +1811,27 @@
       if (struct.isSetRanks()) {
         {
           oprot.writeI32(struct.ranks.size());
-          for (RankDemand _iter24 : struct.ranks)
+          for (RankDemand _iter28 : struct.ranks)
           {
-            _iter24.write(oprot);
+            _iter28.write(oprot);
           }
         }
       }
       if (struct.isSetOrganisations()) {
         {
           oprot.writeI32(struct.organisations.size());
-          for (OrganisationDemand _iter25 : struct.organisations)
+          for (OrganisationDemand _iter29 : struct.organisations)
           {
-            _iter25.write(oprot);
+            _iter29.write(oprot);
           }
         }
       }
       if (struct.isSetRumours()) {
         {
           oprot.writeI32(struct.rumours.size());
-          for (Rumour _iter26 : struct.rumours)
+          for (Rumour _iter30 : struct.rumours)
           {
-            _iter26.write(oprot);
+            _iter30.write(oprot);
           }
         }
       }
@@ -1702,27 +1841,36 @@
       if (struct.isSetServerShares()) {
         {
           oprot.writeI32(struct.serverShares.size());
-          for (ServerShare _iter27 : struct.serverShares)
+          for (ServerShare _iter31 : struct.serverShares)
           {
-            _iter27.write(oprot);
+            _iter31.write(oprot);
           }
         }
       }
       if (struct.isSetSilentServers()) {
         {
           oprot.writeI32(struct.silentServers.size());
-          for (SilentServer _iter28 : struct.silentServers)
+          for (SilentServer _iter32 : struct.silentServers)
           {
-            _iter28.write(oprot);
+            _iter32.write(oprot);
           }
         }
       }
       if (struct.isSetCrashEvidence()) {
         {
           oprot.writeI32(struct.crashEvidence.size());
-          for (CrashEvidence _iter29 : struct.crashEvidence)
+          for (CrashEvidence _iter33 : struct.crashEvidence)
           {
-            _iter29.write(oprot);
+            _iter33.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetServerLimits()) {
+        {
+          oprot.writeI32(struct.serverLimits.size());
+          for (ServerLimit _iter34 : struct.serverLimits)
+          {
+            _iter34.write(oprot);
           }
         }
       }
@@ -1731,7 +1879,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(12);
+      java.util.BitSet incoming = iprot.readBitSet(13);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -1754,42 +1902,42 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list30 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.ranks = new java.util.ArrayList<RankDemand>(_list30.size);
-          @org.apache.thrift.annotation.Nullable RankDemand _elem31;
-          for (int _i32 = 0; _i32 < _list30.size; ++_i32)
+          org.apache.thrift.protocol.TList _list35 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.ranks = new java.util.ArrayList<RankDemand>(_list35.size);
+          @org.apache.thrift.annotation.Nullable RankDemand _elem36;
+          for (int _i37 = 0; _i37 < _list35.size; ++_i37)
           {
-            _elem31 = new RankDemand();
-            _elem31.read(iprot);
-            struct.ranks.add(_elem31);
+            _elem36 = new RankDemand();
+            _elem36.read(iprot);
+            struct.ranks.add(_elem36);
           }
         }
         struct.setRanksIsSet(true);
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list33 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list33.size);
-          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem34;
-          for (int _i35 = 0; _i35 < _list33.size; ++_i35)
+          org.apache.thrift.protocol.TList _list38 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list38.size);
+          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem39;
+          for (int _i40 = 0; _i40 < _list38.size; ++_i40)
           {
-            _elem34 = new OrganisationDemand();
-            _elem34.read(iprot);
-            struct.organisations.add(_elem34);
+            _elem39 = new OrganisationDemand();
+            _elem39.read(iprot);
+            struct.organisations.add(_elem39);
           }
         }
         struct.setOrganisationsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list36 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.rumours = new java.util.ArrayList<Rumour>(_list36.size);
-          @org.apache.thrift.annotation.Nullable Rumour _elem37;
-          for (int _i38 = 0; _i38 < _list36.size; ++_i38)
+          org.apache.thrift.protocol.TList _list41 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.rumours = new java.util.ArrayList<Rumour>(_list41.size);
+          @org.apache.thrift.annotation.Nullable Rumour _elem42;
+          for (int _i43 = 0; _i43 < _list41.size; ++_i43)
           {
-            _elem37 = new Rumour();
-            _elem37.read(iprot);
-            struct.rumours.add(_elem37);
+            _elem42 = new Rumour();
+            _elem42.read(iprot);
+            struct.rumours.add(_elem42);
           }
         }
         struct.setRumoursIsSet(true);
@@ -1800,46 +1948,60 @@
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.serverShares = new java.util.ArrayList<ServerShare>(_list39.size);
-          @org.apache.thrift.annotation.Nullable ServerShare _elem40;
-          for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+          org.apache.thrift.protocol.TList _list44 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serverShares = new java.util.ArrayList<ServerShare>(_list44.size);
+          @org.apache.thrift.annotation.Nullable ServerShare _elem45;
+          for (int _i46 = 0; _i46 < _list44.size; ++_i46)
           {
-            _elem40 = new ServerShare();
-            _elem40.read(iprot);
-            struct.serverShares.add(_elem40);
+            _elem45 = new ServerShare();
+            _elem45.read(iprot);
+            struct.serverShares.add(_elem45);
           }
         }
         struct.setServerSharesIsSet(true);
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentServers = new java.util.ArrayList<SilentServer>(_list42.size);
-          @org.apache.thrift.annotation.Nullable SilentServer _elem43;
-          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+          org.apache.thrift.protocol.TList _list47 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentServers = new java.util.ArrayList<SilentServer>(_list47.size);
+          @org.apache.thrift.annotation.Nullable SilentServer _elem48;
+          for (int _i49 = 0; _i49 < _list47.size; ++_i49)
           {
-            _elem43 = new SilentServer();
-            _elem43.read(iprot);
-            struct.silentServers.add(_elem43);
+            _elem48 = new SilentServer();
+            _elem48.read(iprot);
+            struct.silentServers.add(_elem48);
           }
         }
         struct.setSilentServersIsSet(true);
       }
       if (incoming.get(11)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashEvidence = new java.util.ArrayList<CrashEvidence>(_list45.size);
-          @org.apache.thrift.annotation.Nullable CrashEvidence _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashEvidence = new java.util.ArrayList<CrashEvidence>(_list50.size);
+          @org.apache.thrift.annotation.Nullable CrashEvidence _elem51;
+          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
           {
-            _elem46 = new CrashEvidence();
-            _elem46.read(iprot);
-            struct.crashEvidence.add(_elem46);
+            _elem51 = new CrashEvidence();
+            _elem51.read(iprot);
+            struct.crashEvidence.add(_elem51);
           }
         }
         struct.setCrashEvidenceIsSet(true);
       }
+      if (incoming.get(12)) {
+        {
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serverLimits = new java.util.ArrayList<ServerLimit>(_list53.size);
+          @org.apache.thrift.annotation.Nullable ServerLimit _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          {
+            _elem54 = new ServerLimit();
+            _elem54.read(iprot);
+            struct.serverLimits.add(_elem54);
+          }
+        }
+        struct.setServerLimitsIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -70,6 +70,14 @@
   6: i64 ageMs
 }
 
+/** Limit of requests that a server has named for all hosts together, 0 for none any more. */
+struct ServerLimit {
+  1: string server
+  2: double limitPerS
+  3: i64 ageMs
+  4: double demandPerS
+}
+
 /** State that an entry host sends to another once a second. */
 struct Digest {
   1: string hostId
@@ -84,6 +92,7 @@
   10: optional list<ServerShare> serverShares
   11: optional list<SilentServer> silentServers
   12: optional list<CrashEvidence> crashEvidence
+  13: optional list<ServerLimit> serverLimits
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
