Judge crashes once for a batch of evidence; name why a held request failed

A datagram brings up to 24 entries, and each changed one judged all crashes again, on hosts with half a core in the moment of a crash. The verdicts are now computed when they are asked for after a change. A request that was held for a suspected part and then found no chain was refused with the reason 'none'.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/CrashEvidence.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/CrashEvidence.java
@@ -55,7 +55,8 @@
 
 	};
 
-	private Judgement judgement = Judgement.NONE;
+	/** The verdicts, {@code null} after the evidence has changed. */
+	private Judgement judgement;
 
 	/**
 	 * Creates an empty ledger.
@@ -107,7 +108,7 @@
 			});
 		}
 		if (!changed.isEmpty()) {
-			this.judgement = Judgement.of(this.crashes);
+			this.judgement = null;
 		}
 		return changed;
 	}
@@ -137,12 +138,19 @@
 			if (this.crashes.size() > MAX_CRASHES) {
 				this.crashes.remove(this.crashes.keySet().iterator().next());
 			}
-			this.judgement = Judgement.of(this.crashes);
+			this.judgement = null;
 		}
 		boolean news = merged != before || merged != evidence.state();
 		return (news) ? Optional.of(crash.evidence(evidence.crash(), evidence.subject(), nowMs)) : Optional.empty();
 	}
 
+	private Judgement judgement() {
+		if (this.judgement == null) {
+			this.judgement = Judgement.of(this.crashes);
+		}
+		return this.judgement;
+	}
+
 	private static State later(State one, State other) {
 		return (one.compareTo(other) >= 0) ? one : other;
 	}
@@ -160,10 +168,10 @@
 		expire(nowMs);
 		Verdict verdict = new Verdict.Clear();
 		for (Subject subject : subjects) {
-			if (this.judgement.convicted.contains(subject)) {
+			if (judgement().convicted.contains(subject)) {
 				return new Verdict.Convicted(subject, lastCrashMs(subject) + this.retentionMs);
 			}
-			if (this.judgement.suspected.contains(subject)) {
+			if (judgement().suspected.contains(subject)) {
 				verdict = new Verdict.Suspected(subject, lastCrashMs(subject));
 			}
 		}
@@ -189,7 +197,7 @@
 		expire(nowMs);
 		List<Evidence> result = new ArrayList<>();
 		this.crashes.forEach((id, crash) -> crash.states.forEach((subject, state) -> {
-			if (state != State.CLEARED && this.judgement.convicted.contains(subject)) {
+			if (state != State.CLEARED && judgement().convicted.contains(subject)) {
 				result.add(crash.evidence(id, subject, nowMs));
 			}
 		}));
@@ -215,7 +223,7 @@
 
 	private void expire(long nowMs) {
 		if (this.crashes.values().removeIf((crash) -> nowMs - crash.recordedAtMs >= this.retentionMs)) {
-			this.judgement = Judgement.of(this.crashes);
+			this.judgement = null;
 		}
 	}
 
@@ -267,8 +275,6 @@
 	 */
 	private record Judgement(Set<Subject> convicted, Set<Subject> suspected) {
 
-		static final Judgement NONE = new Judgement(Set.of(), Set.of());
-
 		// Requests are judged by the crashes that no part of a prompt explains.
 		static Judgement of(Map<String, Crash> crashes) {
 			List<Crash> unexplained = new ArrayList<>(crashes.values());
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -306,23 +306,33 @@
 		List<Evidence> known = new ArrayList<>();
 		synchronized (this) {
 			long nowMs = this.clock.monotonicMs();
+			Set<Subject> convicted = convictedSubjects(told, nowMs);
 			for (Evidence entry : told) {
-				boolean convicted = isConvicted(entry.subject(), nowMs);
-				this.evidence.merge(entry, nowMs).ifPresent((merged) -> {
-					if (merged.state() != entry.state()) {
-						known.add(merged);
-					}
-					if (!convicted && isConvicted(entry.subject(), nowMs)) {
-						logEvidence("quarantined", entry, "told by another host");
-					}
-				});
+				this.evidence.merge(entry, nowMs)
+					.filter((merged) -> merged.state() != entry.state())
+					.ifPresent(known::add);
 			}
+			Set<Subject> newlyConvicted = convictedSubjects(told, nowMs);
+			newlyConvicted.removeAll(convicted);
+			told.stream()
+				.filter((entry) -> newlyConvicted.remove(entry.subject()))
+				.forEach((entry) -> logEvidence("quarantined", entry, "told by another host"));
 			this.empty = this.evidence.isEmpty();
 			tell(known, "known here");
 		}
 		notifyListener(known);
 	}
 
+	private Set<Subject> convictedSubjects(List<Evidence> entries, long nowMs) {
+		Set<Subject> convicted = new HashSet<>();
+		for (Evidence entry : entries) {
+			if (isConvicted(entry.subject(), nowMs)) {
+				convicted.add(entry.subject());
+			}
+		}
+		return convicted;
+	}
+
 	private boolean isConvicted(Subject subject, long nowMs) {
 		return this.evidence.verdict(Set.of(subject), nowMs) instanceof Verdict.Convicted;
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -584,6 +584,7 @@
 	// Waits until the suspected part of the prompt is cleared or this request may try it.
 	private String hold(String reason, long nowMs) {
 		logDenial(SendDenial.SUSPECTED);
+		this.lastFailure = "a part of the prompt may have crashed a server";
 		this.searchReason = reason;
 		this.searchUntilMs = nowMs + MAX_HOLD_MS;
 		this.searchAtMs = nowMs + HOLD_CHECK_INTERVAL_MS;
