Log requests that a server's limit moves to another server

A refusal for want of a share could not be told from one for want of room: part=limit event=moved names the request, the server whose share is used up, and the server chosen instead, if any.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/ServerLimits.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/ServerLimits.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.medlardrum.decisions.routing.LimitReport;
@@ -131,9 +132,26 @@
 		this.empty = false;
 	}
 
+	/**
+	 * Logs that a request does not go to the preferred server because this host's share
+	 * of its limit is used up.
+	 * @param requestId identifier of the request
+	 * @param serverId identifier of the preferred server instance
+	 * @param otherServerId the server that gets the request instead, empty if there is
+	 * none
+	 */
+	public synchronized void logMove(String requestId, String serverId, Optional<String> otherServerId) {
+		this.log.event("limit", "moved", "id", requestId, "server", serverId, "to", otherServerId.orElse("none"),
+				"sharePerS", roundedShare(serverId));
+	}
+
+	private double roundedShare(String serverId) {
+		return Math.round(this.limits.sharePerS(serverId) * ROUNDING) / ROUNDING;
+	}
+
 	private void logLimit(String serverId, double limitPerS, String reason) {
 		this.log.event("limit", (limitPerS > 0) ? "named" : "lifted", "server", serverId, "limitPerS", limitPerS,
-				"sharePerS", Math.round(this.limits.sharePerS(serverId) * ROUNDING) / ROUNDING, "reason", reason);
+				"sharePerS", roundedShare(serverId), "reason", reason);
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -165,7 +165,9 @@
 			.map(ServiceInstance::id)
 			.filter((id) -> !this.dependencies.limits().isAllowed(id))
 			.forEach(excludedServers::add);
-		return choose(nowMs, excludedServers);
+		Optional<ServiceInstance> other = choose(nowMs, excludedServers);
+		this.dependencies.limits().logMove(this.request.id(), preferred.get().id(), other.map(ServiceInstance::id));
+		return other;
 	}
 
 	private Optional<ServiceInstance> choose(long nowMs, Set<String> excludedServers) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -26,8 +26,11 @@
 
 	private final RequestDependencies dependencies;
 
-	ChainChooser(RequestDependencies dependencies) {
+	private final String requestId;
+
+	ChainChooser(RequestDependencies dependencies, String requestId) {
 		this.dependencies = dependencies;
+		this.requestId = requestId;
 	}
 
 	/**
@@ -60,7 +63,10 @@
 		if (first.isEmpty() || limits.isAllowed(first.get())) {
 			return preferred;
 		}
-		return find(snapshot.withExcludedAsFirst((server) -> !limits.isAllowed(server.id())), request, resumes);
+		Optional<List<ChainHop>> other = find(snapshot.withExcludedAsFirst((server) -> !limits.isAllowed(server.id())),
+				request, resumes);
+		limits.logMove(this.requestId, first.get(), other.map((hops) -> hops.getFirst().server().id()));
+		return other;
 	}
 
 	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -121,7 +121,7 @@
 	public StreamExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
 		super(dependencies, request, response, outcomeListener, PART, StreamLimits.MAX_ATTEMPTS);
-		this.chooser = new ChainChooser(dependencies);
+		this.chooser = new ChainChooser(dependencies, request.id());
 		this.probe = new StallProbe(dependencies, this::onSignal);
 		this.lastEventId = request.attributes().lastEventId();
 	}
