Do not take a refusal for an answer that has begun

A plain request that crashed servers was sent 12 times of 12 when servers refused it in between (6 allowed): since each response header of a plain service cleared the request, a refusal (not executed) too. A refusal or another request's response no longer counts as begun.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -197,7 +197,9 @@
 		BackendVerdict verdict = this.dependencies.dialect()
 			.checkResponse(this.request.id(), header.status(), HeaderList.lookup(header.headers()));
 		attempt.setHeader(header.status(), header.headers(), verdict);
-		recordBegun(header.call());
+		if (verdict.belongsToRequest() && !verdict.notExecuted()) {
+			recordBegun(header.call());
+		}
 		if (!verdict.belongsToRequest()) {
 			return onResponseLost(attempt, "the response belongs to another request");
 		}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingRequestTests.java
@@ -68,6 +68,34 @@
 		}
 	}
 
+	/**
+	 * A server that refuses a request has not begun to answer it.
+	 */
+	@Test
+	void refusalBetweenCrashesDoesNotClearTheRequest() throws Exception {
+		List<FakeBackend> servers = new ArrayList<>();
+		try {
+			for (int i = 0; i < CALLS; i++) {
+				FakeBackend crashing = crashingServer();
+				servers.add(crashing);
+				this.fixture.replace("ledger", "c" + i, crashing);
+				this.fixture.call("POST", "/safe/1");
+				try (FakeBackend refusing = new FakeBackend(
+						FakeBackend.response(503, "proof: p\r\nid: r1\r\nnot-run: 1\r\n", ""))) {
+					this.fixture.replace("ledger", "r" + i, refusing);
+					this.fixture.call("POST", "/safe/1");
+				}
+			}
+			int sends = servers.stream().mapToInt((server) -> server.requests().size()).sum();
+			assertThat(sends).isAtMost(CRASHES + TOLERATED_SENDS);
+		}
+		finally {
+			for (FakeBackend server : servers) {
+				server.close();
+			}
+		}
+	}
+
 	/**
 	 * A server that breaks off answers and goes on working has not crashed.
 	 */
