--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/ChangeFeed.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/ChangeFeed.java
@@ -9,27 +9,28 @@
 
 	/**
 	 * Reads all keys with a prefix. The result is not a snapshot: it may already contain
-	 * changes after its revision.
+	 * changes after its version.
 	 * @param prefix the prefix, empty for all keys
-	 * @return one change for each key, and the revision after which to continue
+	 * @return one change for each key, and the version after which to continue
 	 */
 	StoreResult<StoreChanges> read(String prefix);
 
 	/**
 	 * Waits for changes.
 	 * @param prefix the prefix, empty for all keys
-	 * @param afterRevision only changes with a larger revision are returned
+	 * @param after only changes after this version are returned; the store counts them by
+	 * the revision, so the answer may be of a later era
 	 * @param waitMs maximum wait for a change
 	 * @return the changes, empty when the wait ended without one; {@code NotFound} when
-	 * the store no longer keeps all changes after the revision
+	 * the store does not keep all changes after the version
 	 */
-	StoreResult<StoreChanges> changes(String prefix, long afterRevision, long waitMs);
+	StoreResult<StoreChanges> changes(String prefix, StoreVersion after, long waitMs);
 
 	/**
-	 * Reads the store's revision. The result is linearizable: every change acknowledged
-	 * before the call has at most this revision.
-	 * @return the revision
+	 * Reads the store's version. The result is linearizable: every change acknowledged
+	 * before the call has at most this version, unless the store has lost it.
+	 * @return the version
 	 */
-	StoreResult<Long> revision();
+	StoreResult<StoreVersion> version();
 
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/PlatformStore.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/PlatformStore.java
@@ -11,9 +11,6 @@
  */
 public interface PlatformStore {
 
-	/** Expected revision of a key that must not exist. */
-	long ABSENT = 0;
-
 	/**
 	 * Reads a key.
 	 * @param key the key
@@ -22,25 +19,26 @@
 	StoreResult<StoreEntry> get(String key);
 
 	/**
-	 * Writes a key if its revision is as expected.
+	 * Writes a key if its version is as expected. A version of an earlier era is never as
+	 * expected, although its revision may have been assigned again.
 	 * @param key the key
-	 * @param expectedRevision revision that the key must have, {@link #ABSENT} if it must
-	 * not exist
+	 * @param expected version that the key must have, {@link StoreVersion#ABSENT} if it
+	 * must not exist
 	 * @param value value to write, at most 1 MB
 	 * @param leaseId lease whose expiry removes the key, {@code null} for none
 	 * @return the written entry
 	 */
-	StoreResult<StoreEntry> compareAndSet(String key, long expectedRevision, String value, String leaseId);
+	StoreResult<StoreEntry> compareAndSet(String key, StoreVersion expected, String value, String leaseId);
 
 	/**
-	 * Waits until a key has a revision above the given one.
+	 * Waits until a key has a version after the given one.
 	 * @param key the key
-	 * @param afterRevision latest revision that the caller has, {@link #ABSENT} to wait
-	 * for creation
+	 * @param after latest version that the caller has, {@link StoreVersion#ABSENT} to
+	 * wait for creation
 	 * @param waitMs maximum wait for a change
 	 * @return the entry, or {@code NotFound} when the wait ended without a change
 	 */
-	StoreResult<StoreEntry> watch(String key, long afterRevision, long waitMs);
+	StoreResult<StoreEntry> watch(String key, StoreVersion after, long waitMs);
 
 	/**
 	 * Lists the entries whose key starts with a prefix, in key order.
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreChange.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreChange.java
@@ -5,7 +5,7 @@
  *
  * @param key the key
  * @param value the value written, {@code null} when the key was removed
- * @param revision revision of the change
+ * @param version version of the change
  */
-public record StoreChange(String key, String value, long revision) {
+public record StoreChange(String key, String value, StoreVersion version) {
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreChanges.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreChanges.java
@@ -5,11 +5,11 @@
 /**
  * Changes of keys with a prefix.
  *
- * @param changes the changes in order of their revisions; for a read of all keys, one for
+ * @param changes the changes in order of their versions; for a read of all keys, one for
  * each key
- * @param revision revision after which to continue
+ * @param version version after which to continue
  */
-public record StoreChanges(List<StoreChange> changes, long revision) {
+public record StoreChanges(List<StoreChange> changes, StoreVersion version) {
 
 	public StoreChanges {
 		changes = List.copyOf(changes);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreEntry.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreEntry.java
@@ -5,7 +5,7 @@
  *
  * @param key the key
  * @param value the value
- * @param revision revision of the last write of this key, greater than 0
+ * @param version version of the last write of this key
  */
-public record StoreEntry(String key, String value, long revision) {
+public record StoreEntry(String key, String value, StoreVersion version) {
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/BucketLog.java
@@ -9,6 +9,7 @@
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreLease;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 
 /**
  * Append-only segments of one claim bucket in the platform's store, and the index built
@@ -116,12 +117,12 @@
 		this.index = new ClaimIndex(this.retentionMs);
 		Segment segment = Segment.absent(this.bucket, 1);
 		for (StoreEntry entry : entries) {
-			segment = new Segment(this.bucket, Segment.number(entry.key()), entry.revision(), entry.value());
+			segment = new Segment(this.bucket, Segment.number(entry.key()), entry.version(), entry.value());
 			segment.entries(0).forEach(this.index::apply);
 			recordIfSealed(segment);
 		}
-		// A removed segment is empty but has a revision.
-		boolean acceptsNoEntries = segment.isSealed() || segment.text().isEmpty() && segment.revision() != 0;
+		// A removed segment is empty but has a version.
+		boolean acceptsNoEntries = segment.isSealed() || segment.text().isEmpty() && !segment.version().isAbsent();
 		this.lastSegment = (acceptsNoEntries) ? Segment.absent(this.bucket, segment.number() + 1) : segment;
 		return new WriteResult.Done();
 	}
@@ -135,19 +136,19 @@
 		while (true) {
 			StoreResult<StoreEntry> result = this.store.get(this.lastSegment.key());
 			if (result instanceof StoreResult.NotFound<StoreEntry>) {
-				return (this.lastSegment.revision() != 0) ? new WriteResult.Superseded() : new WriteResult.Done();
+				return (this.lastSegment.version().isAbsent()) ? new WriteResult.Done() : new WriteResult.Superseded();
 			}
 			if (!(result instanceof StoreResult.Ok<StoreEntry> ok)) {
 				return new WriteResult.NotWritten("cannot read " + this.lastSegment.key() + ": " + result);
 			}
-			if (ok.value().revision() < this.lastSegment.revision()) {
+			if (this.lastSegment.version().isAfter(ok.value().version())) {
 				return new WriteResult.NotWritten("store returned older data of " + this.lastSegment.key());
 			}
 			if (!ok.value().value().startsWith(this.lastSegment.text()) || ok.value().value().isEmpty()) {
 				return new WriteResult.Superseded();
 			}
 			int previousLength = this.lastSegment.text().length();
-			this.lastSegment = new Segment(this.bucket, this.lastSegment.number(), ok.value().revision(),
+			this.lastSegment = new Segment(this.bucket, this.lastSegment.number(), ok.value().version(),
 					ok.value().value());
 			this.lastSegment.entries(previousLength).forEach(this.index::apply);
 			if (!this.lastSegment.isSealed()) {
@@ -164,7 +165,7 @@
 
 	private void recordIfSealed(Segment segment) {
 		if (segment.isSealed()) {
-			this.sealedSegments.put(segment.number(), new SealedSegment(segment.revision(), segment.newestAtMs()));
+			this.sealedSegments.put(segment.number(), new SealedSegment(segment.version(), segment.newestAtMs()));
 		}
 	}
 
@@ -182,11 +183,11 @@
 		if (Segment.sizeBytes(text) >= Segment.SEAL_AT_BYTES) {
 			text += ClaimEntry.SEAL.line();
 		}
-		WriteResult result = this.writer.write(this.lastSegment.key(), this.lastSegment.revision(), text);
+		WriteResult result = this.writer.write(this.lastSegment.key(), this.lastSegment.version(), text);
 		if (result instanceof WriteResult.Done) {
 			entries.forEach(this.index::apply);
 			this.indexCurrentAtMs = nowMs;
-			this.lastSegment = new Segment(this.bucket, this.lastSegment.number(), this.writer.written().revision(),
+			this.lastSegment = new Segment(this.bucket, this.lastSegment.number(), this.writer.written().version(),
 					text);
 			if (this.lastSegment.isSealed()) {
 				startNextSegment();
@@ -218,7 +219,7 @@
 				leaseId = ok.value().id();
 			}
 			StoreResult<StoreEntry> result = this.store.compareAndSet(Segment.key(this.bucket, number),
-					oldest.revision(), "", leaseId);
+					oldest.version(), "", leaseId);
 			if (result instanceof StoreResult.Unavailable<StoreEntry>) {
 				return;
 			}
@@ -239,16 +240,16 @@
 	 */
 	private boolean isNewest(long number) {
 		return this.lastSegment == null
-				|| (this.lastSegment.revision() == 0 && number >= this.lastSegment.number() - 1);
+				|| (this.lastSegment.version().isAbsent() && number >= this.lastSegment.number() - 1);
 	}
 
 	/**
 	 * A segment to which no more entries are appended.
 	 *
-	 * @param revision revision of its last write
+	 * @param version version of its last write
 	 * @param newestAtMs time of its newest entry
 	 */
-	private record SealedSegment(long revision, long newestAtMs) {
+	private record SealedSegment(StoreVersion version, long newestAtMs) {
 	}
 
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/Segment.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/Segment.java
@@ -4,16 +4,17 @@
 import java.util.List;
 
 import com.google.gson.JsonParseException;
+import org.medlardrum.coordination.StoreVersion;
 
 /**
  * One segment of a bucket, in the state of the last read or write.
  *
  * @param bucket bucket of the segment
  * @param number number of the segment, from 1
- * @param revision revision in the store, 0 when the segment does not exist
+ * @param version version in the store, absent when the segment does not exist
  * @param text the entries, one JSON object a line
  */
-record Segment(int bucket, long number, long revision, String text) {
+record Segment(int bucket, long number, StoreVersion version, String text) {
 
 	/** Maximum size of a segment. */
 	static final int MAX_BYTES = 64 * 1024;
@@ -40,7 +41,7 @@
 	}
 
 	static Segment absent(int bucket, long number) {
-		return new Segment(bucket, number, 0, "");
+		return new Segment(bucket, number, StoreVersion.ABSENT, "");
 	}
 
 	static int sizeBytes(String text) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/SegmentWriter.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/claims/SegmentWriter.java
@@ -3,11 +3,12 @@
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 
 /**
  * Writes segments by compare-and-set. A lost response is resolved by reading the segment
- * back: the same text means that the write took effect. An unchanged revision means that
- * the write has not taken effect yet; it is then retried with the same expected revision,
+ * back: the same text means that the write took effect. An unchanged version means that
+ * the write has not taken effect yet; it is then retried with the same expected version,
  * so that at most one of the writes succeeds.
  */
 final class SegmentWriter {
@@ -33,12 +34,12 @@
 		return this.written;
 	}
 
-	WriteResult write(String key, long expectedRevision, String text) {
+	WriteResult write(String key, StoreVersion expected, String text) {
 		boolean mayBeWritten = false;
 		String reason = "";
 		for (int i = 0; i < MAX_WRITES; i++) {
 			this.counters.writes.increment();
-			StoreResult<StoreEntry> result = this.store.compareAndSet(key, expectedRevision, text, null);
+			StoreResult<StoreEntry> result = this.store.compareAndSet(key, expected, text, null);
 			switch (result) {
 				case StoreResult.Ok<StoreEntry> ok -> {
 					return done(ok.value());
@@ -58,7 +59,7 @@
 					reason = unknown.reason();
 				}
 			}
-			WriteResult decided = readBack(key, expectedRevision, text);
+			WriteResult decided = readBack(key, expected, text);
 			if (decided != null) {
 				return decided;
 			}
@@ -69,26 +70,25 @@
 	/**
 	 * Resolves a write whose response was lost by reading the key.
 	 * @param key the key
-	 * @param expectedRevision revision before the write
+	 * @param expected version before the write
 	 * @param text text of the write
 	 * @return the result, {@code null} when the write should be retried
 	 */
-	private WriteResult readBack(String key, long expectedRevision, String text) {
+	private WriteResult readBack(String key, StoreVersion expected, String text) {
 		return switch (this.store.get(key)) {
-			case StoreResult.Ok<StoreEntry> ok -> compareStored(ok.value(), expectedRevision, text);
-			case StoreResult.NotFound<StoreEntry> none ->
-				(expectedRevision != PlatformStore.ABSENT) ? superseded() : null;
+			case StoreResult.Ok<StoreEntry> ok -> compareStored(ok.value(), expected, text);
+			case StoreResult.NotFound<StoreEntry> none -> (expected.isAbsent()) ? null : superseded();
 			case StoreResult.Conflict<StoreEntry> conflict -> null;
 			case StoreResult.Unavailable<StoreEntry> unavailable -> new WriteResult.MayBeWritten(unavailable.reason());
 			case StoreResult.Unknown<StoreEntry> unknown -> null;
 		};
 	}
 
-	private WriteResult compareStored(StoreEntry entry, long expectedRevision, String text) {
+	private WriteResult compareStored(StoreEntry entry, StoreVersion expected, String text) {
 		if (isOwnWrite(entry, text)) {
 			return done(entry);
 		}
-		return (entry.revision() > expectedRevision) ? superseded() : null;
+		return entry.version().isAfter(expected) ? superseded() : null;
 	}
 
 	private static boolean isOwnWrite(StoreEntry entry, String text) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ChangeWriter.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ChangeWriter.java
@@ -3,6 +3,7 @@
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.state.config.ConfigChange;
 import org.medlardrum.state.config.ConfigCodec;
 
@@ -35,7 +36,7 @@
 		StoreResult<StoreEntry> result = null;
 		boolean responseLost = false;
 		for (int attempt = 0; attempt < MAX_WRITES; attempt++) {
-			result = resolveConflict(this.store.compareAndSet(key, PlatformStore.ABSENT, text, null), change);
+			result = resolveConflict(this.store.compareAndSet(key, StoreVersion.ABSENT, text, null), change);
 			if (result instanceof StoreResult.Unknown<StoreEntry>) {
 				responseLost = true;
 				StoreResult<StoreEntry> found = this.store.get(key);
@@ -59,7 +60,7 @@
 	 * @return result of the write
 	 */
 	StoreResult<StoreEntry> replace(ConfigChange change, StoreEntry damaged) {
-		return this.store.compareAndSet(LogReader.changeKey(change.version()), damaged.revision(),
+		return this.store.compareAndSet(LogReader.changeKey(change.version()), damaged.version(),
 				ConfigCodec.writeChange(change), null);
 	}
 
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigAgent.java
@@ -18,6 +18,7 @@
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.peer.gen.ConfigEntry;
 import org.medlardrum.peer.gen.ConfigPull;
 import org.medlardrum.state.Host;
@@ -83,10 +84,10 @@
 	private long nextPollAtMs;
 
 	/**
-	 * Revision of the next entry if it cannot be applied, {@code ABSENT} otherwise. A
+	 * Version of the next entry if it cannot be applied, {@code ABSENT} otherwise. A
 	 * watch waits until that entry is replaced.
 	 */
-	private long damagedRevision = PlatformStore.ABSENT;
+	private StoreVersion damagedVersion = StoreVersion.ABSENT;
 
 	private long highestReportedVersion;
 
@@ -244,7 +245,7 @@
 
 	private long watch() {
 		long startMs = this.clock.millis();
-		StoreResult<StoreEntry> found = this.store.watch(nextKey(), this.damagedRevision, this.settings.watchMs());
+		StoreResult<StoreEntry> found = this.store.watch(nextKey(), this.damagedVersion, this.settings.watchMs());
 		applyChangesFrom(found);
 		if (found instanceof StoreResult.Ok<StoreEntry>) {
 			return 0;
@@ -280,7 +281,7 @@
 		}
 		// An entry left after the loop could not be applied.
 		if (next instanceof StoreResult.Ok<StoreEntry> damaged) {
-			this.damagedRevision = damaged.value().revision();
+			this.damagedVersion = damaged.value().version();
 			readSnapshot();
 			pullFromRandomPeers();
 		}
@@ -357,7 +358,7 @@
 	private boolean applyChange(String changeJson) {
 		switch (EntryResult.apply(this.state.newest(), changeJson)) {
 			case EntryResult.Applied applied -> {
-				this.damagedRevision = PlatformStore.ABSENT;
+				this.damagedVersion = StoreVersion.ABSENT;
 				boolean valid = validate(applied.documents());
 				publish(this.state.withChange(applied.documents(), changeJson, valid), valid);
 				return true;
@@ -376,7 +377,7 @@
 					"config: a snapshot from the store or a peer is not readable or fails its hash check and is ignored");
 		}
 		else if (snapshot.get().version() > this.state.newest().version()) {
-			this.damagedRevision = PlatformStore.ABSENT;
+			this.damagedVersion = StoreVersion.ABSENT;
 			boolean valid = validate(snapshot.get());
 			publish(this.state.withSnapshot(snapshot.get(), valid), valid);
 		}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigLog.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/ConfigLog.java
@@ -11,6 +11,7 @@
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.peer.gen.ConfigEntry;
 import org.medlardrum.peer.gen.ConfigPull;
 import org.medlardrum.state.config.ConfigChange;
@@ -258,7 +259,7 @@
 				? ConfigCodec.readSnapshot(pulled.getSnapshotJson()) : Optional.empty();
 		if (snapshot.isPresent() && snapshot.get().version() > documents.version()) {
 			documents = snapshot.get();
-			StoreResult<StoreEntry> written = writeSnapshot(head.snapshotRevision(), documents);
+			StoreResult<StoreEntry> written = writeSnapshot(head.snapshotStoreVersion(), documents);
 			if (!(written instanceof StoreResult.Ok<StoreEntry>)) {
 				return LogReader.failure(written);
 			}
@@ -310,14 +311,13 @@
 	private void writeSnapshotIfDue(LogHead head, ConfigDocuments documents) {
 		// A failure is tolerated, because the next change tries again.
 		if (documents.version() - head.snapshotVersion() >= SNAPSHOT_INTERVAL
-				&& !(writeSnapshot(head.snapshotRevision(), documents) instanceof StoreResult.Ok<StoreEntry>)) {
+				&& !(writeSnapshot(head.snapshotStoreVersion(), documents) instanceof StoreResult.Ok<StoreEntry>)) {
 			Logger.warn("config: the snapshot of version {} was not written", documents.version());
 		}
 	}
 
-	private StoreResult<StoreEntry> writeSnapshot(long expectedRevision, ConfigDocuments documents) {
-		return this.store.compareAndSet(LogReader.SNAPSHOT_KEY, expectedRevision, ConfigCodec.writeSnapshot(documents),
-				null);
+	private StoreResult<StoreEntry> writeSnapshot(StoreVersion expected, ConfigDocuments documents) {
+		return this.store.compareAndSet(LogReader.SNAPSHOT_KEY, expected, ConfigCodec.writeSnapshot(documents), null);
 	}
 
 	private static String reasonOf(StoreResult<?> result) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/LogHead.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/LogHead.java
@@ -1,5 +1,6 @@
 package org.medlardrum.coordination.config;
 
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.state.config.ConfigDocuments;
 
 /**
@@ -7,11 +8,12 @@
  *
  * @param documents documents at the newest readable version
  * @param snapshotVersion version of the snapshot, 0 when there is none
- * @param snapshotRevision revision of the snapshot's key, 0 when there is none
+ * @param snapshotStoreVersion version of the snapshot's key in the store, absent when
+ * there is none
  * @param damage why the next entry cannot be applied, empty when there is no next entry
  * or it is intact
  */
-record LogHead(ConfigDocuments documents, long snapshotVersion, long snapshotRevision, String damage) {
+record LogHead(ConfigDocuments documents, long snapshotVersion, StoreVersion snapshotStoreVersion, String damage) {
 
 	LogStatus status() {
 		return new LogStatus(this.documents.version(), this.damage);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/LogReader.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/config/LogReader.java
@@ -7,6 +7,7 @@
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.state.config.ConfigChange;
 import org.medlardrum.state.config.ConfigCodec;
 import org.medlardrum.state.config.ConfigDocuments;
@@ -42,19 +43,19 @@
 			case StoreResult.Ok<StoreEntry> ok -> {
 				Optional<ConfigDocuments> documents = ConfigCodec.readSnapshot(ok.value().value());
 				// Without a readable snapshot, all changes are read from the first.
-				yield replay(documents.orElseGet(ConfigMerge::empty), ok.value().revision());
+				yield replay(documents.orElseGet(ConfigMerge::empty), ok.value().version());
 			}
-			case StoreResult.NotFound<StoreEntry> missing -> replay(ConfigMerge.empty(), PlatformStore.ABSENT);
+			case StoreResult.NotFound<StoreEntry> missing -> replay(ConfigMerge.empty(), StoreVersion.ABSENT);
 			default -> failure(snapshot);
 		};
 	}
 
-	private StoreResult<LogHead> replay(ConfigDocuments start, long snapshotRevision) {
+	private StoreResult<LogHead> replay(ConfigDocuments start, StoreVersion snapshotStoreVersion) {
 		ConfigDocuments documents = start;
 		while (true) {
 			StoreResult<StoreEntry> next = entry(documents.version() + 1);
 			if (next instanceof StoreResult.NotFound<StoreEntry>) {
-				return new StoreResult.Ok<>(new LogHead(documents, start.version(), snapshotRevision, ""));
+				return new StoreResult.Ok<>(new LogHead(documents, start.version(), snapshotStoreVersion, ""));
 			}
 			if (!(next instanceof StoreResult.Ok<StoreEntry> ok)) {
 				return failure(next);
@@ -65,7 +66,7 @@
 				}
 				case EntryResult.Damaged damaged -> {
 					return new StoreResult.Ok<>(
-							new LogHead(documents, start.version(), snapshotRevision, damaged.reason()));
+							new LogHead(documents, start.version(), snapshotStoreVersion, damaged.reason()));
 				}
 			}
 		}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -12,13 +12,14 @@
 import org.medlardrum.coordination.StoreChange;
 import org.medlardrum.coordination.StoreChanges;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.coordination.internal.BackgroundThread;
 
 /**
  * Keeps a copy of the store's keys and reports until when the copy was current. One
- * thread waits for changes. Another one confirms the copy by reading the store's
- * revision. A call for changes that returns none does not confirm the copy, because its
- * connection may be unresponsive or the store may have dropped its history.
+ * thread waits for changes. Another one confirms the copy by reading the store's version.
+ * A call for changes that returns none does not confirm the copy, because its connection
+ * may be unresponsive or the store may have dropped its history.
  *
  * <p>
  * Entries whose leases expired while the store was unavailable are written again when
@@ -49,11 +50,11 @@
 	/** Keys whose removal is held back. */
 	private final Set<String> heldBackRemovals = new HashSet<>();
 
-	/** Revision of the copy, negative before the first read. */
-	private long revision = -1;
+	/** Version of the copy, {@code null} before the first read. */
+	private StoreVersion version;
 
-	/** Revision of the last read of all keys, which includes all older changes. */
-	private long fullReadRevision = -1;
+	/** Version of the last read of all keys, which includes all older changes. */
+	private StoreVersion fullReadVersion;
 
 	private boolean historyLost;
 
@@ -106,8 +107,8 @@
 	 * @return time until the next call, in milliseconds
 	 */
 	public long followStep() {
-		long after = revision();
-		if (after < 0) {
+		StoreVersion after = version();
+		if (after == null) {
 			return (readAll()) ? 0 : retryDelayMs();
 		}
 		StoreResult<StoreChanges> result = this.feed.changes("", after, this.options.waitMs());
@@ -129,7 +130,7 @@
 	 * @return time until the next confirmation, in milliseconds
 	 */
 	public long confirmStep() {
-		if (revision() < 0) {
+		if (version() == null) {
 			return FIRST_RETRY_MS;
 		}
 		long sentMs = this.monotonicMs.getAsLong();
@@ -137,22 +138,22 @@
 			return this.confirmDueMs - sentMs;
 		}
 		long sentWallMs = this.wallMs.getAsLong();
-		return switch (this.feed.revision()) {
-			case StoreResult.Ok<Long> ok -> confirm(ok.value(), sentMs, sentWallMs);
-			case StoreResult.NotFound<Long> none -> recordFailure("the store returned no revision");
-			case StoreResult.Conflict<Long> conflict -> recordFailure("unexpected conflict");
-			case StoreResult.Unavailable<Long> unavailable -> recordFailure(unavailable.reason());
-			case StoreResult.Unknown<Long> unknown -> recordFailure(unknown.reason());
+		return switch (this.feed.version()) {
+			case StoreResult.Ok<StoreVersion> ok -> confirm(ok.value(), sentMs, sentWallMs);
+			case StoreResult.NotFound<StoreVersion> none -> recordFailure("the store returned no version");
+			case StoreResult.Conflict<StoreVersion> conflict -> recordFailure("unexpected conflict");
+			case StoreResult.Unavailable<StoreVersion> unavailable -> recordFailure(unavailable.reason());
+			case StoreResult.Unknown<StoreVersion> unknown -> recordFailure(unknown.reason());
 		};
 	}
 
-	private long confirm(long newest, long sentMs, long sentWallMs) {
+	private long confirm(StoreVersion newest, long sentMs, long sentWallMs) {
 		recordResponse();
 		applyHeldBackRemovals();
-		if (newest > revision()) {
+		if (isMissingChanges(newest)) {
 			sleep(this.options.catchUpMs());
 		}
-		if (newest <= revision()) {
+		if (!isMissingChanges(newest)) {
 			this.listener.confirmed(sentMs, sentWallMs);
 		}
 		else if (!readAll()) {
@@ -162,6 +163,11 @@
 		return this.options.confirmMs();
 	}
 
+	private boolean isMissingChanges(StoreVersion newest) {
+		StoreVersion current = version();
+		return current == null || newest.revision() > current.revision();
+	}
+
 	private void sleep(long ms) {
 		try {
 			TimeUnit.MILLISECONDS.sleep(ms);
@@ -192,8 +198,8 @@
 		};
 	}
 
-	private synchronized long revision() {
-		return (this.historyLost) ? -1 : this.revision;
+	private synchronized StoreVersion version() {
+		return (this.historyLost) ? null : this.version;
 	}
 
 	private synchronized void markHistoryLost() {
@@ -209,8 +215,11 @@
 		missing.forEach(this::remove);
 		all.changes().forEach(this::put);
 		this.historyLost = false;
-		this.fullReadRevision = all.revision();
-		this.revision = all.revision();
+		if (this.version == null || !this.version.isSameEra(all.version())) {
+			this.listener.eraChanged(this.version, all.version());
+		}
+		this.fullReadVersion = all.version();
+		this.version = all.version();
 		this.listener.changed(Map.copyOf(this.values));
 	}
 
@@ -218,7 +227,7 @@
 		recordResponse();
 		boolean changed = false;
 		for (StoreChange change : changes.changes()) {
-			if (change.revision() > this.fullReadRevision) {
+			if (change.version().revision() > this.fullReadVersion.revision()) {
 				changed = true;
 				if (change.value() != null) {
 					put(change);
@@ -228,7 +237,7 @@
 				}
 			}
 		}
-		this.revision = Math.max(this.revision, changes.revision());
+		this.version = (changes.version().revision() > this.version.revision()) ? changes.version() : this.version;
 		if (changed) {
 			this.listener.changed(Map.copyOf(this.values));
 		}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 
+import org.medlardrum.coordination.StoreVersion;
+
 /**
  * Receives the keys, the confirmations and the availability of the store from a
  * {@link StoreFollower}. Called on the follower's threads.
@@ -28,6 +30,15 @@
 	 */
 	void storeUnavailable(String reason);
 
+	/**
+	 * Called when the copy belongs to another history of the store than before, because
+	 * the store was restored from an older copy, and for the first copy.
+	 * @param before version of the copy in the earlier history, {@code null} for the
+	 * first copy
+	 * @param after version of the copy in the new history
+	 */
+	void eraChanged(StoreVersion before, StoreVersion after);
+
 	/**
 	 * Called when the store is available again.
 	 * @param outageMs time since its previous response
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/OrderLease.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/OrderLease.java
@@ -6,6 +6,7 @@
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreLease;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.tinylog.Logger;
 
 /**
@@ -124,8 +125,7 @@
 			return false;
 		}
 		String holder = this.ownHostId + "/" + lease.value().id();
-		StoreResult<StoreEntry> result = this.store.compareAndSet(KEY, PlatformStore.ABSENT, holder,
-				lease.value().id());
+		StoreResult<StoreEntry> result = this.store.compareAndSet(KEY, StoreVersion.ABSENT, holder, lease.value().id());
 		if (result instanceof StoreResult.Unknown<StoreEntry>) {
 			// The lease identifier is unique, so the value shows whether the write took
 			// effect.
@@ -135,7 +135,7 @@
 			return false;
 		}
 		this.leaseId = lease.value().id();
-		this.token = ok.value().revision();
+		this.token = ok.value().version().revision();
 		this.acquiredAtMs = this.clock.millis();
 		extendValidity(startMs, lease.value().ttlMs());
 		Logger.info("orders: lease acquired with token {}", this.token);
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/FakePlatformStore.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/FakePlatformStore.java
@@ -14,8 +14,8 @@
 
 /**
  * In-memory store with fault injection: outage, lost responses, dropped writes, stale
- * reads and lost keys. A call that waits for a change returns after at most 20 ms, so
- * that tests do not block on it.
+ * reads, lost keys and a restore from an older copy. A call that waits for a change
+ * returns after at most 20 ms, so that tests do not block on it.
  */
 public final class FakePlatformStore implements PlatformStore {
 
@@ -35,6 +35,12 @@
 
 	private long revision;
 
+	private long leaseNumber;
+
+	private long era = 1;
+
+	private Copy copy;
+
 	private boolean outage;
 
 	private int responsesToLose;
@@ -104,6 +110,29 @@
 		this.values.remove(key);
 	}
 
+	/**
+	 * Takes a copy to which {@link #restoreCopy()} returns.
+	 */
+	public synchronized void takeCopy() {
+		expireLeases();
+		this.copy = new Copy(new TreeMap<>(this.values), new HashMap<>(this.leases), this.revision, this.leaseNumber);
+	}
+
+	/**
+	 * Returns to the copy and begins a new era. All that was written since is lost, and
+	 * its revisions and lease identifiers are assigned again.
+	 */
+	public synchronized void restoreCopy() {
+		this.values.clear();
+		this.values.putAll(this.copy.values());
+		this.leases.clear();
+		this.leases.putAll(this.copy.leases());
+		this.revision = this.copy.revision();
+		this.leaseNumber = this.copy.leaseNumber();
+		this.era++;
+		notifyAll();
+	}
+
 	/**
 	 * Sets a key regardless of its revision.
 	 * @param key the key
@@ -138,16 +167,16 @@
 	}
 
 	@Override
-	public StoreResult<StoreEntry> compareAndSet(String key, long expectedRevision, String value, String leaseId) {
+	public StoreResult<StoreEntry> compareAndSet(String key, StoreVersion expected, String value, String leaseId) {
 		Consumer<String> action;
 		synchronized (this) {
 			action = this.beforeWrite;
 		}
 		action.accept(key);
-		return write(key, expectedRevision, value, leaseId);
+		return write(key, expected, value, leaseId);
 	}
 
-	private synchronized StoreResult<StoreEntry> write(String key, long expectedRevision, String value,
+	private synchronized StoreResult<StoreEntry> write(String key, StoreVersion expected, String value,
 			String leaseId) {
 		count("compareAndSet");
 		if (this.outage) {
@@ -159,11 +188,11 @@
 		}
 		expireLeases();
 		Value current = this.values.get(key);
-		long currentRevision = (current != null) ? current.revision() : ABSENT;
+		StoreVersion currentVersion = (current != null) ? version(current.revision()) : StoreVersion.ABSENT;
 		StoreResult<StoreEntry> result;
-		if (currentRevision != expectedRevision) {
+		if (!currentVersion.equals(expected)) {
 			result = new StoreResult.Conflict<>(
-					(current != null) ? new StoreEntry(key, current.text(), current.revision()) : null);
+					(current != null) ? new StoreEntry(key, current.text(), version(current.revision())) : null);
 		}
 		else if (leaseId != null && !this.leases.containsKey(leaseId)) {
 			result = new StoreResult.NotFound<>();
@@ -171,7 +200,7 @@
 		else {
 			this.values.put(key, new Value(value, ++this.revision, leaseId));
 			notifyAll();
-			result = new StoreResult.Ok<>(new StoreEntry(key, value, this.revision));
+			result = new StoreResult.Ok<>(new StoreEntry(key, value, version(this.revision)));
 		}
 		if (this.responsesToLose > 0) {
 			this.responsesToLose--;
@@ -181,13 +210,13 @@
 	}
 
 	@Override
-	public synchronized StoreResult<StoreEntry> watch(String key, long afterRevision, long waitMs) {
+	public synchronized StoreResult<StoreEntry> watch(String key, StoreVersion after, long waitMs) {
 		return read("watch", () -> {
-			StoreResult<StoreEntry> found = newerEntry(key, afterRevision);
+			StoreResult<StoreEntry> found = newerEntry(key, after);
 			if (found instanceof StoreResult.Ok<StoreEntry> || !awaitChange(waitMs)) {
 				return found;
 			}
-			return newerEntry(key, afterRevision);
+			return newerEntry(key, after);
 		});
 	}
 
@@ -197,7 +226,7 @@
 			List<StoreEntry> found = new ArrayList<>();
 			readableValues().tailMap(prefix, true).forEach((key, value) -> {
 				if (key.startsWith(prefix)) {
-					found.add(new StoreEntry(key, value.text(), value.revision()));
+					found.add(new StoreEntry(key, value.text(), version(value.revision())));
 				}
 			});
 			return new StoreResult.Ok<>(List.copyOf(found));
@@ -207,9 +236,9 @@
 	@Override
 	public synchronized StoreResult<StoreLease> createLease(long ttlMs) {
 		return read("createLease", () -> {
-			String id = "lease-" + ++this.revision;
+			String id = "lease-" + ++this.leaseNumber;
 			this.leases.put(id, new Lease(ttlMs, this.clock.millis() + ttlMs));
-			return new StoreResult.Ok<>(new StoreLease(id, ttlMs));
+			return new StoreResult.Ok<>(new StoreLease(id, ttlMs, this.era));
 		});
 	}
 
@@ -221,7 +250,7 @@
 				return new StoreResult.NotFound<>();
 			}
 			this.leases.put(leaseId, new Lease(lease.ttlMs(), this.clock.millis() + lease.ttlMs()));
-			return new StoreResult.Ok<>(new StoreLease(leaseId, lease.ttlMs()));
+			return new StoreResult.Ok<>(new StoreLease(leaseId, lease.ttlMs(), this.era));
 		});
 	}
 
@@ -251,13 +280,13 @@
 
 	private StoreResult<StoreEntry> entryOf(String key) {
 		Value value = readableValues().get(key);
-		return (value != null) ? new StoreResult.Ok<>(new StoreEntry(key, value.text(), value.revision()))
+		return (value != null) ? new StoreResult.Ok<>(new StoreEntry(key, value.text(), version(value.revision())))
 				: new StoreResult.NotFound<>();
 	}
 
-	private StoreResult<StoreEntry> newerEntry(String key, long afterRevision) {
+	private StoreResult<StoreEntry> newerEntry(String key, StoreVersion after) {
 		StoreResult<StoreEntry> found = entryOf(key);
-		return (found instanceof StoreResult.Ok<StoreEntry> ok && ok.value().revision() > afterRevision) ? found
+		return (found instanceof StoreResult.Ok<StoreEntry> ok && ok.value().version().isAfter(after)) ? found
 				: new StoreResult.NotFound<>();
 	}
 
@@ -281,6 +310,10 @@
 		this.values.values().removeIf((value) -> value.leaseId() != null && !this.leases.containsKey(value.leaseId()));
 	}
 
+	private StoreVersion version(long valueRevision) {
+		return new StoreVersion(this.era, valueRevision);
+	}
+
 	private void count(String method) {
 		this.calls.merge(method, 1, Integer::sum);
 	}
@@ -291,4 +324,7 @@
 	private record Lease(long ttlMs, long expiresAtMs) {
 	}
 
+	private record Copy(Map<String, Value> values, Map<String, Lease> leases, long revision, long leaseNumber) {
+	}
+
 }
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/claims/FaultyStore.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/claims/FaultyStore.java
@@ -8,6 +8,7 @@
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreLease;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.state.HostDirectory;
 
 /**
@@ -32,13 +33,13 @@
 	}
 
 	@Override
-	public StoreResult<StoreEntry> compareAndSet(String key, long expectedRevision, String value, String leaseId) {
-		return this.writes.apply(() -> this.store.compareAndSet(key, expectedRevision, value, leaseId)).get();
+	public StoreResult<StoreEntry> compareAndSet(String key, StoreVersion expected, String value, String leaseId) {
+		return this.writes.apply(() -> this.store.compareAndSet(key, expected, value, leaseId)).get();
 	}
 
 	@Override
-	public StoreResult<StoreEntry> watch(String key, long afterRevision, long waitMs) {
-		return this.store.watch(key, afterRevision, waitMs);
+	public StoreResult<StoreEntry> watch(String key, StoreVersion after, long waitMs) {
+		return this.store.watch(key, after, waitMs);
 	}
 
 	@Override
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -12,6 +12,7 @@
 import org.medlardrum.coordination.StoreChange;
 import org.medlardrum.coordination.StoreChanges;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -25,7 +26,7 @@
 
 	private final Deque<ScriptedResponse> responses = new ArrayDeque<>();
 
-	private final Deque<StoreResult<Long>> revisions = new ArrayDeque<>();
+	private final Deque<StoreResult<StoreVersion>> versions = new ArrayDeque<>();
 
 	private final List<String> calls = new ArrayList<>();
 
@@ -41,22 +42,26 @@
 		this.follower.followStep();
 	}
 
-	private void confirm(long tookMs, StoreResult<Long> result) {
-		this.revisions.add(result);
+	private void confirm(long tookMs, StoreResult<StoreVersion> result) {
+		this.versions.add(result);
 		this.confirmTookMs = tookMs;
 		this.follower.confirmStep();
 	}
 
 	private static StoreResult<StoreChanges> ok(long revision, StoreChange... changes) {
-		return new StoreResult.Ok<>(new StoreChanges(List.of(changes), revision));
+		return new StoreResult.Ok<>(new StoreChanges(List.of(changes), version(revision)));
+	}
+
+	private static StoreVersion version(long revision) {
+		return new StoreVersion(1, revision);
 	}
 
 	private static StoreChange put(String key, String value) {
-		return new StoreChange(key, value, 1);
+		return new StoreChange(key, value, version(1));
 	}
 
 	private static StoreChange removed(String key) {
-		return new StoreChange(key, null, 6);
+		return new StoreChange(key, null, version(6));
 	}
 
 	@Test
@@ -77,7 +82,7 @@
 	void sameRevisionConfirmsTheCopyAtTheStartOfTheCall() {
 		follow(1, ok(5));
 		this.nowMs.set(12_000);
-		confirm(700, new StoreResult.Ok<>(5L));
+		confirm(700, new StoreResult.Ok<>(version(5)));
 		assertThat(this.recorder.confirmedMs).isEqualTo(12_000);
 	}
 
@@ -85,11 +90,11 @@
 	void changeThatTheWatchDoesNotDeliverIsRead() {
 		follow(1, ok(5, put("a", "1")));
 		this.nowMs.set(12_000);
-		this.responses.add(new ScriptedResponse(1, ok(7, new StoreChange("b", "2", 7))));
-		confirm(1, new StoreResult.Ok<>(7L));
+		this.responses.add(new ScriptedResponse(1, ok(7, new StoreChange("b", "2", version(7)))));
+		confirm(1, new StoreResult.Ok<>(version(7)));
 		assertThat(this.recorder.values).containsExactly("b", "2");
 		// The watch delivers a change that is older than the read.
-		follow(1, ok(7, new StoreChange("a", "0", 6)));
+		follow(1, ok(7, new StoreChange("a", "0", version(6))));
 		assertThat(this.recorder.values).containsExactly("b", "2");
 	}
 
@@ -108,9 +113,9 @@
 		follow(1, new StoreResult.Unavailable<>("down"));
 		follow(1, ok(7, removed("servers/a"), removed("servers/b")));
 		assertThat(this.recorder.values).hasSize(2);
-		follow(1_000, ok(8, new StoreChange("servers/a", "2", 8)));
+		follow(1_000, ok(8, new StoreChange("servers/a", "2", version(8))));
 		this.nowMs.addAndGet(2_000);
-		confirm(1, new StoreResult.Ok<>(8L));
+		confirm(1, new StoreResult.Ok<>(version(8)));
 		assertThat(this.recorder.values).containsExactly("servers/a", "2");
 		assertThat(this.recorder.events).containsExactly("lost", "regained").inOrder();
 	}
@@ -134,15 +139,15 @@
 		}
 
 		@Override
-		public StoreResult<StoreChanges> changes(String prefix, long afterRevision, long waitMs) {
-			StoreFollowerTests.this.calls.add("changes after " + afterRevision);
+		public StoreResult<StoreChanges> changes(String prefix, StoreVersion after, long waitMs) {
+			StoreFollowerTests.this.calls.add("changes after " + after.revision());
 			return nextResponse();
 		}
 
 		@Override
-		public StoreResult<Long> revision() {
+		public StoreResult<StoreVersion> version() {
 			StoreFollowerTests.this.nowMs.addAndGet(StoreFollowerTests.this.confirmTookMs);
-			return StoreFollowerTests.this.revisions.remove();
+			return StoreFollowerTests.this.versions.remove();
 		}
 
 		private StoreResult<StoreChanges> nextResponse() {
@@ -177,6 +182,13 @@
 			this.events.add("lost");
 		}
 
+		@Override
+		public void eraChanged(StoreVersion before, StoreVersion after) {
+			if (before != null) {
+				this.events.add("era " + after.era());
+			}
+		}
+
 		@Override
 		public void storeAvailable(long outageMs) {
 			this.events.add("regained");
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -114,6 +114,8 @@
 				() -> (this.state.table() != null) ? this.state.table().version() : 0);
 		metrics.gauge("medlardrum_gateway_confirmation_age_ms", "Age of the last confirmation of the configuration",
 				this.state::confirmationAgeMs);
+		metrics.gauge("medlardrum_gateway_store_era", "Era of the platform's store, 0 before the first copy",
+				this.state::storeEra);
 		metrics.gauge("medlardrum_gateway_dropped_log_lines", "Log lines that found the ring full", log::dropped);
 		metrics.gauge("medlardrum_gateway_timer_late_ms", "Lateness of the last timer of a request",
 				lateness::latestMs);
@@ -185,6 +187,14 @@
 		this.state.recordConfirmation(monotonicMs, wallMs);
 	}
 
+	/**
+	 * Records the era of the store from which configuration and servers are read.
+	 * @param era number of the store's history
+	 */
+	public void recordStoreEra(long era) {
+		this.state.recordStoreEra(era);
+	}
+
 	/**
 	 * Replaces the set of other entry hosts.
 	 * @param hosts the hosts without this one
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -45,6 +45,8 @@
 	private volatile Runnable suspicionListener = () -> {
 	};
 
+	private volatile long storeEra;
+
 	private volatile RoutingTable table;
 
 	private volatile FleetView fleet = new FleetView(List.of(), null);
@@ -123,6 +125,22 @@
 		this.fleet = after;
 	}
 
+	/**
+	 * Records the era of the store from which configuration and servers are read.
+	 * @param era number of the store's history
+	 */
+	public void recordStoreEra(long era) {
+		this.storeEra = era;
+	}
+
+	/**
+	 * Returns the era of the store.
+	 * @return number of the store's history, 0 before the first copy
+	 */
+	public long storeEra() {
+		return this.storeEra;
+	}
+
 	/**
 	 * Records that the configuration and the servers were up to date.
 	 * @param monotonicMs time of the confirmation on the monotonic clock
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/PlatformStandIn.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/PlatformStandIn.java
@@ -138,6 +138,16 @@
 		this.store.expireLease(id);
 	}
 
+	/**
+	 * Returns the store to an older copy and begins a new era. All that was written since
+	 * is lost, leases too.
+	 * @param ageMs least age of the copy, in milliseconds
+	 */
+	public void restoreCopy(long ageMs) {
+		this.store.restore(ageMs);
+		this.counters.add("restores", 1);
+	}
+
 	/**
 	 * Returns the counts of calls by type and outcome.
 	 * @return values by name
@@ -220,7 +230,7 @@
 		this.counters.add("waitingWatches", 1);
 		try {
 			sendWatchResult(exchange, this.store.watch(key, exchange.queryLong("after", 0),
-					exchange.queryLong("waitMs", 0), this.faults::outage));
+					exchange.queryLong("era", 0), exchange.queryLong("waitMs", 0), this.faults::outage));
 		}
 		finally {
 			this.counters.add("waitingWatches", -1);
@@ -269,7 +279,8 @@
 			exchange.sendJson(413, Map.of("error", "value exceeds " + MAX_VALUE_BYTES + " bytes"));
 		}
 		else {
-			switch (this.store.compareAndSet(key, expectedRevision, exchange.body(), exchange.query("lease", null))) {
+			switch (this.store.compareAndSet(key, expectedRevision, exchange.queryLong("era", this.store.era()),
+					exchange.body(), exchange.query("lease", null))) {
 				case CasResult.Written written -> sendWriteResult(exchange, 200, written.entry());
 				case CasResult.Conflict conflict -> {
 					this.counters.add("conflicts", 1);
@@ -326,6 +337,7 @@
 				case "staleByMs" -> setReadStaleness(json.get(name).getAsLong());
 				case "loseWriteResponses" -> loseWriteResponses(json.get(name).getAsInt());
 				case "expireLease" -> expireLease(json.get(name).getAsString());
+				case "restoreCopyAgeMs" -> restoreCopy(json.get(name).getAsLong());
 				case "hostsLagMs" -> setHostsLagMs(json.get(name).getAsLong());
 				default -> throw new IllegalArgumentException("Unknown fault \"" + name + "\"");
 			}
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/KvEntry.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/KvEntry.java
@@ -5,7 +5,9 @@
  *
  * @param key the key
  * @param value the value
- * @param revision revision of the last write; revisions are unique across all keys
+ * @param revision revision of the last write; revisions are unique across all keys of an
+ * era
+ * @param era era of the store
  */
-public record KvEntry(String key, String value, long revision) {
+public record KvEntry(String key, String value, long revision, long era) {
 }
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/KvStore.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/KvStore.java
@@ -17,7 +17,9 @@
 /**
  * Key-value store with conditional writes, leases and blocking watches. All keys share
  * one revision counter, so the revision of a key also increases when the key is removed
- * and created again. Thread-safe.
+ * and created again. A restore from an older copy begins a new era, in which the
+ * revisions and lease identifiers of the lost part of the history are assigned again.
+ * Thread-safe.
  */
 public final class KvStore {
 
@@ -30,6 +32,11 @@
 	 */
 	private static final long WATCH_POLL_INTERVAL_MS = 100;
 
+	/** Shortest time between two copies for restores. */
+	private static final long COPY_INTERVAL_MS = 1_000;
+
+	private static final int MAX_COPIES = 60;
+
 	private final InstantSource clock;
 
 	private final ReentrantLock lock = new ReentrantLock();
@@ -42,6 +49,10 @@
 
 	private final Map<String, Long> leaseExpiresAtMs = new HashMap<>();
 
+	private final Deque<KvCopy> copies = new ArrayDeque<>();
+
+	private long era = 1;
+
 	private long lastRevision;
 
 	private long lastLeaseNumber;
@@ -54,6 +65,74 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Returns to an older copy, as after the loss of the store, and begins a new era.
+	 * Leases of the copy get their whole time to live again.
+	 * @param ageMs least age of the copy, in milliseconds; the store is empty if it has
+	 * no such copy
+	 * @return the new era
+	 */
+	public long restore(long ageMs) {
+		this.lock.lock();
+		try {
+			long nowMs = this.clock.millis();
+			KvCopy copy = new KvCopy(nowMs, Map.of(), Map.of(), 0, 0);
+			for (KvCopy candidate : this.copies) {
+				copy = (nowMs - candidate.takenAtMs() >= ageMs) ? candidate : copy;
+			}
+			this.copies.clear();
+			this.era++;
+			this.versionsByKey.clear();
+			copy.versions().forEach((key, version) -> appendVersion(key, inEra(version)));
+			this.leases.clear();
+			this.leases.putAll(copy.leases());
+			this.leaseExpiresAtMs.clear();
+			copy.leases().forEach((id, lease) -> this.leaseExpiresAtMs.put(id, nowMs + lease.ttlMs()));
+			this.lastRevision = copy.lastRevision();
+			this.lastLeaseNumber = copy.lastLeaseNumber();
+			this.watchConditions.values().forEach(Condition::signalAll);
+			this.watchConditions.clear();
+			return this.era;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private KvVersion inEra(KvVersion version) {
+		KvEntry entry = version.entry();
+		return (entry != null) ? new KvVersion(new KvEntry(entry.key(), entry.value(), entry.revision(), this.era),
+				version.leaseId(), version.writtenAtMs()) : version;
+	}
+
+	private void takeCopyIfDue() {
+		long nowMs = this.clock.millis();
+		if (!this.copies.isEmpty() && nowMs - this.copies.getLast().takenAtMs() < COPY_INTERVAL_MS) {
+			return;
+		}
+		Map<String, KvVersion> versions = new HashMap<>();
+		this.versionsByKey.forEach((key, all) -> versions.put(key, all.getLast()));
+		this.copies
+			.addLast(new KvCopy(nowMs, versions, Map.copyOf(this.leases), this.lastRevision, this.lastLeaseNumber));
+		if (this.copies.size() > MAX_COPIES) {
+			this.copies.removeFirst();
+		}
+	}
+
+	/**
+	 * Returns the era.
+	 * @return number of the store's history, from 1
+	 */
+	public long era() {
+		this.lock.lock();
+		try {
+			return this.era;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Reads a key.
 	 * @param key the key
@@ -102,22 +181,25 @@
 	 * Writes a key if it has the expected revision.
 	 * @param key the key
 	 * @param expectedRevision expected revision, 0 if the key must not exist
+	 * @param expectedEra era of the expected revision, ignored if the key must not exist
 	 * @param value the value
 	 * @param leaseId lease whose expiry removes the key, {@code null} for none
 	 * @return the result
 	 */
-	public CasResult compareAndSet(String key, long expectedRevision, String value, String leaseId) {
+	public CasResult compareAndSet(String key, long expectedRevision, long expectedEra, String value, String leaseId) {
 		this.lock.lock();
 		try {
+			takeCopyIfDue();
 			expireLeases();
 			KvEntry current = entryAsOf(this.versionsByKey.get(key), 0);
-			if (((current != null) ? current.revision() : 0) != expectedRevision) {
+			boolean otherEra = expectedRevision != 0 && expectedEra != this.era;
+			if (otherEra || ((current != null) ? current.revision() : 0) != expectedRevision) {
 				return new CasResult.Conflict(current);
 			}
 			if (leaseId != null && !this.leases.containsKey(leaseId)) {
 				return new CasResult.LeaseNotFound();
 			}
-			KvEntry entry = new KvEntry(key, value, ++this.lastRevision);
+			KvEntry entry = new KvEntry(key, value, ++this.lastRevision, this.era);
 			appendVersion(key, new KvVersion(entry, leaseId, this.clock.millis()));
 			return new CasResult.Written(entry);
 		}
@@ -130,12 +212,13 @@
 	 * Blocks until a key has a revision above the given one.
 	 * @param key the key
 	 * @param knownRevision last revision that the reader has
+	 * @param knownEra era of that revision; an entry of another era is returned at once
 	 * @param waitMs timeout, in milliseconds
 	 * @param cancelled whether to stop waiting before the timeout
 	 * @return the entry, {@code null} if the key did not change in time
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	public KvEntry watch(String key, long knownRevision, long waitMs, BooleanSupplier cancelled)
+	public KvEntry watch(String key, long knownRevision, long knownEra, long waitMs, BooleanSupplier cancelled)
 			throws InterruptedException {
 		long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
 		this.lock.lock();
@@ -143,7 +226,8 @@
 			while (true) {
 				expireLeases();
 				KvEntry entry = entryAsOf(this.versionsByKey.get(key), 0);
-				if (entry != null && entry.revision() > knownRevision) {
+				if (entry != null
+						&& (entry.revision() > knownRevision || (knownRevision != 0 && knownEra != this.era))) {
 					return entry;
 				}
 				long remainingNs = deadlineNs - System.nanoTime();
@@ -170,7 +254,8 @@
 		}
 		this.lock.lock();
 		try {
-			Lease lease = new Lease("lease-" + (++this.lastLeaseNumber), ttlMs);
+			takeCopyIfDue();
+			Lease lease = new Lease("lease-" + (++this.lastLeaseNumber), ttlMs, this.era);
 			this.leases.put(lease.id(), lease);
 			this.leaseExpiresAtMs.put(lease.id(), this.clock.millis() + ttlMs);
 			return lease;
@@ -192,8 +277,9 @@
 			Lease lease = this.leases.get(id);
 			if (lease != null) {
 				this.leaseExpiresAtMs.put(id, this.clock.millis() + lease.ttlMs());
+				return new Lease(id, lease.ttlMs(), this.era);
 			}
-			return lease;
+			return null;
 		}
 		finally {
 			this.lock.unlock();
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/Lease.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/platform/Lease.java
@@ -5,6 +5,7 @@
  *
  * @param id identifier of the lease
  * @param ttlMs time to live from the grant or the last renewal, in milliseconds
+ * @param era era of the store
  */
-public record Lease(String id, long ttlMs) {
+public record Lease(String id, long ttlMs, long era) {
 }
--- a/medlardrum-standins/src/test/java/org/medlardrum/standins/PlatformStandInTests.java
+++ b/medlardrum-standins/src/test/java/org/medlardrum/standins/PlatformStandInTests.java
@@ -49,6 +49,26 @@
 		assertThat(this.http.body()).contains("\"value\":\"c\"");
 	}
 
+	@Test
+	void restoredStoreLosesWritesAndLeasesAndAssignsRevisionsAgain() throws Exception {
+		this.http.put("/v1/kv/a?expect=0", "old");
+		this.nowMs.addAndGet(5_000);
+		this.http.post("/v1/leases", "{\"ttlMs\":60000}");
+		String lostLease = this.http.json().get("id").getAsString();
+		this.http.put("/v1/kv/b?expect=0&lease=" + lostLease, "lost");
+		long lostRevision = this.http.json().get("revision").getAsLong();
+		this.http.post("/control/faults", "{\"restoreCopyAgeMs\":0}");
+		this.nowMs.addAndGet(1);
+		assertThat(this.http.get("/v1/kv/b")).isEqualTo(404);
+		assertThat(this.http.get("/v1/kv/a")).isEqualTo(200);
+		assertThat(this.http.json().get("era").getAsLong()).isEqualTo(2);
+		assertThat(this.http.post("/v1/leases/" + lostLease + "/renew", "")).isEqualTo(404);
+		assertThat(this.http.put("/v1/kv/c?expect=0", "new")).isEqualTo(200);
+		assertThat(this.http.json().get("revision").getAsLong()).isEqualTo(lostRevision);
+		assertThat(this.http.put("/v1/kv/c?era=1&expect=" + lostRevision, "other")).isEqualTo(409);
+		assertThat(this.http.put("/v1/kv/c?era=2&expect=" + lostRevision, "other")).isEqualTo(200);
+	}
+
 	@Test
 	void concurrentCreationsHaveOneWinner() throws Exception {
 		List<CompletableFuture<Integer>> calls = java.util.stream.IntStream.range(0, 16)
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
@@ -17,6 +17,7 @@
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreLease;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.transport.internal.Failures;
 import org.medlardrum.transport.internal.HttpClientPool;
@@ -86,16 +87,17 @@
 	}
 
 	@Override
-	public StoreResult<StoreEntry> compareAndSet(String key, long expectedRevision, String value, String leaseId) {
+	public StoreResult<StoreEntry> compareAndSet(String key, StoreVersion expected, String value, String leaseId) {
 		String lease = (leaseId != null) ? "&lease=" + urlEncode(leaseId) : "";
-		return call(true, "PUT", "/v1/kv/" + urlEncodePath(key) + "?expect=" + expectedRevision + lease, value, 0,
-				HttpPlatformStore::entry);
+		return call(true, "PUT",
+				"/v1/kv/" + urlEncodePath(key) + "?expect=" + expected.revision() + "&era=" + expected.era() + lease,
+				value, 0, HttpPlatformStore::entry);
 	}
 
 	@Override
-	public StoreResult<StoreEntry> watch(String key, long afterRevision, long waitMs) {
-		return call(false, "GET", "/v1/watch/" + urlEncodePath(key) + "?after=" + afterRevision + "&waitMs=" + waitMs,
-				"", waitMs, HttpPlatformStore::entry);
+	public StoreResult<StoreEntry> watch(String key, StoreVersion after, long waitMs) {
+		return call(false, "GET", "/v1/watch/" + urlEncodePath(key) + "?after=" + after.revision() + "&era="
+				+ after.era() + "&waitMs=" + waitMs, "", waitMs, HttpPlatformStore::entry);
 	}
 
 	@Override
@@ -168,11 +170,13 @@
 	}
 
 	private static StoreEntry entry(JsonElement json) {
-		StoreEntry entry = GSON.fromJson(json, StoreEntry.class);
-		if (entry == null || entry.key() == null || entry.value() == null || entry.revision() <= 0) {
+		JsonObject object = (json.isJsonObject()) ? json.getAsJsonObject() : new JsonObject();
+		if (!object.has("key") || !object.has("value") || !object.has("revision")
+				|| object.get("revision").getAsLong() <= 0) {
 			throw new JsonParseException("Response of the store is not an entry");
 		}
-		return entry;
+		return new StoreEntry(object.get("key").getAsString(), object.get("value").getAsString(),
+				new StoreVersion(era(object), object.get("revision").getAsLong()));
 	}
 
 	// Accepts an array of entries, or an object that holds this array as "entries".
@@ -189,7 +193,12 @@
 		if (!object.has("id") || !object.has("ttlMs")) {
 			throw new JsonParseException("Response of the store is not a lease with id and ttlMs");
 		}
-		return GSON.fromJson(json, StoreLease.class);
+		return new StoreLease(object.get("id").getAsString(), object.get("ttlMs").getAsLong(), era(object));
+	}
+
+	// A service that numbers no eras has a single one.
+	private static long era(JsonObject object) {
+		return (object.has("era")) ? object.get("era").getAsLong() : 0;
 	}
 
 	private static String urlEncode(String value) {
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/HttpPlatformStoreTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/HttpPlatformStoreTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.medlardrum.coordination.StoreEntry;
 import org.medlardrum.coordination.StoreResult;
+import org.medlardrum.coordination.StoreVersion;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -25,7 +26,7 @@
 	void classifiesTheStatusOfAWrite(int status, String expected) throws IOException {
 		try (ScriptedServer server = new ScriptedServer((n) -> ScriptedServer.response(status, "", ENTRY));
 				HttpPlatformStore store = new HttpPlatformStore(server.address(), 5000)) {
-			StoreResult<StoreEntry> result = store.compareAndSet("a", 6, "v", null);
+			StoreResult<StoreEntry> result = store.compareAndSet("a", new StoreVersion(0, 6), "v", null);
 			assertThat(result.getClass().getSimpleName()).isEqualTo(expected);
 			assertThat(server.requests()).isEqualTo(1);
 		}
@@ -35,8 +36,8 @@
 	void conflictCarriesTheCurrentEntry() throws IOException {
 		try (ScriptedServer server = new ScriptedServer((n) -> ScriptedServer.response(409, "", ENTRY));
 				HttpPlatformStore store = new HttpPlatformStore(server.address(), 5000)) {
-			assertThat(store.compareAndSet("a", 6, "v", null))
-				.isEqualTo(new StoreResult.Conflict<>(new StoreEntry("a", "v", 7)));
+			assertThat(store.compareAndSet("a", new StoreVersion(0, 6), "v", null))
+				.isEqualTo(new StoreResult.Conflict<>(new StoreEntry("a", "v", new StoreVersion(0, 7))));
 		}
 	}
 
@@ -45,7 +46,8 @@
 	void brokenResponseLeavesOnlyAWriteUnknown(boolean write, String expected) throws IOException {
 		try (ScriptedServer server = new ScriptedServer((n) -> "");
 				HttpPlatformStore store = new HttpPlatformStore(server.address(), 5000)) {
-			StoreResult<StoreEntry> result = (write) ? store.compareAndSet("a", 0, "v", null) : store.get("a");
+			StoreResult<StoreEntry> result = (write) ? store.compareAndSet("a", StoreVersion.ABSENT, "v", null)
+					: store.get("a");
 			assertThat(result.getClass().getSimpleName()).isEqualTo(expected);
 			assertThat(server.requests()).isEqualTo(1);
 		}
@@ -55,7 +57,8 @@
 	void lateResponseLeavesAWriteUnknown() throws IOException {
 		try (ScriptedServer server = new ScriptedServer((n) -> "HTTP/1.1 200 X\r\nX-Hold: 1\r\n");
 				HttpPlatformStore store = new HttpPlatformStore(server.address(), 200)) {
-			assertThat(store.compareAndSet("a", 0, "v", null)).isInstanceOf(StoreResult.Unknown.class);
+			assertThat(store.compareAndSet("a", StoreVersion.ABSENT, "v", null))
+				.isInstanceOf(StoreResult.Unknown.class);
 		}
 	}
 
@@ -67,7 +70,8 @@
 		}
 		try (HttpPlatformStore store = new HttpPlatformStore("127.0.0.1:" + freePort, 5000)) {
 			for (int i = 0; i < 10; i++) {
-				assertThat(store.compareAndSet("a", 0, "v", null)).isInstanceOf(StoreResult.Unavailable.class);
+				assertThat(store.compareAndSet("a", StoreVersion.ABSENT, "v", null))
+					.isInstanceOf(StoreResult.Unavailable.class);
 			}
 		}
 	}
