--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -127,6 +127,52 @@
 		assertThat(this.recorder.values).isEmpty();
 	}
 
+	@Test
+	void lowerVersionOfALaterEraDoesNotConfirmTheCopy() {
+		follow(1, ok(50, put("a", "1")));
+		this.nowMs.set(12_000);
+		this.responses.add(new ScriptedResponse(1, restored(41, put("a", "0"), put("b", "1"))));
+		confirm(1, new StoreResult.Ok<>(new StoreVersion(2, 40)));
+		assertThat(this.calls).containsExactly("read", "read").inOrder();
+		assertThat(this.recorder.events).containsExactly("era 2");
+		assertThat(this.recorder.values).containsExactly("a", "0", "b", "1");
+	}
+
+	@Test
+	void changesOfALaterEraAreReadAsAWhole() {
+		follow(1, ok(50, put("a", "1")));
+		// The new history has passed revision 50 before the call for changes reached it.
+		follow(1, restored(61, new StoreChange("b", "1", new StoreVersion(2, 61))));
+		follow(1, restored(62, put("a", "2"), put("b", "1")));
+		assertThat(this.recorder.values).containsExactly("a", "2", "b", "1");
+		assertThat(this.calls).containsExactly("read", "changes after 50", "read").inOrder();
+	}
+
+	@Test
+	void lateAnswerOfAnEarlierEraChangesNothing() {
+		follow(1, restored(40, put("a", "2")));
+		follow(1, ok(70, new StoreChange("a", "1", version(70))));
+		assertThat(this.recorder.values).containsExactly("a", "2");
+		this.nowMs.set(20_000);
+		confirm(1, new StoreResult.Ok<>(version(70)));
+		assertThat(this.recorder.confirmedMs).isEqualTo(10_000);
+	}
+
+	@Test
+	void entryThatTheRestoredStoreLacksIsHeldBackUntilItsOwnerCanWriteItAgain() {
+		follow(1, ok(50, put("servers/a", "1"), put("servers/b", "1")));
+		follow(1, new StoreResult.NotFound<>());
+		follow(1, restored(40, put("servers/b", "1")));
+		assertThat(this.recorder.values.keySet()).containsExactly("servers/a", "servers/b");
+		this.nowMs.addAndGet(3_000);
+		confirm(1, new StoreResult.Ok<>(new StoreVersion(2, 40)));
+		assertThat(this.recorder.values.keySet()).containsExactly("servers/b");
+	}
+
+	private static StoreResult<StoreChanges> restored(long revision, StoreChange... changes) {
+		return new StoreResult.Ok<>(new StoreChanges(List.of(changes), new StoreVersion(2, revision)));
+	}
+
 	private record ScriptedResponse(long tookMs, StoreResult<StoreChanges> result) {
 	}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -50,6 +50,42 @@
 		this.sent.clear();
 	}
 
+	private static Digest digest(String host, long configVersion) {
+		Digest digest = new Digest();
+		digest.setHostId(host);
+		digest.setAvailabilityZone("b");
+		digest.setConfigVersion(configVersion);
+		return digest;
+	}
+
+	@Test
+	void configurationOlderThanThatOfAnotherHostIsNotFresh() {
+		this.state.recordConfirmation(this.nowMs.get(), this.nowMs.get());
+		assertThat(this.state.isFresh()).isTrue();
+		this.exchange.receive(digest("other", 7));
+		assertThat(this.state.isFresh()).isFalse();
+	}
+
+	@Test
+	void firstConfirmationCountsOnceTheOtherHostsHaveToldTheirVersions() {
+		this.state.recordStoreEra(2);
+		this.state.recordConfirmation(this.nowMs.get(), this.nowMs.get());
+		assertThat(this.state.isFresh()).isFalse();
+		this.exchange.receive(digest("other", 0));
+		assertThat(this.state.isFresh()).isTrue();
+	}
+
+	@Test
+	void drainingServerDoesNotBecomeReadyAgain() {
+		this.state.updateInstances(List.of(instance(true)));
+		this.state.updateInstances(List.of(instance(false)));
+		assertThat(this.state.fleet().instance("e1").orElseThrow().draining()).isTrue();
+	}
+
+	private static ServiceInstance instance(boolean draining) {
+		return new ServiceInstance("e1", "pool", "127.0.0.1:9", "b", 8, draining, 1, "fast", Optional.empty());
+	}
+
 	private static ServiceInstance engine(String id) {
 		return new ServiceInstance(id, "pool", "127.0.0.1:9", "b", 8, false, 1, "fast", Optional.empty());
 	}
