Compare versions of the store by era and revision

Callers could be served by an older configuration that the host called confirmed: after a restore the store's revision is lower than that of the copy, and StoreFollower took each lower revision for a confirmation. Changes of the new history were added to a copy of the old one, a late answer of the old one to a copy of the new one, and a conditional write on a revision that was assigned again succeeded. One class: a revision of one history compared with one of another.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -22,8 +22,14 @@
  * may be unresponsive or the store may have dropped its history.
  *
  * <p>
- * Entries whose leases expired while the store was unavailable are written again when
- * their owners reach the store; their removals are held back for that time.
+ * A store that is restored from an older copy begins a new era. The copy is then read
+ * again as a whole; versions of different eras neither confirm nor extend it, and an
+ * answer of an earlier era changes nothing.
+ *
+ * <p>
+ * Entries whose leases expired while the store was unavailable, or that a restored store
+ * has lost, are written again when their owners reach the store; their removals are held
+ * back for that time.
  */
 public final class StoreFollower implements AutoCloseable {
 
@@ -31,6 +37,8 @@
 
 	private static final long MAX_RETRY_MS = 400;
 
+	private static final String EARLIER_ERA = "an answer of an earlier era";
+
 	private final ChangeFeed feed;
 
 	private final StoreListener listener;
@@ -148,6 +156,9 @@
 	}
 
 	private long confirm(StoreVersion newest, long sentMs, long sentWallMs) {
+		if (isEarlierEra(newest)) {
+			return recordFailure(EARLIER_ERA);
+		}
 		recordResponse();
 		applyHeldBackRemovals();
 		if (isMissingChanges(newest)) {
@@ -165,7 +176,11 @@
 
 	private boolean isMissingChanges(StoreVersion newest) {
 		StoreVersion current = version();
-		return current == null || newest.revision() > current.revision();
+		return current == null || newest.isAfter(current);
+	}
+
+	private synchronized boolean isEarlierEra(StoreVersion other) {
+		return this.version != null && other.era() < this.version.era();
 	}
 
 	private void sleep(long ms) {
@@ -182,7 +197,10 @@
 		long sentWallMs = this.wallMs.getAsLong();
 		StoreResult<StoreChanges> result = this.feed.read("");
 		if (result instanceof StoreResult.Ok<StoreChanges> ok) {
-			replaceCopy(ok.value());
+			if (!replaceCopy(ok.value())) {
+				recordFailure(EARLIER_ERA);
+				return false;
+			}
 			this.listener.confirmed(sentMs, sentWallMs);
 			return true;
 		}
@@ -206,8 +224,18 @@
 		this.historyLost = true;
 	}
 
-	private synchronized void replaceCopy(StoreChanges all) {
+	// Returns false, and changes nothing, if the keys belong to an earlier era.
+	private synchronized boolean replaceCopy(StoreChanges all) {
+		if (isEarlierEra(all.version())) {
+			return false;
+		}
 		recordResponse();
+		if (this.version == null || !this.version.isSameEra(all.version())) {
+			if (this.version != null) {
+				this.holdRemovalsUntilMs = this.monotonicMs.getAsLong() + this.options.holdRemovalsMs();
+			}
+			this.listener.eraChanged(this.version, all.version());
+		}
 		Set<String> present = new HashSet<>();
 		all.changes().forEach((change) -> present.add(change.key()));
 		Set<String> missing = new HashSet<>(this.values.keySet());
@@ -215,19 +243,25 @@
 		missing.forEach(this::remove);
 		all.changes().forEach(this::put);
 		this.historyLost = false;
-		if (this.version == null || !this.version.isSameEra(all.version())) {
-			this.listener.eraChanged(this.version, all.version());
-		}
 		this.fullReadVersion = all.version();
 		this.version = all.version();
 		this.listener.changed(Map.copyOf(this.values));
+		return true;
 	}
 
 	private synchronized long applyChanges(StoreChanges changes) {
+		if (isEarlierEra(changes.version())) {
+			return recordFailure(EARLIER_ERA);
+		}
 		recordResponse();
+		if (!changes.version().isSameEra(this.version)) {
+			// Changes between the restored copy and the requested revision are missing.
+			markHistoryLost();
+			return 0;
+		}
 		boolean changed = false;
 		for (StoreChange change : changes.changes()) {
-			if (change.version().revision() > this.fullReadVersion.revision()) {
+			if (change.version().isAfter(this.fullReadVersion)) {
 				changed = true;
 				if (change.value() != null) {
 					put(change);
@@ -237,7 +271,7 @@
 				}
 			}
 		}
-		this.version = (changes.version().revision() > this.version.revision()) ? changes.version() : this.version;
+		this.version = (changes.version().isAfter(this.version)) ? changes.version() : this.version;
 		if (changed) {
 			this.listener.changed(Map.copyOf(this.values));
 		}
