Abandon a lease of orders that belongs to an earlier era

Two hosts could issue orders after a restore of the store: the identifier of the lost lease was assigned again, so the former holder renewed the lease of the next one and stayed in office, with a higher fencing token than its successor.

Now a renewal or acquisition answered in another era ends the lease, and the token is made from era and revision. A successor still waits a time to live before its first order, which covers a holder that has not noticed yet.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/OrderLease.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/OrderLease.java
@@ -11,10 +11,11 @@
 
 /**
  * Lease of the host that issues orders, as {@link OrderIssuer} or
- * {@link PlacementIssuer}. The revision of its key is the fencing token: the store's
- * revisions increase with every write, also when a key is removed and created again. The
- * validity starts at the time before each call to the store, so the lease expires here no
- * later than in the store.
+ * {@link PlacementIssuer}. The fencing token is made from the version of its key, which
+ * increases with every write, also when a key is removed and created again, and across
+ * restores of the store. The validity starts at the time before each call to the store,
+ * so the lease expires here no later than in the store. A lease of an earlier era is
+ * lost: the store may have assigned its identifier again.
  */
 final class OrderLease {
 
@@ -30,6 +31,8 @@
 
 	private String leaseId;
 
+	private long era;
+
 	private long token;
 
 	private long validUntilMs;
@@ -86,7 +89,14 @@
 			return;
 		}
 		switch (this.store.renewLease(this.leaseId)) {
-			case StoreResult.Ok<StoreLease> ok -> extendValidity(startMs, ok.value().ttlMs());
+			case StoreResult.Ok<StoreLease> ok -> {
+				if (ok.value().era() == this.era) {
+					extendValidity(startMs, ok.value().ttlMs());
+				}
+				else {
+					abandon("the store was restored, its era is " + ok.value().era() + " after " + this.era);
+				}
+			}
 			case StoreResult.NotFound<StoreLease> none -> abandon("the store has no such lease");
 			case StoreResult.Conflict<StoreLease> conflict -> abandon("the store reported an unexpected conflict");
 			// The lease stays valid until it expires; renewal is retried.
@@ -131,11 +141,13 @@
 			// effect.
 			result = this.store.get(KEY);
 		}
-		if (!(result instanceof StoreResult.Ok<StoreEntry> ok) || !ok.value().value().equals(holder)) {
+		if (!(result instanceof StoreResult.Ok<StoreEntry> ok) || !ok.value().value().equals(holder)
+				|| ok.value().version().era() != lease.value().era()) {
 			return false;
 		}
 		this.leaseId = lease.value().id();
-		this.token = ok.value().version().revision();
+		this.era = lease.value().era();
+		this.token = ok.value().version().fencingToken();
 		this.acquiredAtMs = this.clock.millis();
 		extendValidity(startMs, lease.value().ttlMs());
 		Logger.info("orders: lease acquired with token {}", this.token);
