Do not believe reports of servers that are older than known ones

A server that was draining, or whose entry was removed, could receive requests again after a restore of the store: the older copy shows it ready, and the gateway took each entry for the newest one. Class: an accepted state reverts because the latest answer is taken for the latest state. The configuration has a version of its own and was not affected.

Now draining ends with the start of the server only, and for 4 s after a restore a report is ordered by start time and report number, which the servers write themselves.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.medlardrum.decisions.routing.ConfigFreshness;
+import org.medlardrum.decisions.routing.InstanceReports;
 import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
@@ -32,6 +33,12 @@
 
 	private final ConfigFreshness freshness;
 
+	private final InstanceReports reports = new InstanceReports();
+
+	private Collection<ServiceInstance> registered = List.of();
+
+	private boolean restoring;
+
 	private final ServerSuspicions ownSuspicions = new ServerSuspicions();
 
 	private final ServerSuspicions peerSuspicions = new ServerSuspicions();
@@ -90,9 +97,11 @@
 	 * @param instances the servers
 	 */
 	public synchronized void updateInstances(Collection<ServiceInstance> instances) {
-		FleetView before = this.fleet;
-		FleetView after = new FleetView(instances, this.table);
 		long nowMs = this.clock.monotonicMs();
+		this.registered = instances;
+		this.restoring = this.reports.isRestoring(nowMs);
+		FleetView before = this.fleet;
+		FleetView after = new FleetView(this.reports.update(instances, nowMs), this.table);
 		Map<String, Long> leaving = new HashMap<>();
 		for (ServiceInstance old : before.all()) {
 			Optional<ServiceInstance> now = after.instance(old.id());
@@ -129,7 +138,10 @@
 	 * Records the era of the store from which configuration and servers are read.
 	 * @param era number of the store's history
 	 */
-	public void recordStoreEra(long era) {
+	public synchronized void recordStoreEra(long era) {
+		if (this.storeEra != 0) {
+			this.reports.recordRestore(this.clock.monotonicMs());
+		}
 		this.storeEra = era;
 	}
 
@@ -148,6 +160,13 @@
 	 */
 	public void recordConfirmation(long monotonicMs, long wallMs) {
 		this.freshness.recordConfirmation(monotonicMs, wallMs);
+		believeRegistryAgain();
+	}
+
+	private synchronized void believeRegistryAgain() {
+		if (this.restoring && !this.reports.isRestoring(this.clock.monotonicMs())) {
+			updateInstances(this.registered);
+		}
 	}
 
 	/**
