Ask the other hosts before confirming a new history of the store

A host that starts, or has missed changes, while a restored store holds an older configuration confirmed that one with the store: it said that it was ready, and accepted a revoked key until the operator wrote again.

Evidence: two tests of LoadExchangeTests and one of PlatformHostTests (real store client, two hosts) failed before. Now digests carry the version of the configuration in force; a host that knows a lower one is not fresh. After the first copy of a history a host asks the others, and confirmations count once all have replied or after 400 ms. Hosts with a confirmation of the history before keep it meanwhile, so they go on.

Result: the tests above, PeerConfigVersionsTests and AdmissionTests green. LoadExchangeTests got a constructor argument; a log line and a metric tell a host that is behind.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -101,7 +101,7 @@
 		RequestQuarantine quarantine = new RequestQuarantine(clock, log, settings.hostId());
 		ServerLimits limits = new ServerLimits(clock, log, settings.hostId());
 		this.exchange = new LoadExchange(this.state, loads, quarantine, limits, this.network::send, settings.hostId(),
-				settings.availabilityZone());
+				settings.availabilityZone(), settings.peerAddress());
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()), new DigestReceiver(this.exchange),
 				peerOptions);
 		GatewayMetrics metrics = new GatewayMetrics();
@@ -111,7 +111,9 @@
 				this.clients, dialect, log, metrics, quarantine, limits, lateness, RandomGenerator.getDefault()));
 		metrics.gauge("medlardrum_gateway_in_progress", "Requests in progress", this.handler::inProgress);
 		metrics.gauge("medlardrum_gateway_config_version", "Version of the configuration in force, 0 for none",
-				() -> (this.state.table() != null) ? this.state.table().version() : 0);
+				this.state::version);
+		metrics.gauge("medlardrum_gateway_peer_config_version",
+				"Highest version of the configuration that another host has told", this.state::highestPeerVersion);
 		metrics.gauge("medlardrum_gateway_confirmation_age_ms", "Age of the last confirmation of the configuration",
 				this.state::confirmationAgeMs);
 		metrics.gauge("medlardrum_gateway_store_era", "Era of the platform's store, 0 before the first copy",
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -134,7 +134,8 @@
 
 	private boolean waitsForConfiguration(long arrivedAtMs) {
 		GatewayState state = this.dependencies.state();
-		boolean configured = state.table() != null && state.confirmationAgeMs() != Long.MAX_VALUE;
+		boolean configured = state.table() != null && state.confirmationAgeMs() != Long.MAX_VALUE
+				&& !state.isAwaitingPeers();
 		long nowMs = this.dependencies.nowMs();
 		return !configured && !state.isDraining() && StartupWait.waits(nowMs - this.startedAtMs, nowMs - arrivedAtMs);
 	}
@@ -208,7 +209,9 @@
 	private Admission refuseStale(CallerResponse response, CallerAttributes attributes) {
 		this.dependencies.log()
 			.event(PART, "refuse", "id", attributes.requestId(), "reason", "configuration-not-confirmed",
-					"confirmedMsAgo", this.dependencies.state().confirmationAgeMs());
+					"confirmedMsAgo", this.dependencies.state().confirmationAgeMs(), "version",
+					this.dependencies.state().version(), "peerVersion", this.dependencies.state().highestPeerVersion(),
+					"era", this.dependencies.state().storeEra());
 		response.refuse(ProblemType.NOT_READY, "The configuration could not be confirmed in time", UNKNOWN_RANK,
 				otherHostRetryAfterMs());
 		return Admission.refused("configuration-not-confirmed");
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -21,6 +21,7 @@
 import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.peer.gen.SilentServer;
 import org.medlardrum.state.Host;
+import org.medlardrum.state.HostState;
 
 /**
  * Sends the other entry hosts this host's outstanding load at the backend servers and its
@@ -81,12 +82,17 @@
 
 	private final String availabilityZone;
 
+	private final String peerAddress;
+
 	private final BackgroundThread thread = new BackgroundThread("load-exchange", this::step);
 
 	private volatile List<Host> peers = List.of();
 
 	private volatile boolean urgent;
 
+	/** Whether the other hosts are asked to reply with their configuration versions. */
+	private volatile boolean asksPeers;
+
 	private boolean wasIdle;
 
 	private long sentAtMs = Long.MIN_VALUE / 2;
@@ -100,9 +106,10 @@
 	 * @param sender sends a digest to another host without reporting its loss
 	 * @param hostId identifier of the host
 	 * @param availabilityZone availability zone of the host
+	 * @param peerAddress {@code ip:port} at which the host receives digests
 	 */
 	public LoadExchange(GatewayState state, LoadTable loads, RequestQuarantine quarantine, ServerLimits limits,
-			BiConsumer<Host, Digest> sender, String hostId, String availabilityZone) {
+			BiConsumer<Host, Digest> sender, String hostId, String availabilityZone, String peerAddress) {
 		this.state = state;
 		this.loads = loads;
 		this.quarantine = quarantine;
@@ -110,11 +117,18 @@
 		this.sender = sender;
 		this.hostId = hostId;
 		this.availabilityZone = availabilityZone;
+		this.peerAddress = peerAddress;
+		state.onPeerQuery(this::askPeers);
 		state.onSuspicion(this::requestUrgentDigest);
 		quarantine.onChange(this::requestUrgentDigest);
 		limits.onChange(this::requestUrgentDigest);
 	}
 
+	private void askPeers() {
+		this.asksPeers = true;
+		requestUrgentDigest();
+	}
+
 	private void requestUrgentDigest() {
 		this.urgent = true;
 		this.thread.wake();
@@ -138,6 +152,7 @@
 	 */
 	public void updatePeers(Collection<Host> hosts) {
 		this.peers = List.copyOf(hosts);
+		this.state.updatePeers(hosts.stream().map(Host::id).toList());
 		this.limits.updateHosts(hosts.stream().map(Host::id).toList());
 	}
 
@@ -157,6 +172,11 @@
 		if (digest.getHostId().equals(this.hostId)) {
 			return;
 		}
+		this.state.recordPeerVersion(digest.getHostId(), digest.getConfigVersion());
+		if (digest.isReply() && digest.isSetReplyAddress()) {
+			this.sender.accept(new Host(digest.getHostId(), digest.getAvailabilityZone(), "", digest.getReplyAddress(),
+					"", HostState.LIVE), emptyDigest());
+		}
 		if (digest.isSetServerShares()) {
 			Map<String, ServerLoad> loadByServer = new HashMap<>();
 			for (ServerShare share : digest.getServerShares()) {
@@ -198,13 +218,14 @@
 		if (dueInMs > 0) {
 			return dueInMs;
 		}
-		this.urgent = false;
+		this.asksPeers = this.asksPeers && this.state.isAwaitingPeers();
+		this.urgent = this.asksPeers;
 		Map<String, ServerLoad> own = this.loads.own();
 		List<Suspicion> suspicions = this.state.ownSuspicions();
 		List<Evidence> evidence = this.quarantine.evidenceToTell();
 		List<LimitReport> reports = this.limits.takeReports();
 		boolean idle = own.isEmpty() && suspicions.isEmpty() && evidence.isEmpty() && reports.isEmpty();
-		if (idle && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
+		if (idle && !this.asksPeers && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
 			return busyIntervalMs;
 		}
 		this.wasIdle = idle;
@@ -222,7 +243,7 @@
 			limitDigest.setServerLimits(reports.stream().limit(MAX_LIMIT_REPORTS).map(LoadExchange::encode).toList());
 			receivers.forEach((peer) -> this.sender.accept(peer, limitDigest));
 		}
-		return busyIntervalMs;
+		return (this.urgent) ? URGENT_INTERVAL_MS : busyIntervalMs;
 	}
 
 	private static ServerLimit encode(LimitReport report) {
@@ -234,6 +255,7 @@
 		digest.setHostId(this.hostId);
 		digest.setAvailabilityZone(this.availabilityZone);
 		digest.setDraining(this.state.isDraining());
+		digest.setConfigVersion(this.state.version());
 		return digest;
 	}
 
@@ -253,6 +275,10 @@
 			.forEach((suspicion) -> silentServers.add(new SilentServer(suspicion.fromZone(), suspicion.server(),
 					suspicion.serverZone(), (int) suspicion.remainingMs())));
 		digest.setSilentServers(silentServers);
+		if (this.asksPeers) {
+			digest.setReply(true);
+			digest.setReplyAddress(this.peerAddress);
+		}
 		return digest;
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -8,6 +8,7 @@
 
 import org.medlardrum.decisions.routing.ConfigFreshness;
 import org.medlardrum.decisions.routing.InstanceReports;
+import org.medlardrum.decisions.routing.PeerConfigVersions;
 import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
@@ -33,6 +34,11 @@
 
 	private final ConfigFreshness freshness;
 
+	private final PeerConfigVersions peerVersions = new PeerConfigVersions();
+
+	/** Confirmation that counts once the other hosts have answered. */
+	private Confirmation pendingConfirmation;
+
 	private final InstanceReports reports = new InstanceReports();
 
 	private Collection<ServiceInstance> registered = List.of();
@@ -48,6 +54,10 @@
 	 */
 	private volatile long drainingSinceMs = Long.MAX_VALUE;
 
+	/** Runs when the other hosts are to be asked for their configuration versions. */
+	private volatile Runnable peerQuery = () -> {
+	};
+
 	/** Runs when this host suspects a server that no host suspected before. */
 	private volatile Runnable suspicionListener = () -> {
 	};
@@ -143,6 +153,8 @@
 			this.reports.recordRestore(this.clock.monotonicMs());
 		}
 		this.storeEra = era;
+		this.peerVersions.beginHistory(this.clock.monotonicMs());
+		this.peerQuery.run();
 	}
 
 	/**
@@ -159,10 +171,74 @@
 	 * @param wallMs time of the confirmation in Unix milliseconds
 	 */
 	public void recordConfirmation(long monotonicMs, long wallMs) {
-		this.freshness.recordConfirmation(monotonicMs, wallMs);
+		synchronized (this) {
+			this.pendingConfirmation = new Confirmation(monotonicMs, wallMs);
+		}
+		countPendingConfirmation();
 		believeRegistryAgain();
 	}
 
+	private synchronized void countPendingConfirmation() {
+		if (this.pendingConfirmation != null && !isAwaitingPeers()) {
+			this.freshness.recordConfirmation(this.pendingConfirmation.monotonicMs, this.pendingConfirmation.wallMs);
+			this.pendingConfirmation = null;
+		}
+	}
+
+	/**
+	 * Sets the action that asks the other hosts for their configuration versions.
+	 * @param action must not block
+	 */
+	public void onPeerQuery(Runnable action) {
+		this.peerQuery = action;
+	}
+
+	/**
+	 * Replaces the other hosts whose configuration versions count.
+	 * @param hostIds their identifiers
+	 */
+	public void updatePeers(Collection<String> hostIds) {
+		this.peerVersions.updatePeers(hostIds);
+	}
+
+	/**
+	 * Records the version of the configuration that another host has in force.
+	 * @param hostId identifier of the host
+	 * @param version the version, 0 for none
+	 */
+	public void recordPeerVersion(String hostId, long version) {
+		if (this.peerVersions.record(hostId, version) && version > version()) {
+			this.log.event("config", "behind", "host", hostId, "version", version, "inForce", version(), "era",
+					this.storeEra);
+		}
+	}
+
+	/**
+	 * Returns whether confirmations do not count yet, since other hosts may know a newer
+	 * configuration.
+	 * @return {@code true} while their answers are awaited
+	 */
+	public boolean isAwaitingPeers() {
+		return this.peerVersions.isAwaiting(this.clock.monotonicMs());
+	}
+
+	/**
+	 * Returns the highest version of the configuration that another host has in force.
+	 * @return the version, 0 for none
+	 */
+	public long highestPeerVersion() {
+		return this.peerVersions.highestVersion();
+	}
+
+	/**
+	 * Returns the version of the active configuration.
+	 * @return the version, 0 before the first one
+	 */
+	public long version() {
+		RoutingTable active = this.table;
+		return (active != null) ? active.version() : 0;
+	}
+
 	private synchronized void believeRegistryAgain() {
 		if (this.restoring && !this.reports.isRestoring(this.clock.monotonicMs())) {
 			updateInstances(this.registered);
@@ -174,15 +250,19 @@
 	 * @return the age in milliseconds
 	 */
 	public long confirmationAgeMs() {
+		countPendingConfirmation();
 		return this.freshness.ageMs(this.clock.monotonicMs(), this.clock.wallMs());
 	}
 
 	/**
 	 * Returns whether requests with an API key may be served.
-	 * @return {@code true} if the configuration was confirmed recently enough
+	 * @return {@code true} if the configuration was confirmed recently enough and no
+	 * other host has a newer one
 	 */
 	public boolean isFresh() {
-		return this.freshness.isFresh(this.clock.monotonicMs(), this.clock.wallMs());
+		countPendingConfirmation();
+		return version() >= this.peerVersions.highestVersion()
+				&& this.freshness.isFresh(this.clock.monotonicMs(), this.clock.wallMs());
 	}
 
 	/**
@@ -326,4 +406,7 @@
 		return this.clock;
 	}
 
+	private record Confirmation(long monotonicMs, long wallMs) {
+	}
+
 }
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -40,7 +40,7 @@
 
 	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(),
 			new RequestQuarantine(this.clock, this.log, "host"), new ServerLimits(this.clock, this.log, "host"),
-			(peer, digest) -> this.sent.add(digest), "host", "a");
+			(peer, digest) -> this.sent.add(digest), "host", "a", "127.0.0.1:4");
 
 	@BeforeEach
 	void addPeerAndSendOnce() {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -26,6 +26,7 @@
   private static final org.apache.thrift.protocol.TField SILENT_SERVERS_FIELD_DESC = new org.apache.thrift.protocol.TField("silentServers", org.apache.thrift.protocol.TType.LIST, (short)11);
   private static final org.apache.thrift.protocol.TField CRASH_EVIDENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("crashEvidence", org.apache.thrift.protocol.TType.LIST, (short)12);
   private static final org.apache.thrift.protocol.TField SERVER_LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("serverLimits", org.apache.thrift.protocol.TType.LIST, (short)13);
+  private static final org.apache.thrift.protocol.TField REPLY_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("replyAddress", org.apache.thrift.protocol.TType.STRING, (short)14);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -43,6 +44,10 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<SilentServer> silentServers; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<CrashEvidence> crashEvidence; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<ServerLimit> serverLimits; // optional
+  /**
+   * Address for the reply, which the receiver may not know yet.
+   */
+  public @org.apache.thrift.annotation.Nullable java.lang.String replyAddress; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -58,7 +63,11 @@
     SERVER_SHARES((short)10, "serverShares"),
     SILENT_SERVERS((short)11, "silentServers"),
     CRASH_EVIDENCE((short)12, "crashEvidence"),
-    SERVER_LIMITS((short)13, "serverLimits");
+    SERVER_LIMITS((short)13, "serverLimits"),
+    /**
+     * Address for the reply, which the receiver may not know yet.
+     */
+    REPLY_ADDRESS((short)14, "replyAddress");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -100,6 +109,8 @@
           return CRASH_EVIDENCE;
         case 13: // SERVER_LIMITS
           return SERVER_LIMITS;
+        case 14: // REPLY_ADDRESS
+          return REPLY_ADDRESS;
         default:
           return null;
       }
@@ -148,7 +159,7 @@
   private static final int __SENTATMS_ISSET_ID = 2;
   private static final int __REPLY_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS};
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -185,6 +196,8 @@
     tmpMap.put(_Fields.SERVER_LIMITS, new org.apache.thrift.meta_data.FieldMetaData("serverLimits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ServerLimit.class))));
+    tmpMap.put(_Fields.REPLY_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("replyAddress", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -283,6 +296,9 @@
       }
       this.serverLimits = __this__serverLimits;
     }
+    if (other.isSetReplyAddress()) {
+      this.replyAddress = other.replyAddress;
+    }
   }
 
   @Override
@@ -309,6 +325,7 @@
     this.silentServers = null;
     this.crashEvidence = null;
     this.serverLimits = null;
+    this.replyAddress = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -740,6 +757,37 @@
     }
   }
 
+  /**
+   * Address for the reply, which the receiver may not know yet.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getReplyAddress() {
+    return this.replyAddress;
+  }
+
+  /**
+   * Address for the reply, which the receiver may not know yet.
+   */
+  public Digest setReplyAddress(@org.apache.thrift.annotation.Nullable java.lang.String replyAddress) {
+    this.replyAddress = replyAddress;
+    return this;
+  }
+
+  public void unsetReplyAddress() {
+    this.replyAddress = null;
+  }
+
+  /** Returns true if field replyAddress is set (has been assigned a value) and false otherwise */
+  public boolean isSetReplyAddress() {
+    return this.replyAddress != null;
+  }
+
+  public void setReplyAddressIsSet(boolean value) {
+    if (!value) {
+      this.replyAddress = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -847,6 +895,14 @@
       }
       break;
 
+    case REPLY_ADDRESS:
+      if (value == null) {
+        unsetReplyAddress();
+      } else {
+        setReplyAddress((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -893,6 +949,9 @@
     case SERVER_LIMITS:
       return getServerLimits();
 
+    case REPLY_ADDRESS:
+      return getReplyAddress();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -931,6 +990,8 @@
       return isSetCrashEvidence();
     case SERVER_LIMITS:
       return isSetServerLimits();
+    case REPLY_ADDRESS:
+      return isSetReplyAddress();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1065,6 +1126,15 @@
         return false;
     }
 
+    boolean this_present_replyAddress = true && this.isSetReplyAddress();
+    boolean that_present_replyAddress = true && that.isSetReplyAddress();
+    if (this_present_replyAddress || that_present_replyAddress) {
+      if (!(this_present_replyAddress && that_present_replyAddress))
+        return false;
+      if (!this.replyAddress.equals(that.replyAddress))
+        return false;
+    }
+
     return true;
   }
 
@@ -1116,6 +1186,10 @@
     if (isSetServerLimits())
       hashCode = hashCode * 8191 + serverLimits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetReplyAddress()) ? 131071 : 524287);
+    if (isSetReplyAddress())
+      hashCode = hashCode * 8191 + replyAddress.hashCode();
+
     return hashCode;
   }
 
@@ -1257,6 +1331,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetReplyAddress(), other.isSetReplyAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReplyAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.replyAddress, other.replyAddress);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1376,6 +1460,16 @@
       }
       first = false;
     }
+    if (isSetReplyAddress()) {
+      if (!first) sb.append(", ");
+      sb.append("replyAddress:");
+      if (this.replyAddress == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.replyAddress);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1604,6 +1698,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 14: // REPLY_ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.replyAddress = iprot.readString();
+              struct.setReplyAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1734,6 +1836,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.replyAddress != null) {
+        if (struct.isSetReplyAddress()) {
+          oprot.writeFieldBegin(REPLY_ADDRESS_FIELD_DESC);
+          oprot.writeString(struct.replyAddress);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1792,7 +1901,10 @@
       if (struct.isSetServerLimits()) {
         optionals.set(12);
       }
-      oprot.writeBitSet(optionals, 13);
+      if (struct.isSetReplyAddress()) {
+        optionals.set(13);
+      }
+      oprot.writeBitSet(optionals, 14);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -1874,12 +1986,15 @@
           }
         }
       }
+      if (struct.isSetReplyAddress()) {
+        oprot.writeString(struct.replyAddress);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(13);
+      java.util.BitSet incoming = iprot.readBitSet(14);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -2002,6 +2117,10 @@
         }
         struct.setServerLimitsIsSet(true);
       }
+      if (incoming.get(13)) {
+        struct.replyAddress = iprot.readString();
+        struct.setReplyAddressIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -93,6 +93,8 @@
   11: optional list<SilentServer> silentServers
   12: optional list<CrashEvidence> crashEvidence
   13: optional list<ServerLimit> serverLimits
+  /** Address for the reply, which the receiver may not know yet. */
+  14: optional string replyAddress
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
