Do not believe suspicions of a host that is cut off from the servers

A digest named silent servers, seen from a zone, and all hosts held them suspect from everywhere.

Now BackendLinks tells lost links from failed servers by the outcome of this host's own connections; a host that is cut off suspects nothing, tells nothing, and says so, and the others drop what it told. A suspicion belongs to the host that tells it, and an answer to this host outweighs it, so a server that was silent for a second is used again.

--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/BackendLinks.java
@@ -0,0 +1,99 @@
+package org.medlardrum.decisions.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides whether this host has lost its links to the backend servers, from the outcome
+ * of its connections. Servers that fail one by one leave most others reachable; when most
+ * of those tried since the first failure are unreachable, the common cause is this host.
+ * Whether servers are gone in addition, only other hosts can tell. Thread-safe.
+ *
+ * <pre>
+ * BackendLinks links = new BackendLinks();
+ * links.recordUnreachable("s1", nowMs);
+ * links.recordUnreachable("s2", nowMs);
+ * links.isCutOff(nowMs); // true
+ * </pre>
+ */
+public final class BackendLinks {
+
+	/** Time for which the outcome of a connection counts, as long as a suspicion. */
+	static final long OUTCOME_MS = 4_000;
+
+	/** Fewest unreachable servers that indicate a lost link. */
+	private static final int MIN_UNREACHABLE = 2;
+
+	/** More unreachable servers than this multiple of the reached ones are needed. */
+	private static final int MIN_RATIO = 2;
+
+	private final Map<String, Outcome> latest = new HashMap<>();
+
+	/**
+	 * Records that a connection to a server was set up.
+	 * @param server identifier of the server
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void recordReached(String server, long nowMs) {
+		this.latest.put(server, new Outcome(true, nowMs, nowMs));
+	}
+
+	/**
+	 * Records that no connection to a server could be set up.
+	 * @param server identifier of the server
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void recordUnreachable(String server, long nowMs) {
+		Outcome known = this.latest.get(server);
+		boolean lasting = known != null && !known.reached && nowMs - known.atMs <= OUTCOME_MS;
+		this.latest.put(server, new Outcome(false, (lasting) ? known.sinceMs : nowMs, nowMs));
+	}
+
+	/**
+	 * Returns whether this host has lost its links to most servers.
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code true} if requests should not be sent to servers from here
+	 */
+	public synchronized boolean isCutOff(long nowMs) {
+		this.latest.values().removeIf((outcome) -> nowMs - outcome.atMs > OUTCOME_MS);
+		long firstFailureMs = Long.MAX_VALUE;
+		int unreachable = 0;
+		for (Outcome outcome : this.latest.values()) {
+			if (!outcome.reached) {
+				unreachable++;
+				firstFailureMs = Math.min(firstFailureMs, outcome.sinceMs);
+			}
+		}
+		int reached = 0;
+		for (Outcome outcome : this.latest.values()) {
+			reached += (outcome.reached && outcome.atMs >= firstFailureMs) ? 1 : 0;
+		}
+		return unreachable >= MIN_UNREACHABLE && unreachable > MIN_RATIO * reached;
+	}
+
+	/**
+	 * Returns the servers that were unreachable lately.
+	 * @param nowMs current time on the monotonic clock
+	 * @return their identifiers
+	 */
+	public synchronized List<String> unreachable(long nowMs) {
+		return this.latest.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getValue().reached && nowMs - entry.getValue().atMs <= OUTCOME_MS)
+			.map(Map.Entry::getKey)
+			.sorted()
+			.toList();
+	}
+
+	/**
+	 * Latest outcome of connections to a server.
+	 *
+	 * @param reached whether a connection was set up
+	 * @param sinceMs time of the first of consecutive failures
+	 * @param atMs time of the latest outcome
+	 */
+	private record Outcome(boolean reached, long sinceMs, long atMs) {
+	}
+
+}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/ServerSuspicions.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/ServerSuspicions.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Servers that are suspected to have failed, as observed from an availability zone. A
@@ -11,7 +12,12 @@
  * It also detects a partition between two availability zones, in which many servers of
  * one zone become unresponsive to the other at the same time. A server that is suspect
  * from its own zone is suspect from everywhere; two suspects of a zone, as observed from
- * another zone, make the whole zone suspect from there. Thread-safe.
+ * another zone, make the whole zone suspect from there.
+ *
+ * <p>
+ * An answer of a server to this host outweighs the suspicion that it is unresponsive,
+ * whoever has it: the server may have been silent for a moment only, or the link of the
+ * host that suspects it may be gone. Thread-safe.
  */
 public final class ServerSuspicions {
 
@@ -28,14 +34,26 @@
 	 */
 	public static final long REFUSED_SUSPICION_MS = 1_000;
 
+	/**
+	 * Age up to which an answer outweighs a suspicion that another host tells. A host
+	 * takes at least this long to suspect a silent server.
+	 */
+	private static final long FRESH_ANSWER_MS = 300;
+
 	/** Suspects of a zone, observed from another, that indicate a partition. */
 	private static final int MIN_SUSPECTS_FOR_PARTITION = 2;
 
-	private final Map<Key, Long> endMsByKey = new HashMap<>();
+	/** Teller of the suspicions of this host. */
+	private static final String OWN = "";
+
+	private final Map<Key, Entry> entries = new HashMap<>();
+
+	/** Times of the last answers to this host, by server and zone of its predecessor. */
+	private final Map<Path, Long> answeredAtMs = new HashMap<>();
 
 	/**
-	 * Adds a suspicion of a server. If the server is already suspect, the later end
-	 * applies.
+	 * Adds a suspicion of a server that no answer outweighs. If the server is already
+	 * suspect, the later end applies.
 	 * @param fromZone availability zone of the predecessor that waited for the server
 	 * @param server identifier of the server
 	 * @param serverZone availability zone of the server
@@ -43,17 +61,75 @@
 	 * milliseconds
 	 */
 	public synchronized void suspect(String fromZone, String server, String serverZone, long endMs) {
-		this.endMsByKey.merge(new Key(fromZone, server, serverZone), endMs, Math::max);
+		add(new Key(OWN, fromZone, server, serverZone), new Entry(Long.MAX_VALUE, endMs));
 	}
 
 	/**
-	 * Ends the suspicion of a server that responded.
+	 * Adds a suspicion of this host that a server is unresponsive.
+	 * @param fromZone availability zone of the predecessor that waited for the server
+	 * @param server identifier of the server
+	 * @param serverZone availability zone of the server
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void suspectUnresponsive(String fromZone, String server, String serverZone, long nowMs) {
+		add(new Key(OWN, fromZone, server, serverZone), new Entry(nowMs, nowMs + UNRESPONSIVE_SUSPICION_MS));
+	}
+
+	/**
+	 * Adds a suspicion that another host has told, unless a fresh answer outweighs it.
+	 * @param host identifier of the other host
+	 * @param told the suspicion
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void suspectTold(String host, Suspicion told, long nowMs) {
+		long remainingMs = Math.min(UNRESPONSIVE_SUSPICION_MS, told.remainingMs());
+		boolean unresponsive = remainingMs > REFUSED_SUSPICION_MS;
+		Key key = new Key(host, told.fromZone(), told.server(), told.serverZone());
+		Entry known = this.entries.get(key);
+		long endMs = nowMs + remainingMs;
+		if (known != null && endMs - known.endMs < FRESH_ANSWER_MS) {
+			return;
+		}
+		Long answered = this.answeredAtMs.get(new Path(told.fromZone(), told.server()));
+		if (!unresponsive || answered == null || nowMs - answered > FRESH_ANSWER_MS) {
+			add(key, new Entry((unresponsive) ? nowMs : Long.MAX_VALUE, endMs));
+		}
+	}
+
+	private void add(Key key, Entry entry) {
+		this.entries.merge(key, entry, (first, second) -> (first.endMs >= second.endMs) ? first : second);
+	}
+
+	/**
+	 * Ends all suspicions that another host has told.
+	 * @param host identifier of the other host
+	 */
+	public synchronized void forget(String host) {
+		this.entries.keySet().removeIf((key) -> key.teller.equals(host));
+	}
+
+	/**
+	 * Records an answer of a server to this host.
+	 * @param fromZone availability zone of the server's predecessor
+	 * @param server identifier of the server
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void recordAnswer(String fromZone, String server, long nowMs) {
+		this.answeredAtMs.put(new Path(fromZone, server), nowMs);
+		if (!this.entries.isEmpty()) {
+			this.entries.entrySet()
+				.removeIf((entry) -> entry.getKey().isPath(fromZone, server) && entry.getValue().observedAtMs <= nowMs);
+		}
+	}
+
+	/**
+	 * Ends this host's suspicion of a server that responded.
 	 * @param fromZone availability zone of the predecessor that waited for the server
 	 * @param server identifier of the server
 	 */
 	public synchronized void clearSuspicion(String fromZone, String server) {
-		if (!this.endMsByKey.isEmpty()) {
-			this.endMsByKey.keySet().removeIf((key) -> key.fromZone.equals(fromZone) && key.server.equals(server));
+		if (!this.entries.isEmpty()) {
+			this.entries.keySet().removeIf((key) -> key.teller.equals(OWN) && key.isPath(fromZone, server));
 		}
 	}
 
@@ -66,41 +142,61 @@
 	 * @return {@code true} if the server or the link to its zone is suspect
 	 */
 	public synchronized boolean isSuspect(String fromZone, String server, String serverZone, long nowMs) {
-		if (this.endMsByKey.isEmpty()) {
+		if (this.entries.isEmpty()) {
 			return false;
 		}
-		this.endMsByKey.values().removeIf((endMs) -> endMs <= nowMs);
-		if (this.endMsByKey.containsKey(new Key(fromZone, server, serverZone))) {
+		this.entries.values().removeIf((entry) -> entry.endMs <= nowMs);
+		if (this.entries.keySet().stream().anyMatch((key) -> key.isPath(fromZone, server))) {
 			return true;
 		}
-		if (this.endMsByKey.containsKey(new Key(serverZone, server, serverZone))) {
+		if (this.entries.entrySet()
+			.stream()
+			.anyMatch((entry) -> entry.getKey().isPath(serverZone, server)
+					&& !hasAnsweredSince(server, entry.getValue().observedAtMs))) {
 			return true;
 		}
 		return !fromZone.equals(serverZone) && countSuspects(fromZone, serverZone) >= MIN_SUSPECTS_FOR_PARTITION;
 	}
 
+	// Whether the server has answered to any predecessor, so that it is alive.
+	private boolean hasAnsweredSince(String server, long sinceMs) {
+		return this.answeredAtMs.entrySet()
+			.stream()
+			.anyMatch((answer) -> answer.getKey().server.equals(server) && answer.getValue() >= sinceMs);
+	}
+
 	private long countSuspects(String fromZone, String serverZone) {
-		return this.endMsByKey.keySet()
+		return this.entries.keySet()
 			.stream()
 			.filter((key) -> key.fromZone.equals(fromZone) && key.serverZone.equals(serverZone))
+			.map(Key::server)
+			.distinct()
 			.count();
 	}
 
 	/**
-	 * Returns the suspicions, latest end first.
+	 * Returns this host's suspicions, latest end first.
 	 * @param nowMs current time on the monotonic clock
 	 * @return the suspicions
 	 */
 	public synchronized List<Suspicion> entries(long nowMs) {
-		return this.endMsByKey.entrySet()
+		return this.entries.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue() > nowMs)
+			.filter((entry) -> entry.getKey().teller.equals(OWN) && entry.getValue().endMs > nowMs)
 			.map((entry) -> new Suspicion(entry.getKey().fromZone, entry.getKey().server, entry.getKey().serverZone,
-					entry.getValue() - nowMs))
+					entry.getValue().endMs - nowMs))
 			.sorted(Comparator.comparingLong(Suspicion::remainingMs).reversed())
 			.toList();
 	}
 
+	/**
+	 * Forgets the answers of servers that are not registered any more.
+	 * @param registered whether a server is registered, by its identifier
+	 */
+	public synchronized void retainAnswers(Predicate<String> registered) {
+		this.answeredAtMs.keySet().removeIf((path) -> !registered.test(path.server));
+	}
+
 	/**
 	 * One suspicion.
 	 *
@@ -112,7 +208,25 @@
 	public record Suspicion(String fromZone, String server, String serverZone, long remainingMs) {
 	}
 
-	private record Key(String fromZone, String server, String serverZone) {
+	private record Path(String fromZone, String server) {
+	}
+
+	private record Key(String teller, String fromZone, String server, String serverZone) {
+
+		boolean isPath(String zone, String serverId) {
+			return this.fromZone.equals(zone) && this.server.equals(serverId);
+		}
+
+	}
+
+	/**
+	 * State of a suspicion.
+	 *
+	 * @param observedAtMs time from which answers outweigh the suspicion,
+	 * {@link Long#MAX_VALUE} if none does
+	 * @param endMs time at which the suspicion ends
+	 */
+	private record Entry(long observedAtMs, long endMs) {
 	}
 
 }
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/ServerSuspicionsTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/ServerSuspicionsTests.java
@@ -45,4 +45,51 @@
 		assertThat(this.suspicions.isSuspect("a", "s2", "a", 2_000)).isFalse();
 	}
 
+	private static ServerSuspicions.Suspicion told(String server, long remainingMs) {
+		return new ServerSuspicions.Suspicion("a", server, "a", remainingMs);
+	}
+
+	@Test
+	void freshAnswerOutweighsTheSuspicionOfAnotherHost() {
+		this.suspicions.recordAnswer("a", "s1", 1_000);
+		this.suspicions.suspectTold("other", told("s1", 3_900), 1_100);
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 1_100)).isFalse();
+		this.suspicions.suspectTold("other", told("s1", 3_900), 2_000);
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_000)).isTrue();
+		this.suspicions.recordAnswer("a", "s1", 2_050);
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_050)).isFalse();
+	}
+
+	@Test
+	void answerDoesNotOutweighARefusal() {
+		this.suspicions.suspectTold("other", told("s1", ServerSuspicions.REFUSED_SUSPICION_MS), 2_000);
+		this.suspicions.recordAnswer("a", "s1", 2_100);
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_100)).isTrue();
+	}
+
+	@Test
+	void serverThatAnswersAnotherZoneIsSuspectFromItsOwnOnly() {
+		this.suspicions.suspectTold("other", told("s1", 4_000), 2_000);
+		this.suspicions.recordAnswer("b", "s1", 2_100);
+		assertThat(this.suspicions.isSuspect("b", "s1", "a", 2_100)).isFalse();
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_100)).isTrue();
+	}
+
+	@Test
+	void suspicionsOfAHostAreForgotten() {
+		this.suspicions.suspectTold("cut", told("s1", 4_000), 2_000);
+		this.suspicions.suspectTold("sound", told("s2", 4_000), 2_000);
+		this.suspicions.forget("cut");
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_000)).isFalse();
+		assertThat(this.suspicions.isSuspect("a", "s2", "a", 2_000)).isTrue();
+	}
+
+	@Test
+	void silentServerThatGoesOnIsUsedAgain() {
+		this.suspicions.suspectUnresponsive("a", "s1", "a", 1_000);
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 1_500)).isTrue();
+		this.suspicions.recordAnswer("a", "s1", 2_000);
+		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_000)).isFalse();
+	}
+
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -118,6 +118,8 @@
 				this.state::confirmationAgeMs);
 		metrics.gauge("medlardrum_gateway_store_era", "Era of the platform's store, 0 before the first copy",
 				this.state::storeEra);
+		metrics.gauge("medlardrum_gateway_cut_off", "1 while this host has lost its links to the backend servers",
+				() -> (this.state.isCutOff()) ? 1 : 0);
 		metrics.gauge("medlardrum_gateway_dropped_log_lines", "Log lines that found the ring full", log::dropped);
 		metrics.gauge("medlardrum_gateway_timer_late_ms", "Lateness of the last timer of a request",
 				lateness::latestMs);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -198,10 +198,12 @@
 								limit.getDemandPerS()))
 						.toList());
 		}
-		if (digest.isSetSilentServers()) {
+		this.state.recordPeerPaths(digest.getHostId(), digest.isCutOff(), digest.isDraining(),
+				(digest.isSetAnsweredMsAgo()) ? digest.getAnsweredMsAgo() : -1);
+		if (digest.isSetSilentServers() && !digest.isCutOff()) {
 			for (SilentServer silent : digest.getSilentServers()) {
-				this.state.recordPeerSuspicion(new Suspicion(silent.getFromZone(), silent.getServer(),
-						silent.getServerZone(), silent.getRemainingMs()));
+				this.state.recordPeerSuspicion(digest.getHostId(), new Suspicion(silent.getFromZone(),
+						silent.getServer(), silent.getServerZone(), silent.getRemainingMs()));
 			}
 		}
 	}
@@ -256,6 +258,10 @@
 		digest.setAvailabilityZone(this.availabilityZone);
 		digest.setDraining(this.state.isDraining());
 		digest.setConfigVersion(this.state.version());
+		digest.setCutOff(this.state.isCutOff());
+		if (this.state.answeredMsAgo() >= 0) {
+			digest.setAnsweredMsAgo(this.state.answeredMsAgo());
+		}
 		return digest;
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -197,6 +197,10 @@
 		BackendVerdict verdict = this.dependencies.dialect()
 			.checkResponse(this.request.id(), header.status(), HeaderList.lookup(header.headers()));
 		attempt.setHeader(header.status(), header.headers(), verdict);
+		if (verdict.belongsToRequest()) {
+			this.dependencies.state()
+				.recordAnswer(this.dependencies.settings().availabilityZone(), attempt.server().id());
+		}
 		if (verdict.belongsToRequest() && !verdict.notExecuted()) {
 			recordBegun(header.call());
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -109,12 +109,17 @@
 		if (!this.ended) {
 			if (signal instanceof Signal.Writing writing && this.attempts.containsKey(writing.call())) {
 				this.attempts.get(writing.call()).recordWriting();
+				this.dependencies.state().recordReached(this.attempts.get(writing.call()).serverId());
 			}
 			if (signal instanceof Signal.Header header && this.attempts.containsKey(header.call())) {
 				this.dependencies.limits()
 					.recordAnswer(this.attempts.get(header.call()).serverId(),
 							this.dependencies.dialect().requestLimitPerS(HeaderList.lookup(header.headers())));
 			}
+			if (signal instanceof Signal.Failed failed && failed.requestNotSent()
+					&& this.attempts.containsKey(failed.call())) {
+				this.dependencies.state().recordUnreachable(this.attempts.get(failed.call()).serverId());
+			}
 			if (signal instanceof Signal.Failed failed && !failed.requestNotSent()) {
 				recordBroken(failed.call());
 				CrashProbe.probe(this.dependencies, failed.call().address());
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.medlardrum.decisions.routing.BackendLinks;
 import org.medlardrum.decisions.routing.ConfigFreshness;
 import org.medlardrum.decisions.routing.InstanceReports;
 import org.medlardrum.decisions.routing.PeerConfigVersions;
+import org.medlardrum.decisions.routing.PeerPaths;
 import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
@@ -28,6 +30,8 @@
 	 */
 	private static final long LEAVING_RETENTION_MS = 30_000;
 
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	private final GatewayClock clock;
 
 	private final DecisionLog log;
@@ -45,9 +49,16 @@
 
 	private boolean restoring;
 
-	private final ServerSuspicions ownSuspicions = new ServerSuspicions();
+	private final ServerSuspicions suspicions = new ServerSuspicions();
+
+	private final BackendLinks links = new BackendLinks();
+
+	private final PeerPaths peerPaths = new PeerPaths();
+
+	private volatile boolean cutOff;
 
-	private final ServerSuspicions peerSuspicions = new ServerSuspicions();
+	/** Time of the last answer of a server, on the monotonic clock. */
+	private volatile long answeredAtMs = NEVER_MS;
 
 	/**
 	 * Time of the stop request on the monotonic clock, {@link Long#MAX_VALUE} before it.
@@ -142,6 +153,7 @@
 		}
 		this.leavingSinceMs = Map.copyOf(leaving);
 		this.fleet = after;
+		this.suspicions.retainAnswers((id) -> after.instance(id).isPresent());
 	}
 
 	/**
@@ -282,12 +294,20 @@
 	}
 
 	/**
-	 * Suspects a server that this host found unresponsive.
+	 * Suspects a server that this host found unresponsive, unless this host is cut off.
 	 * @param fromZone availability zone from which the server was called
 	 * @param server the server
 	 */
 	public void suspect(String fromZone, ServiceInstance server) {
-		suspect(fromZone, server, ServerSuspicions.UNRESPONSIVE_SUSPICION_MS);
+		if (isCutOff()) {
+			return;
+		}
+		logSuspicion(fromZone, server, ServerSuspicions.UNRESPONSIVE_SUSPICION_MS);
+		boolean alreadySuspect = isSuspect(fromZone, server.id(), server.availabilityZone());
+		this.suspicions.suspectUnresponsive(fromZone, server.id(), server.availabilityZone(), this.clock.monotonicMs());
+		if (!alreadySuspect) {
+			this.suspicionListener.run();
+		}
 	}
 
 	/**
@@ -297,17 +317,109 @@
 	 * @param server the server
 	 */
 	public void suspectRefusing(String fromZone, ServiceInstance server) {
-		suspect(fromZone, server, ServerSuspicions.REFUSED_SUSPICION_MS);
+		logSuspicion(fromZone, server, ServerSuspicions.REFUSED_SUSPICION_MS);
+		boolean alreadySuspect = isSuspect(fromZone, server.id(), server.availabilityZone());
+		this.suspicions.suspect(fromZone, server.id(), server.availabilityZone(),
+				this.clock.monotonicMs() + ServerSuspicions.REFUSED_SUSPICION_MS);
+		if (!alreadySuspect) {
+			this.suspicionListener.run();
+		}
 	}
 
-	private void suspect(String fromZone, ServiceInstance server, long forMs) {
+	private void logSuspicion(String fromZone, ServiceInstance server, long forMs) {
 		this.log.event("fleet", "suspect", "server", server.id(), "address", server.address(), "zone",
 				server.availabilityZone(), "seenFrom", fromZone, "forMs", forMs);
-		boolean alreadySuspect = isSuspect(fromZone, server.id(), server.availabilityZone());
-		this.ownSuspicions.suspect(fromZone, server.id(), server.availabilityZone(), this.clock.monotonicMs() + forMs);
-		if (!alreadySuspect) {
-			this.suspicionListener.run();
+	}
+
+	/**
+	 * Records that a connection to a server was set up.
+	 * @param server identifier of the server
+	 */
+	public void recordReached(String server) {
+		this.links.recordReached(server, this.clock.monotonicMs());
+		updateCutOff();
+	}
+
+	/**
+	 * Records that no connection to a server could be set up.
+	 * @param server identifier of the server
+	 */
+	public void recordUnreachable(String server) {
+		this.links.recordUnreachable(server, this.clock.monotonicMs());
+		updateCutOff();
+	}
+
+	private void updateCutOff() {
+		boolean now = this.links.isCutOff(this.clock.monotonicMs());
+		if (now == this.cutOff) {
+			return;
 		}
+		this.cutOff = now;
+		this.log.event("links", (now) ? "cut-off" : "restored", "unreachable", unreachableServers().size(), "servers",
+				this.fleet.all().size(), "answeredMsAgo", answeredMsAgo(), "hostsWithPaths", hostsWithPaths().size());
+		this.suspicionListener.run();
+	}
+
+	/**
+	 * Returns whether this host has lost its links to the backend servers.
+	 * @return {@code true} if requests should go through another host
+	 */
+	public boolean isCutOff() {
+		if (this.cutOff) {
+			updateCutOff();
+		}
+		return this.cutOff;
+	}
+
+	/**
+	 * Returns the servers to which no connection could be set up lately.
+	 * @return their identifiers
+	 */
+	public List<String> unreachableServers() {
+		return this.links.unreachable(this.clock.monotonicMs());
+	}
+
+	/**
+	 * Records an answer of a server to this host.
+	 * @param fromZone availability zone of the server's predecessor
+	 * @param server identifier of the server
+	 */
+	public void recordAnswer(String fromZone, String server) {
+		long nowMs = this.clock.monotonicMs();
+		this.answeredAtMs = nowMs;
+		this.suspicions.recordAnswer(fromZone, server, nowMs);
+	}
+
+	/**
+	 * Returns the age of the last answer of a server.
+	 * @return the age in milliseconds, negative without an answer
+	 */
+	public long answeredMsAgo() {
+		long atMs = this.answeredAtMs;
+		return (atMs != NEVER_MS) ? Math.max(0, this.clock.monotonicMs() - atMs) : -1;
+	}
+
+	/**
+	 * Records what another host tells about its paths to the servers. Suspicions of a
+	 * host that is cut off do not count.
+	 * @param hostId identifier of the host
+	 * @param hostCutOff whether it has lost its links to the servers
+	 * @param draining whether it is draining
+	 * @param hostAnsweredMsAgo age of the last answer that it received, negative for none
+	 */
+	public void recordPeerPaths(String hostId, boolean hostCutOff, boolean draining, long hostAnsweredMsAgo) {
+		this.peerPaths.record(hostId, !hostCutOff && !draining, hostAnsweredMsAgo, this.clock.monotonicMs());
+		if (hostCutOff) {
+			this.suspicions.forget(hostId);
+		}
+	}
+
+	/**
+	 * Returns the other hosts that received answers of servers lately.
+	 * @return their identifiers
+	 */
+	public List<String> hostsWithPaths() {
+		return this.peerPaths.usable(this.clock.monotonicMs());
 	}
 
 	/**
@@ -325,25 +437,24 @@
 	 * @param server identifier of the server
 	 */
 	public void clearSuspicion(String fromZone, String server) {
-		this.ownSuspicions.clearSuspicion(fromZone, server);
+		this.suspicions.clearSuspicion(fromZone, server);
 	}
 
 	/**
 	 * Records a suspicion received from another host.
+	 * @param hostId identifier of the host
 	 * @param suspicion the suspicion
 	 */
-	public void recordPeerSuspicion(ServerSuspicions.Suspicion suspicion) {
-		long remainingMs = Math.min(ServerSuspicions.UNRESPONSIVE_SUSPICION_MS, suspicion.remainingMs());
-		this.peerSuspicions.suspect(suspicion.fromZone(), suspicion.server(), suspicion.serverZone(),
-				this.clock.monotonicMs() + remainingMs);
+	public void recordPeerSuspicion(String hostId, ServerSuspicions.Suspicion suspicion) {
+		this.suspicions.suspectTold(hostId, suspicion, this.clock.monotonicMs());
 	}
 
 	/**
 	 * Returns this host's own suspicions.
-	 * @return the suspicions
+	 * @return the suspicions, none while this host is cut off
 	 */
 	public List<ServerSuspicions.Suspicion> ownSuspicions() {
-		return this.ownSuspicions.entries(this.clock.monotonicMs());
+		return (isCutOff()) ? List.of() : this.suspicions.entries(this.clock.monotonicMs());
 	}
 
 	/**
@@ -354,9 +465,7 @@
 	 * @return {@code true} if the server should not be used
 	 */
 	public boolean isSuspect(String fromZone, String server, String serverZone) {
-		long nowMs = this.clock.monotonicMs();
-		return this.ownSuspicions.isSuspect(fromZone, server, serverZone, nowMs)
-				|| this.peerSuspicions.isSuspect(fromZone, server, serverZone, nowMs);
+		return this.suspicions.isSuspect(fromZone, server, serverZone, this.clock.monotonicMs());
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -19,6 +19,9 @@
 
 	private static final int MULTIPLE_CHOICES = 300;
 
+	/** Shortest time between two records of the engines' answers. */
+	private static final long ANSWER_INTERVAL_MS = 100;
+
 	private final ChainChooser.ReservedChain chain;
 
 	private final BackendCall call;
@@ -44,6 +47,8 @@
 
 	private boolean stallCheckDeferred;
 
+	private long answersRecordedAtMs = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates an attempt.
 	 * @param chain the reserved chain, released when the attempt is closed
@@ -183,6 +188,17 @@
 		this.stallCheckAtMs = nowMs + this.eventGaps.suspectStallThresholdMs();
 	}
 
+	/**
+	 * Returns whether the answers of the engines are to be recorded again.
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code true} if the last record is old enough
+	 */
+	boolean mayRecordAnswers(long nowMs) {
+		boolean due = nowMs - this.answersRecordedAtMs >= ANSWER_INTERVAL_MS;
+		this.answersRecordedAtMs = (due) ? nowMs : this.answersRecordedAtMs;
+		return due;
+	}
+
 	/**
 	 * Returns when the attempt must be checked for a stall unless an event arrives
 	 * before.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.StreamLimits;
@@ -416,6 +417,7 @@
 		List<StreamedEvent> events = attempt.addToStream(data.bytes());
 		if (!events.isEmpty()) {
 			recordBegun(data.call());
+			recordAnswers(attempt);
 			keepFirstToRespond(attempt);
 		}
 		for (StreamedEvent event : events) {
@@ -429,6 +431,18 @@
 		return null;
 	}
 
+	// An event proves that all engines of the chain are working.
+	private void recordAnswers(ChainAttempt attempt) {
+		long nowMs = this.dependencies.nowMs();
+		if (attempt.mayRecordAnswers(nowMs)) {
+			String predecessorZone = ownZone();
+			for (ChainHop hop : attempt.chain().hops()) {
+				this.dependencies.state().recordAnswer(predecessorZone, hop.server().id());
+				predecessorZone = hop.server().availabilityZone();
+			}
+		}
+	}
+
 	// Of two concurrent attempts, keeps the one that sends the next event. A chain with a
 	// leaving engine is kept until its successor has sent its first event.
 	private void keepFirstToRespond(ChainAttempt attempt) {
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -27,6 +27,8 @@
   private static final org.apache.thrift.protocol.TField CRASH_EVIDENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("crashEvidence", org.apache.thrift.protocol.TType.LIST, (short)12);
   private static final org.apache.thrift.protocol.TField SERVER_LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("serverLimits", org.apache.thrift.protocol.TType.LIST, (short)13);
   private static final org.apache.thrift.protocol.TField REPLY_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("replyAddress", org.apache.thrift.protocol.TType.STRING, (short)14);
+  private static final org.apache.thrift.protocol.TField CUT_OFF_FIELD_DESC = new org.apache.thrift.protocol.TField("cutOff", org.apache.thrift.protocol.TType.BOOL, (short)15);
+  private static final org.apache.thrift.protocol.TField ANSWERED_MS_AGO_FIELD_DESC = new org.apache.thrift.protocol.TField("answeredMsAgo", org.apache.thrift.protocol.TType.I64, (short)16);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -48,6 +50,14 @@
    * Address for the reply, which the receiver may not know yet.
    */
   public @org.apache.thrift.annotation.Nullable java.lang.String replyAddress; // optional
+  /**
+   * Whether the sender has lost its links to the backend servers.
+   */
+  public boolean cutOff; // optional
+  /**
+   * Age of the last answer of a backend server to the sender, not set without one.
+   */
+  public long answeredMsAgo; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -67,7 +77,15 @@
     /**
      * Address for the reply, which the receiver may not know yet.
      */
-    REPLY_ADDRESS((short)14, "replyAddress");
+    REPLY_ADDRESS((short)14, "replyAddress"),
+    /**
+     * Whether the sender has lost its links to the backend servers.
+     */
+    CUT_OFF((short)15, "cutOff"),
+    /**
+     * Age of the last answer of a backend server to the sender, not set without one.
+     */
+    ANSWERED_MS_AGO((short)16, "answeredMsAgo");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -111,6 +129,10 @@
           return SERVER_LIMITS;
         case 14: // REPLY_ADDRESS
           return REPLY_ADDRESS;
+        case 15: // CUT_OFF
+          return CUT_OFF;
+        case 16: // ANSWERED_MS_AGO
+          return ANSWERED_MS_AGO;
         default:
           return null;
       }
@@ -158,8 +180,10 @@
   private static final int __DRAINING_ISSET_ID = 1;
   private static final int __SENTATMS_ISSET_ID = 2;
   private static final int __REPLY_ISSET_ID = 3;
+  private static final int __CUTOFF_ISSET_ID = 4;
+  private static final int __ANSWEREDMSAGO_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS};
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS,_Fields.CUT_OFF,_Fields.ANSWERED_MS_AGO};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -198,6 +222,10 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ServerLimit.class))));
     tmpMap.put(_Fields.REPLY_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("replyAddress", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.CUT_OFF, new org.apache.thrift.meta_data.FieldMetaData("cutOff", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.ANSWERED_MS_AGO, new org.apache.thrift.meta_data.FieldMetaData("answeredMsAgo", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -299,6 +327,8 @@
     if (other.isSetReplyAddress()) {
       this.replyAddress = other.replyAddress;
     }
+    this.cutOff = other.cutOff;
+    this.answeredMsAgo = other.answeredMsAgo;
   }
 
   @Override
@@ -326,6 +356,10 @@
     this.crashEvidence = null;
     this.serverLimits = null;
     this.replyAddress = null;
+    setCutOffIsSet(false);
+    this.cutOff = false;
+    setAnsweredMsAgoIsSet(false);
+    this.answeredMsAgo = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -788,6 +822,64 @@
     }
   }
 
+  /**
+   * Whether the sender has lost its links to the backend servers.
+   */
+  public boolean isCutOff() {
+    return this.cutOff;
+  }
+
+  /**
+   * Whether the sender has lost its links to the backend servers.
+   */
+  public Digest setCutOff(boolean cutOff) {
+    this.cutOff = cutOff;
+    setCutOffIsSet(true);
+    return this;
+  }
+
+  public void unsetCutOff() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CUTOFF_ISSET_ID);
+  }
+
+  /** Returns true if field cutOff is set (has been assigned a value) and false otherwise */
+  public boolean isSetCutOff() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CUTOFF_ISSET_ID);
+  }
+
+  public void setCutOffIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CUTOFF_ISSET_ID, value);
+  }
+
+  /**
+   * Age of the last answer of a backend server to the sender, not set without one.
+   */
+  public long getAnsweredMsAgo() {
+    return this.answeredMsAgo;
+  }
+
+  /**
+   * Age of the last answer of a backend server to the sender, not set without one.
+   */
+  public Digest setAnsweredMsAgo(long answeredMsAgo) {
+    this.answeredMsAgo = answeredMsAgo;
+    setAnsweredMsAgoIsSet(true);
+    return this;
+  }
+
+  public void unsetAnsweredMsAgo() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ANSWEREDMSAGO_ISSET_ID);
+  }
+
+  /** Returns true if field answeredMsAgo is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnsweredMsAgo() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ANSWEREDMSAGO_ISSET_ID);
+  }
+
+  public void setAnsweredMsAgoIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ANSWEREDMSAGO_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -903,6 +995,22 @@
       }
       break;
 
+    case CUT_OFF:
+      if (value == null) {
+        unsetCutOff();
+      } else {
+        setCutOff((java.lang.Boolean)value);
+      }
+      break;
+
+    case ANSWERED_MS_AGO:
+      if (value == null) {
+        unsetAnsweredMsAgo();
+      } else {
+        setAnsweredMsAgo((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -952,6 +1060,12 @@
     case REPLY_ADDRESS:
       return getReplyAddress();
 
+    case CUT_OFF:
+      return isCutOff();
+
+    case ANSWERED_MS_AGO:
+      return getAnsweredMsAgo();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -992,6 +1106,10 @@
       return isSetServerLimits();
     case REPLY_ADDRESS:
       return isSetReplyAddress();
+    case CUT_OFF:
+      return isSetCutOff();
+    case ANSWERED_MS_AGO:
+      return isSetAnsweredMsAgo();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1135,6 +1253,24 @@
         return false;
     }
 
+    boolean this_present_cutOff = true && this.isSetCutOff();
+    boolean that_present_cutOff = true && that.isSetCutOff();
+    if (this_present_cutOff || that_present_cutOff) {
+      if (!(this_present_cutOff && that_present_cutOff))
+        return false;
+      if (this.cutOff != that.cutOff)
+        return false;
+    }
+
+    boolean this_present_answeredMsAgo = true && this.isSetAnsweredMsAgo();
+    boolean that_present_answeredMsAgo = true && that.isSetAnsweredMsAgo();
+    if (this_present_answeredMsAgo || that_present_answeredMsAgo) {
+      if (!(this_present_answeredMsAgo && that_present_answeredMsAgo))
+        return false;
+      if (this.answeredMsAgo != that.answeredMsAgo)
+        return false;
+    }
+
     return true;
   }
 
@@ -1190,6 +1326,14 @@
     if (isSetReplyAddress())
       hashCode = hashCode * 8191 + replyAddress.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCutOff()) ? 131071 : 524287);
+    if (isSetCutOff())
+      hashCode = hashCode * 8191 + ((cutOff) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((isSetAnsweredMsAgo()) ? 131071 : 524287);
+    if (isSetAnsweredMsAgo())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(answeredMsAgo);
+
     return hashCode;
   }
 
@@ -1341,6 +1485,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCutOff(), other.isSetCutOff());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCutOff()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.cutOff, other.cutOff);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAnsweredMsAgo(), other.isSetAnsweredMsAgo());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnsweredMsAgo()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answeredMsAgo, other.answeredMsAgo);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1470,6 +1634,18 @@
       }
       first = false;
     }
+    if (isSetCutOff()) {
+      if (!first) sb.append(", ");
+      sb.append("cutOff:");
+      sb.append(this.cutOff);
+      first = false;
+    }
+    if (isSetAnsweredMsAgo()) {
+      if (!first) sb.append(", ");
+      sb.append("answeredMsAgo:");
+      sb.append(this.answeredMsAgo);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1706,6 +1882,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 15: // CUT_OFF
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.cutOff = iprot.readBool();
+              struct.setCutOffIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 16: // ANSWERED_MS_AGO
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.answeredMsAgo = iprot.readI64();
+              struct.setAnsweredMsAgoIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1843,6 +2035,16 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetCutOff()) {
+        oprot.writeFieldBegin(CUT_OFF_FIELD_DESC);
+        oprot.writeBool(struct.cutOff);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetAnsweredMsAgo()) {
+        oprot.writeFieldBegin(ANSWERED_MS_AGO_FIELD_DESC);
+        oprot.writeI64(struct.answeredMsAgo);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1904,7 +2106,13 @@
       if (struct.isSetReplyAddress()) {
         optionals.set(13);
       }
-      oprot.writeBitSet(optionals, 14);
+      if (struct.isSetCutOff()) {
+        optionals.set(14);
+      }
+      if (struct.isSetAnsweredMsAgo()) {
+        optionals.set(15);
+      }
+      oprot.writeBitSet(optionals, 16);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -1989,12 +2197,18 @@
       if (struct.isSetReplyAddress()) {
         oprot.writeString(struct.replyAddress);
       }
+      if (struct.isSetCutOff()) {
+        oprot.writeBool(struct.cutOff);
+      }
+      if (struct.isSetAnsweredMsAgo()) {
+        oprot.writeI64(struct.answeredMsAgo);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(14);
+      java.util.BitSet incoming = iprot.readBitSet(16);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -2121,6 +2335,14 @@
         struct.replyAddress = iprot.readString();
         struct.setReplyAddressIsSet(true);
       }
+      if (incoming.get(14)) {
+        struct.cutOff = iprot.readBool();
+        struct.setCutOffIsSet(true);
+      }
+      if (incoming.get(15)) {
+        struct.answeredMsAgo = iprot.readI64();
+        struct.setAnsweredMsAgoIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -95,6 +95,10 @@
   13: optional list<ServerLimit> serverLimits
   /** Address for the reply, which the receiver may not know yet. */
   14: optional string replyAddress
+  /** Whether the sender has lost its links to the backend servers. */
+  15: optional bool cutOff
+  /** Age of the last answer of a backend server to the sender, not set without one. */
+  16: optional i64 answeredMsAgo
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
