Detect a caller that resets its connection

Servers went on working for a caller that had reset its connection until the next write to it failed: up to the deadline behind a silent engine (GONE). The library reports a reset as a failed read, and the connection as inactive only with the next write; the gateway looked at the end of the input and at inactivity. Found by CutOffHostTests.callerThatLeavesACutOffHostEndsTheWork: a host that passes a request on resets its connection when its caller leaves.

Evidence: both cases of the new test StreamRequestTests.engineCallIsClosedWhenTheCallerResetsItsConnection failed before. Now a failed read counts as the caller's close.

Result: tests of streams, plain requests and late hosts green.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -1,5 +1,6 @@
 package org.medlardrum.gateway.internal.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -164,6 +165,16 @@
 			context.fireUserEventTriggered(event);
 		}
 
+		// A reset is reported as a failed read; the connection becomes inactive only with
+		// the next write.
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			if (cause instanceof IOException) {
+				this.action.run();
+			}
+			context.fireExceptionCaught(cause);
+		}
+
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			this.action.run();
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/StreamRequestTests.java
@@ -163,6 +163,29 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "", "connection: close\r\n" })
+	void engineCallIsClosedWhenTheCallerResetsItsConnection(String header) throws Exception {
+		CountDownLatch received = new CountDownLatch(1);
+		CountDownLatch closed = new CountDownLatch(1);
+		try (FakeBackend engine = reporting("", (head, socket, out) -> {
+			received.countDown();
+			try {
+				socket.getInputStream().read();
+			}
+			finally {
+				closed.countDown();
+			}
+		})) {
+			this.fixture.register("pool", "e1", engine);
+			try (Socket caller = this.fixture.send("POST", "/stream/1", "key: k1\r\n" + header)) {
+				assertThat(received.await(3, TimeUnit.SECONDS)).isTrue();
+				caller.setSoLinger(true, 0);
+			}
+			assertThat(closed.await(2, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
 	/**
 	 * Guards against late events after an engine in the middle of a chain fails: the
 	 * first engine's report names it only after the longest gap that is within the
