--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/LinkProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/LinkProbe.java
@@ -13,8 +13,8 @@
 
 /**
  * Finds out when a host that was cut off reaches the servers again. It connects to one
- * unreachable server at a time and sends nothing; after a success it goes on to the next
- * one without delay. Requests return as servers are reached.
+ * random server at a time and sends nothing; after a success it goes on to the next one
+ * without delay. Requests return as servers are reached.
  */
 public final class LinkProbe {
 
@@ -48,11 +48,7 @@
 
 	private void step() {
 		GatewayState state = this.dependencies.state();
-		List<ServiceInstance> servers = state.unreachableServers()
-			.stream()
-			.map(state.fleet()::instance)
-			.flatMap(Optional::stream)
-			.toList();
+		List<ServiceInstance> servers = List.copyOf(state.fleet().all());
 		if (!state.isCutOff()) {
 			this.running.set(false);
 			return;
