Keep confirmations that are older than a newer version of another host

Now a confirmation counts if no other host has told a newer version by then, and a newer version ends earlier ones only within 10 s of the first copy of a history, when it shows that they confirmed an older copy. The test configurationOlderThanThatOfAnotherHostIsNotFresh begins with a new history now, since outside of one its expectation was wrong; the steady state has a test of its own, which ends at the bound to the millisecond.

--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/PeerConfigVersionsTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/PeerConfigVersionsTests.java
@@ -41,6 +41,17 @@
 		assertThat(this.versions.isAwaiting(1_000)).isTrue();
 	}
 
+	@Test
+	void newerVersionRefutesConfirmationsOnlySoonAfterARestore() {
+		this.versions.beginHistory(1_000);
+		this.versions.record("a", 9);
+		assertThat(this.versions.allowsConfirmation(8, 1_500)).isFalse();
+		assertThat(this.versions.allowsConfirmation(9, 1_500)).isTrue();
+		assertThat(this.versions.refutesConfirmations(8, 1_500)).isTrue();
+		assertThat(this.versions.refutesConfirmations(9, 1_500)).isFalse();
+		assertThat(this.versions.refutesConfirmations(8, 1_000 + PeerConfigVersions.RESTORE_WINDOW_MS)).isFalse();
+	}
+
 	@Test
 	void hostWithoutOthersDoesNotWait() {
 		this.versions.beginHistory(1_000);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -195,7 +195,8 @@
 	}
 
 	private synchronized void countPendingConfirmation() {
-		if (this.pendingConfirmation != null && !isAwaitingPeers()) {
+		if (this.pendingConfirmation != null
+				&& this.peerVersions.allowsConfirmation(version(), this.clock.monotonicMs())) {
 			this.freshness.recordConfirmation(this.pendingConfirmation.monotonicMs, this.pendingConfirmation.wallMs);
 			this.pendingConfirmation = null;
 		}
@@ -272,13 +273,13 @@
 
 	/**
 	 * Returns whether requests with an API key may be served.
-	 * @return {@code true} if the configuration was confirmed recently enough and no
-	 * other host has a newer one
+	 * @return {@code true} if the configuration was confirmed recently enough
 	 */
 	public boolean isFresh() {
 		countPendingConfirmation();
-		return version() >= this.peerVersions.highestVersion()
-				&& this.freshness.isFresh(this.clock.monotonicMs(), this.clock.wallMs());
+		long nowMs = this.clock.monotonicMs();
+		return !this.peerVersions.refutesConfirmations(version(), nowMs)
+				&& this.freshness.isFresh(nowMs, this.clock.wallMs());
 	}
 
 	/**
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -60,12 +60,26 @@
 
 	@Test
 	void configurationOlderThanThatOfAnotherHostIsNotFresh() {
+		this.state.recordStoreEra(2);
+		this.exchange.receive(digest("other", 0));
 		this.state.recordConfirmation(this.nowMs.get(), this.nowMs.get());
 		assertThat(this.state.isFresh()).isTrue();
 		this.exchange.receive(digest("other", 7));
 		assertThat(this.state.isFresh()).isFalse();
 	}
 
+	@Test
+	void newerVersionOfAnotherHostEndsOnlyLaterConfirmations() {
+		this.state.recordConfirmation(this.nowMs.get(), this.nowMs.get());
+		this.exchange.receive(digest("other", 7));
+		assertThat(this.state.isFresh()).isTrue();
+		this.nowMs.addAndGet(KEY_FRESHNESS_MS);
+		this.state.recordConfirmation(this.nowMs.get(), this.nowMs.get());
+		assertThat(this.state.isFresh()).isTrue();
+		this.nowMs.addAndGet(1);
+		assertThat(this.state.isFresh()).isFalse();
+	}
+
 	@Test
 	void firstConfirmationCountsOnceTheOtherHostsHaveToldTheirVersions() {
 		this.state.recordStoreEra(2);
