Judge a crash at once when no other server is in use

Traced: a crash was judged 60 ms after its probe, and a request that crashes each server within that time was sent on meanwhile.

Now only a host that uses other servers at the moment of the break waits, for 20 ms, since lost links break their calls in the same turn.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -173,6 +173,17 @@
 		return Optional.of(List.copyOf(this.runningByAddress.getOrDefault(address, Set.of())));
 	}
 
+	/**
+	 * Returns whether calls to other servers are in progress.
+	 * @param address address of a server
+	 * @return {@code true} if at least one other server is in use
+	 */
+	public synchronized boolean usesOtherServers(String address) {
+		return this.runningByAddress.entrySet()
+			.stream()
+			.anyMatch((entry) -> !entry.getKey().equals(address) && !entry.getValue().isEmpty());
+	}
+
 	/**
 	 * Ends a probe of a server that is still there.
 	 * @param address address of the server
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CrashProbe.java
@@ -12,8 +12,8 @@
 /**
  * Tells a server that crashed from one that lost a single answer: nobody listens at the
  * address of a crashed one. The probe connects and sends nothing. A host that loses its
- * links finds nobody at any server, so it waits for the other probes of that moment
- * before it takes one for a crash.
+ * links finds nobody at any server, so a host that uses other servers too waits for the
+ * other probes of that moment before it takes one for a crash.
  */
 final class CrashProbe {
 
@@ -21,7 +21,7 @@
 	 * Time for the probes of other calls that broke at the same moment. Refused
 	 * connections fail within a round trip.
 	 */
-	private static final long CONFIRM_MS = 60;
+	private static final long CONFIRM_MS = 20;
 
 	private CrashProbe() {
 	}
@@ -36,6 +36,8 @@
 		if (running.isEmpty()) {
 			return;
 		}
+		// Before the request that broke is sent to another server.
+		boolean usesOtherServers = dependencies.quarantine().usesOtherServers(address);
 		BackendCall.send(dependencies.clients(),
 				new BackendRequest(address, "GET", "/", () -> false, Optional::empty, new byte[0]), (signal) -> {
 					if (signal instanceof Signal.Failed failed && failed.requestNotSent()) {
@@ -45,9 +47,14 @@
 							.min()
 							.orElse(Long.MAX_VALUE);
 						dependencies.state().recordVanished(address, startedAtMs);
-						dependencies.executor()
-							.schedule(() -> judge(dependencies, address, running.get()), CONFIRM_MS,
-									TimeUnit.MILLISECONDS);
+						if (usesOtherServers) {
+							dependencies.executor()
+								.schedule(() -> judge(dependencies, address, running.get()), CONFIRM_MS,
+										TimeUnit.MILLISECONDS);
+						}
+						else {
+							judge(dependencies, address, running.get());
+						}
 					}
 					else {
 						dependencies.quarantine().endProbe(address);
