--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreEraCheck.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/StoreEraCheck.java
@@ -11,7 +11,8 @@
  */
 public final class StoreEraCheck {
 
-	private long highestEra;
+	/** Highest era so far, negative before the first one. */
+	private long highestEra = -1;
 
 	private String lastRejected;
 
@@ -22,7 +23,7 @@
 	 * used
 	 */
 	public synchronized OptionalLong check(String text) {
-		if (text == null && this.highestEra == 0) {
+		if (text == null && this.highestEra < 0) {
 			return OptionalLong.of(0);
 		}
 		OptionalLong era = parse(text);
@@ -40,13 +41,13 @@
 	 * @return the era, 0 before the first one
 	 */
 	public synchronized long highestEra() {
-		return this.highestEra;
+		return Math.max(0, this.highestEra);
 	}
 
 	private static OptionalLong parse(String text) {
 		try {
 			long era = (text != null) ? Long.parseLong(text.trim()) : -1;
-			return (era > 0) ? OptionalLong.of(era) : OptionalLong.empty();
+			return (era >= 0) ? OptionalLong.of(era) : OptionalLong.empty();
 		}
 		catch (NumberFormatException ex) {
 			return OptionalLong.empty();
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/StartupWait.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/StartupWait.java
@@ -15,9 +15,10 @@
 
 	/**
 	 * Time after the start of a host within which its first configuration is expected. It
-	 * takes 0.35 to 0.75 s on the users' hosts, which have half a core.
+	 * takes 0.35 to 0.75 s on the users' hosts, which have half a core, and counts at
+	 * most 0.4 s later, after the other hosts had time to tell a newer one.
 	 */
-	static final long CONFIGURATION_MS = 900;
+	static final long CONFIGURATION_MS = 1_300;
 
 	/** Longest wait of one request, below the users' latency target of 500 ms. */
 	static final long MAX_WAIT_MS = 450;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -77,7 +77,8 @@
 	private volatile Runnable suspicionListener = () -> {
 	};
 
-	private volatile long storeEra;
+	/** Era of the store, negative before the first copy. */
+	private volatile long storeEra = -1;
 
 	private volatile RoutingTable table;
 
@@ -165,7 +166,7 @@
 	 * @param era number of the store's history
 	 */
 	public synchronized void recordStoreEra(long era) {
-		if (this.storeEra != 0) {
+		if (this.storeEra >= 0) {
 			this.reports.recordRestore(this.clock.monotonicMs());
 		}
 		this.storeEra = era;
@@ -178,7 +179,7 @@
 	 * @return number of the store's history, 0 before the first copy
 	 */
 	public long storeEra() {
-		return this.storeEra;
+		return Math.max(0, this.storeEra);
 	}
 
 	/**
