--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/BackendLinks.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/BackendLinks.java
@@ -87,6 +87,21 @@
 	 * @return {@code true} if requests should not be sent to servers from here
 	 */
 	public synchronized boolean isCutOff(long nowMs) {
+		return isUnreachableMoreThan(MIN_RATIO, nowMs);
+	}
+
+	/**
+	 * Returns whether this host reaches fewer servers than it does not, so that another
+	 * host may serve what this one cannot. Some failed servers among sound ones are no
+	 * reason to ask other hosts, which see the same.
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code true} if more servers were unreachable than reached
+	 */
+	public synchronized boolean isDegraded(long nowMs) {
+		return isUnreachableMoreThan(1, nowMs);
+	}
+
+	private boolean isUnreachableMoreThan(int ratio, long nowMs) {
 		this.latest.values().removeIf((outcome) -> nowMs - outcome.atMs > OUTCOME_MS);
 		long firstFailureMs = Long.MAX_VALUE;
 		int unreachable = 0;
@@ -100,7 +115,7 @@
 		for (Outcome outcome : this.latest.values()) {
 			reached += (outcome.reached && outcome.atMs >= firstFailureMs) ? 1 : 0;
 		}
-		return unreachable >= MIN_UNREACHABLE && unreachable > MIN_RATIO * reached;
+		return unreachable >= MIN_UNREACHABLE && unreachable > ratio * reached;
 	}
 
 	/**
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/BackendLinksTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/BackendLinksTests.java
@@ -15,9 +15,11 @@
 	private final BackendLinks links = new BackendLinks();
 
 	@ParameterizedTest
-	@CsvSource({ "0, 0, false", "1, 0, false", "2, 0, true", "2, 1, false", "9, 4, true", "10, 5, false",
-			"38, 4, true" })
-	void mostServersTriedSinceTheFirstFailureAreUnreachable(int unreachable, int reached, boolean cutOff) {
+	@CsvSource({ "0, 0, false, false", "1, 0, false, false", "2, 0, true, true", "2, 1, false, true",
+			"9, 4, true, true", "10, 5, false, true", "38, 4, true, true", "10, 32, false, false",
+			"5, 5, false, false" })
+	void mostServersTriedSinceTheFirstFailureAreUnreachable(int unreachable, int reached, boolean cutOff,
+			boolean degraded) {
 		for (int i = 0; i < unreachable; i++) {
 			this.links.recordUnreachable("gone" + i, 1_000);
 		}
@@ -25,6 +27,7 @@
 			this.links.recordReached("sound" + i, 1_100);
 		}
 		assertThat(this.links.isCutOff(1_200)).isEqualTo(cutOff);
+		assertThat(this.links.isDegraded(1_200)).isEqualTo(degraded);
 	}
 
 	@Test
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -278,10 +278,10 @@
 
 	/**
 	 * Returns whether another host may reach servers that this one does not.
-	 * @return {@code true} if servers were unreachable from this host lately
+	 * @return {@code true} if this host reaches fewer servers than it does not
 	 */
 	protected final boolean isRelayPossible() {
-		return !this.request.source().isHost() && !this.dependencies.state().unreachableServers().isEmpty();
+		return !this.request.source().isHost() && this.dependencies.state().hasDegradedLinks();
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -407,6 +407,14 @@
 		return this.links.vanishedWithOthers(address, this.clock.monotonicMs());
 	}
 
+	/**
+	 * Returns whether this host reaches fewer servers than it does not.
+	 * @return {@code true} if another host may serve what this one cannot
+	 */
+	public boolean hasDegradedLinks() {
+		return this.links.isDegraded(this.clock.monotonicMs());
+	}
+
 	/**
 	 * Returns the servers to which no connection could be set up lately.
 	 * @return their identifiers
