Keep a silent stream until another chain sends its next event

Callers saw: streams that were broken off, or answered 502, although their server was sound and went on after a silence of 0.5 to 2 s.

Cause: StreamExecution.onDiagnosis ended the attempt as soon as a report named a server (or the report was not answered), and only then asked whether another chain may and can be tried. Without one (no chain with room, stream that may not be resumed, servers or retries used up, request passed on by another host) the stream was aborted. A successor that was silent too replaced a first chain that might still go on.

Change: silence ends no attempt. It starts a concurrent one, also after the report has named a server; whichever sends an event first is kept. A further chain is tried if all attempts are silent and the limits of the route and the retry budget allow it. Chains of other engines are preferred, so that one first engine has two runs of a request only if there is no other. The ledger still decides what may be sent. Log: `kept` with its reason; `stalled` stays.

Not covered by a test: the successor of a leaving engine is not probed while the first chain delivers.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.stream;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -51,6 +52,16 @@
 
 	private long answersRecordedAtMs = Long.MIN_VALUE / 2;
 
+	/** Identifier or address of the server that the chain waits for, empty if unknown. */
+	private String faultyServer = "";
+
+	private long faultKnownAtMs;
+
+	/** Successors that have failed during the silence. */
+	private int failedSuccessors;
+
+	private final Set<String> loggedKeepReasons = new HashSet<>();
+
 	/**
 	 * Creates an attempt.
 	 * @param chain the reserved chain, released when the attempt is closed; without
@@ -81,6 +92,16 @@
 		return this.firstEngine;
 	}
 
+	/**
+	 * Returns all servers of the attempt.
+	 * @return the identifiers of the engines, or of the other host
+	 */
+	Set<String> servers() {
+		Set<String> ids = new HashSet<>(this.chain.engineIds());
+		ids.add(this.firstEngine);
+		return ids;
+	}
+
 	boolean isRelayed() {
 		return this.chain.hops().isEmpty();
 	}
@@ -195,6 +216,64 @@
 		this.eventGaps.recordEvent(nowMs);
 		this.stallCheckDeferred = false;
 		this.stallCheckAtMs = nowMs + this.eventGaps.suspectStallThresholdMs();
+		this.faultyServer = "";
+		this.failedSuccessors = 0;
+		this.loggedKeepReasons.clear();
+	}
+
+	/**
+	 * Records the server that the chain waits for. The next event refutes it.
+	 * @param server identifier of the server, or its address if it is not registered
+	 * @param nowMs current time on the monotonic clock
+	 */
+	void recordFault(String server, long nowMs) {
+		if (this.faultyServer.isEmpty()) {
+			this.faultKnownAtMs = nowMs;
+		}
+		this.faultyServer = server;
+	}
+
+	/**
+	 * Returns the server that the chain waits for.
+	 * @return its identifier or address, empty if unknown
+	 */
+	Set<String> faultyServers() {
+		return (this.faultyServer.isEmpty()) ? Set.of() : Set.of(this.faultyServer);
+	}
+
+	/**
+	 * Returns whether the attempt has not been silent for long.
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code false} if other attempts need not wait for its events
+	 */
+	boolean isBelowThreshold(long nowMs) {
+		return this.eventGaps.currentGapMs(nowMs) < this.eventGaps.suspectStallThresholdMs();
+	}
+
+	boolean isFaultKnown() {
+		return !this.faultyServer.isEmpty();
+	}
+
+	long faultKnownAtMs() {
+		return this.faultKnownAtMs;
+	}
+
+	void recordFailedSuccessor() {
+		this.failedSuccessors++;
+	}
+
+	int failedSuccessors() {
+		return this.failedSuccessors;
+	}
+
+	/**
+	 * Returns whether the reason for which the silent attempt is kept is to be logged,
+	 * which is once during a silence.
+	 * @param reason the reason
+	 * @return {@code true} for a new reason
+	 */
+	boolean mayLogKeepReason(String reason) {
+		return this.loggedKeepReasons.add(reason);
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -9,6 +9,9 @@
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainZones;
+import org.medlardrum.decisions.pool.SilenceDecision;
+import org.medlardrum.decisions.pool.SilencePolicy;
+import org.medlardrum.decisions.pool.SilentAttempt;
 import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamStallDetector;
 import org.medlardrum.decisions.routing.RetryAfter;
@@ -31,8 +34,8 @@
 /**
  * Executes a streamed request on chains of engines. Complete events are passed on as they
  * arrive. When a chain fails, the stream resumes on another chain after the last event
- * that the caller has received. A chain that may still recover is kept until the other
- * one sends an event, since in an overload the other one may refuse.
+ * that the caller has received. A silent chain may still recover and the other one may
+ * refuse, so it is kept until the other one sends an event.
  */
 public final class StreamExecution extends RequestExecution {
 
@@ -72,6 +75,8 @@
 
 	private static final String REASON_STALLED = "silent-moved";
 
+	private static final String REASON_STALLED_DIAGNOSED = "stalled";
+
 	private static final String REASON_LEAVING = "leaving";
 
 	private final ChainChooser chooser;
@@ -86,8 +91,8 @@
 	 */
 	private ChainAttempt current;
 
-	/** Concurrent attempt at another chain, {@code null} for none. */
-	private ChainAttempt successor;
+	/** Concurrent attempts at other chains. */
+	private final Successors successors = new Successors();
 
 	private boolean responseStarted;
 
@@ -162,8 +167,8 @@
 		if (this.current != null) {
 			dueMs = Math.min(dueMs, this.current.stallCheckAtMs());
 		}
-		if (this.successor != null) {
-			dueMs = Math.min(dueMs, this.successor.stallCheckAtMs());
+		for (ChainAttempt successor : this.successors.list()) {
+			dueMs = Math.min(dueMs, successor.stallCheckAtMs());
 		}
 		return dueMs;
 	}
@@ -177,12 +182,10 @@
 			return search(nowMs);
 		}
 		boolean late = this.dependencies.timerLateness().isLate();
-		if (this.successor != null && nowMs >= this.successor.stallCheckAtMs()
-				&& !this.successor.deferStallCheck(late, nowMs)) {
-			onStalledSuccessor(nowMs);
-		}
-		if (nowMs >= this.current.stallCheckAtMs() && !this.current.deferStallCheck(late, nowMs)) {
-			onStallCheck(nowMs);
+		for (ChainAttempt attempt : this.successors.listWith(this.current)) {
+			if (nowMs >= attempt.stallCheckAtMs() && !attempt.deferStallCheck(late, nowMs)) {
+				onStallCheck(attempt, nowMs);
+			}
 		}
 		tryOtherChainForLeaving(nowMs);
 		return null;
@@ -190,60 +193,135 @@
 
 	@Override
 	protected void close() {
-		dropSuccessor();
+		this.successors.closeAll();
 		endCurrent();
 	}
 
 	// Tries another chain after an unusually long gap between events, or sooner if an
-	// engine is suspect. Probes the stalled chain if the gap lasts.
-	private void onStallCheck(long nowMs) {
-		StreamStallDetector gaps = this.current.eventGaps();
+	// engine is suspect. Probes the stalled chain if the gap lasts. A chain with a
+	// leaving
+	// engine still delivers events, so its successor has time.
+	private void onStallCheck(ChainAttempt attempt, long nowMs) {
+		if (attempt != this.current && this.current.isBelowThreshold(nowMs)) {
+			attempt.scheduleStallCheck(nowMs + StreamLimits.PROBE_INTERVAL_MS);
+			return;
+		}
+		StreamStallDetector gaps = attempt.eventGaps();
 		boolean stalled = gaps.currentGapMs(nowMs) >= gaps.stallThresholdMs();
-		if (stalled || hasSuspectEngine(this.current.chain())) {
-			tryOtherChainForStall(nowMs);
+		SilenceDecision decision = null;
+		if (stalled || hasSuspectEngine(attempt.chain())) {
+			decision = tryOtherChain(attempt, nowMs);
 		}
 		if (!stalled) {
-			this.current.scheduleStallCheck(nowMs + gaps.nextCheckMs(gaps.currentGapMs(nowMs)));
+			attempt.scheduleStallCheck(nowMs + gaps.nextCheckMs(gaps.currentGapMs(nowMs)));
 			return;
 		}
 		long untilProbeMs = StreamStallDetector.PROBE_AFTER_MS - gaps.currentGapMs(nowMs);
 		if (untilProbeMs > 0) {
-			this.current.scheduleStallCheck(nowMs + untilProbeMs);
-			return;
+			attempt.scheduleStallCheck(nowMs + untilProbeMs);
 		}
-		probeStall(nowMs);
-	}
-
-	// A chain with a leaving engine still delivers events, so its successor has time.
-	private void onStalledSuccessor(long nowMs) {
-		if (this.successor.reason().equals(REASON_LEAVING)) {
-			this.successor.scheduleStallCheck(nowMs + StreamLimits.PROBE_INTERVAL_MS);
+		else if (attempt.isFaultKnown()) {
+			scheduleNextSearch(attempt, decision, nowMs);
 		}
 		else {
-			promoteSuccessor("neither chain sends events");
+			probeStall(attempt, nowMs);
+		}
+	}
+
+	private static void scheduleNextSearch(ChainAttempt attempt, SilenceDecision decision, long nowMs) {
+		attempt.scheduleStallCheck(nowMs
+				+ SilencePolicy.nextCheckMs(decision, nowMs - attempt.faultKnownAtMs(), attempt.failedSuccessors()));
+	}
+
+	// Tries another chain concurrently if the stream has no attempt that is less silent.
+	private SilenceDecision tryOtherChain(ChainAttempt silent, long nowMs) {
+		StreamStallDetector gaps = silent.eventGaps();
+		boolean awaitsOther = silent != this.successors.newestOr(this.current)
+				|| this.successors.listWith(this.current).stream().anyMatch((other) -> other.isBelowThreshold(nowMs));
+		Optional<SendDenial> denial = (awaitsOther) ? Optional.empty() : sendDenial();
+		SilenceDecision decision = SilencePolicy.decide(new SilentAttempt(gaps.currentGapMs(nowMs), gaps.hasBegun(),
+				silent.isFaultKnown(), awaitsOther, denial));
+		switch (decision) {
+			case SilenceDecision.TrySpareChain spare -> tryOtherChainForStall(silent, nowMs);
+			case SilenceDecision.TryAnyChain any -> tryAnyChainForStall(silent, nowMs);
+			case SilenceDecision.Keep keep -> {
+				logKept(silent, keep.reason(), nowMs);
+				if (silent.isFaultKnown()) {
+					denial.ifPresent(this::logDenial);
+				}
+			}
 		}
+		return decision;
 	}
 
-	// Starts a concurrent attempt at a chain without any engine of the stalled chain, in
+	// Starts a concurrent attempt at a chain without any engine of the stalled chains, in
 	// time for the stream's target. The engine causing the stall is not identified yet.
-	private void tryOtherChainForStall(long nowMs) {
-		StreamStallDetector gaps = this.current.eventGaps();
-		boolean probeDue = gaps.hasBegun() && gaps.currentGapMs(nowMs) >= StreamStallDetector.PROBE_AFTER_MS;
-		if (probeDue || !mayExecuteConcurrently()) {
-			return;
-		}
-		Set<String> excludedEngines = new HashSet<>(this.excluded);
-		excludedEngines.addAll(this.current.chain().engineIds());
-		if (this.current.isRelayed() || isRelayPreferred()) {
-			excludedEngines.add(this.current.firstEngine());
-			this.successor = startRelay(REASON_STALLED, excludedEngines);
+	private void tryOtherChainForStall(ChainAttempt silent, long nowMs) {
+		Set<String> excludedEngines = excludedWithAttempts();
+		if (silent.isRelayed() || isRelayPreferred()) {
+			addSuccessor(startRelay(REASON_STALLED, excludedEngines));
 			return;
 		}
 		ChainRequest requirements = chainRequest()
 			.preferring(this.chooser.chooseRandomZone(this.request.service(), excludedEngines));
 		if (this.chooser.hasSpareCapacity(this.request.service(), requirements, excludedEngines)) {
-			startSuccessor(REASON_STALLED, "no event for " + gaps.currentGapMs(nowMs) + " ms", excludedEngines,
-					requirements);
+			startSuccessor(REASON_STALLED, "no event for " + silent.eventGaps().currentGapMs(nowMs) + " ms",
+					excludedEngines, requirements);
+		}
+		else {
+			logKept(silent, "no-spare-chain", nowMs);
+		}
+	}
+
+	// Starts a concurrent attempt at any chain without the engine causing the stall.
+	private void tryAnyChainForStall(ChainAttempt silent, long nowMs) {
+		Set<String> faulty = excludedWithFaults();
+		ChainAttempt next = (isRelayPreferred()) ? startRelay(REASON_STALLED_DIAGNOSED, excludedWithAttempts()) : null;
+		if (next == null) {
+			next = chooseForStall(faulty).map((chosen) -> startAttempt(chosen, REASON_STALLED_DIAGNOSED, faulty))
+				.orElse(null);
+		}
+		if (next == null && isRelayPossible()) {
+			next = startRelay(REASON_STALLED_DIAGNOSED, excludedWithAttempts());
+		}
+		addSuccessor(next);
+		if (next == null) {
+			logKept(silent, "no-chain-with-room", nowMs);
+		}
+	}
+
+	private Optional<ChainChooser.ReservedChain> chooseForStall(Set<String> faulty) {
+		return this.chooser.choose(this.request.service(), chainRequest(), excludedWithAttempts(), this.responseStarted)
+			.or(() -> this.chooser.choose(this.request.service(), chainRequest(), faulty, this.responseStarted));
+	}
+
+	private void addSuccessor(ChainAttempt attempt) {
+		if (attempt != null) {
+			this.successors.add(attempt);
+		}
+	}
+
+	private Set<String> excludedWithFaults() {
+		Set<String> ids = new HashSet<>(this.excluded);
+		this.successors.listWith(this.current).forEach((attempt) -> ids.addAll(attempt.faultyServers()));
+		return ids;
+	}
+
+	private Set<String> excludedWithAttempts() {
+		Set<String> ids = excludedWithFaults();
+		this.successors.listWith(this.current).forEach((attempt) -> ids.addAll(attempt.servers()));
+		return ids;
+	}
+
+	// In an overload most gaps are long; only those that last are logged.
+	private void logKept(ChainAttempt attempt, String reason, long nowMs) {
+		long silentMs = attempt.eventGaps().currentGapMs(nowMs);
+		if (silentMs >= StreamStallDetector.PROBE_AFTER_MS && attempt.mayLogKeepReason(reason)) {
+			this.dependencies.log()
+				.event(PART, "kept", "id", this.request.id(), "reason", reason, "server", attempt.firstEngine(),
+						"waitsFor", String.join(",", attempt.faultyServers()), "silentMs", silentMs, "sends",
+						this.ledger.sends(), "runs", this.ledger.possibleExecutions(), "maxAttempts",
+						this.request.route().maxAttempts());
 		}
 	}
 
@@ -268,54 +346,45 @@
 	}
 
 	private boolean mayExecuteConcurrently() {
-		return this.successor == null && sendDenial().isEmpty();
+		return this.successors.isEmpty() && sendDenial().isEmpty();
 	}
 
 	private void startSuccessor(String event, String reason, Set<String> excludedEngines, ChainRequest requirements) {
 		this.chooser.choose(this.request.service(), requirements, excludedEngines, this.responseStarted)
 			.ifPresent((next) -> {
 				logAttempt(event, reason);
-				this.successor = startAttempt(next, event, excludedEngines);
+				addSuccessor(startAttempt(next, event, excludedEngines));
 			});
 	}
 
-	// Makes the successor the attempt whose events the caller receives.
-	private void promoteSuccessor(String reason) {
+	// Makes a successor the attempt whose events the caller receives.
+	private void promoteSuccessor(ChainAttempt successor, String reason) {
 		logAttempt("promoted", reason);
-		this.excluded.addAll(this.successor.excluded());
+		this.excluded.addAll(successor.excluded());
 		endCurrent();
-		this.current = this.successor;
-		this.successor = null;
-	}
-
-	private void dropSuccessor() {
-		if (this.successor != null) {
-			this.successor.close();
-			this.successor = null;
-		}
+		this.successors.remove(successor);
+		this.current = successor;
 	}
 
 	private void endCurrent() {
 		if (this.current != null) {
+			this.excluded.addAll(this.current.faultyServers());
 			this.current.close();
 			this.current = null;
 		}
 	}
 
 	private ChainAttempt attemptOf(BackendCall call) {
-		if (this.current != null && this.current.call() == call) {
-			return this.current;
-		}
-		return (this.successor != null && this.successor.call() == call) ? this.successor : null;
+		return (this.current != null && this.current.call() == call) ? this.current : this.successors.find(call);
 	}
 
-	private void probeStall(long nowMs) {
-		this.current.scheduleStallCheck(nowMs + StreamLimits.PROBE_INTERVAL_MS);
+	private void probeStall(ChainAttempt attempt, long nowMs) {
+		attempt.scheduleStallCheck(nowMs + StreamLimits.PROBE_INTERVAL_MS);
 		this.dependencies.log()
-			.event(PART, "silent", "id", this.request.id(), "server", this.current.firstEngine(), "silentMs",
-					this.current.eventGaps().currentGapMs(nowMs));
-		if (!this.current.isRelayed()) {
-			this.probe.probe(this.current.call(), this.request.id());
+			.event(PART, "silent", "id", this.request.id(), "server", attempt.firstEngine(), "silentMs",
+					attempt.eventGaps().currentGapMs(nowMs));
+		if (!attempt.isRelayed()) {
+			this.probe.probe(attempt.call(), this.request.id());
 		}
 	}
 
@@ -478,15 +547,15 @@
 		}
 	}
 
-	// Of two concurrent attempts, keeps the one that sends the next event. A chain with a
+	// Of concurrent attempts, keeps the one that sends the next event. A chain with a
 	// leaving engine is kept until its successor has sent its first event.
 	private void keepFirstToRespond(ChainAttempt attempt) {
-		if (attempt == this.successor) {
-			promoteSuccessor("the successor sent an event first");
+		if (attempt != this.current) {
+			promoteSuccessor(attempt, "the successor sent an event first");
+			this.successors.closeAll();
 		}
-		else if (this.successor != null && this.successor.reason().equals(REASON_STALLED)) {
+		else if (this.successors.closeAllExcept(REASON_LEAVING)) {
 			logAttempt("successor-dropped", "the first chain sent an event again");
-			dropSuccessor();
 		}
 	}
 
@@ -540,7 +609,7 @@
 	}
 
 	private String onErrorResponse(ChainAttempt attempt) {
-		boolean continues = this.successor != null || (attempt.status() >= SERVER_ERROR && sendDenial().isEmpty());
+		boolean continues = !this.successors.isEmpty() || (attempt.status() >= SERVER_ERROR && sendDenial().isEmpty());
 		if (this.responseStarted || continues) {
 			this.excluded.add(attempt.firstEngine());
 			return continueAfterFailure(attempt, "server-error", "status " + attempt.status());
@@ -584,30 +653,39 @@
 		return onTimeout();
 	}
 
+	// A chain may wait for an engine that goes on later, so the attempt is kept.
 	private String onDiagnosis(Signal.StallDiagnosis diagnosis) {
 		ChainAttempt attempt = attemptOf(diagnosis.call());
-		if (attempt == null || diagnosis.faultyAddress().isEmpty()
-				|| attempt.eventGaps().currentGapMs(this.dependencies.nowMs()) < StreamStallDetector.PROBE_AFTER_MS) {
+		long nowMs = this.dependencies.nowMs();
+		if (attempt == null || attempt.eventGaps().currentGapMs(nowMs) < StreamStallDetector.PROBE_AFTER_MS) {
+			return null;
+		}
+		Optional<ServiceInstance> faulty = this.dependencies.state().fleet().atAddress(diagnosis.faultyAddress());
+		// The report may be about another attempt with the same first engine.
+		if (diagnosis.faultyAddress().isEmpty()
+				|| faulty.filter((server) -> !attempt.servers().contains(server.id())).isPresent()) {
+			logKept(attempt, "no-server-named", nowMs);
 			return null;
 		}
-		this.dependencies.state().fleet().atAddress(diagnosis.faultyAddress()).ifPresent((server) -> {
-			this.excluded.add(server.id());
-			this.dependencies.state().suspect(attempt.callingZone(server.id(), ownZone()), server);
-		});
-		return continueAfterFailure(attempt, "stalled", "the chain waits for " + diagnosis.faultyAddress());
+		faulty.ifPresent(
+				(server) -> this.dependencies.state().suspect(attempt.callingZone(server.id(), ownZone()), server));
+		attempt.recordFault(faulty.map(ServiceInstance::id).orElse(diagnosis.faultyAddress()), nowMs);
+		logAttempt("stalled", "the chain waits for " + diagnosis.faultyAddress());
+		scheduleNextSearch(attempt, tryOtherChain(attempt, nowMs), nowMs);
+		return null;
 	}
 
-	// Ends a failed attempt and continues with the concurrent attempt or another chain.
+	// Ends a failed attempt and continues with a concurrent attempt or another chain.
 	// Abandons the request if neither is possible.
 	private String continueAfterFailure(ChainAttempt failed, String event, String reason) {
 		logAttempt(event, reason);
-		if (failed == this.successor) {
-			dropSuccessor();
+		if (failed != this.current) {
+			onFailedSuccessor(failed);
 			return null;
 		}
 		this.lastFailure = reason;
-		if (this.successor != null) {
-			promoteSuccessor(reason);
+		if (!this.successors.isEmpty()) {
+			promoteSuccessor(this.successors.oldest(), reason);
 			return null;
 		}
 		endCurrent();
@@ -625,6 +703,16 @@
 		return search(nowMs);
 	}
 
+	private void onFailedSuccessor(ChainAttempt failed) {
+		failed.close();
+		this.successors.remove(failed);
+		ChainAttempt silent = this.successors.newestOr(this.current);
+		silent.recordFailedSuccessor();
+		if (SilencePolicy.triesAgainAtOnce(silent.isFaultKnown(), silent.failedSuccessors())) {
+			tryOtherChain(silent, this.dependencies.nowMs());
+		}
+	}
+
 	@Override
 	protected boolean hasSpareServers() {
 		return this.chooser.hasSpareFirstEngine(this.request.service());
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CutOffHostTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CutOffHostTests.java
@@ -170,6 +170,27 @@
 		assertThat(received() - before).isEqualTo(1);
 	}
 
+	/** The other host sends the request to one server at most. */
+	@ParameterizedTest
+	@ValueSource(strings = { "/stream/silent", "/once/silent" })
+	void streamOfACutOffHostOutlastsTheSilenceOfItsServer(String path) throws Exception {
+		register("pool", (head, socket, out) -> {
+			if (head.startsWith("get /report")) {
+				FakeBackend.response(200, "", "r1 127.0.0.1:" + socket.getLocalPort()).handle(head, socket, out);
+				return;
+			}
+			FakeBackend.write(out, STREAM_HEAD + FakeBackend.chunk("id: 1\ndata: e1\n\n"));
+			if (head.contains("/silent")) {
+				TimeUnit.MILLISECONDS.sleep(1_200);
+			}
+			FakeBackend.write(out, FakeBackend.chunk("id: 2\ndata: e2\n\n") + "0\r\n\r\n");
+		});
+		exchange("/stream/1");
+		String response = call(this.cut, path);
+		assertThat(response).contains("data: e2");
+		assertThat(response).endsWith("0\r\n\r\n");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "/safe/1", "/unsafe/1" })
 	void plainRequestOfACutOffHostIsServedThroughAnotherOne(String path) throws Exception {
