Accept only lines of events as parts of a stream

Callers found an error's text, at times its whole head, in the middle of their stream. The parser took any lines up to an empty line for an event.

A block with a line that is no field, comment or leading numbered header (`weight-versions: 3`) fails the attempt: nothing of it is passed on, the engine is excluded, and the stream resumes elsewhere or is broken off.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -157,6 +157,10 @@
 		return this.parser.isTooLarge();
 	}
 
+	boolean hasMalformedEvent() {
+		return this.parser.isMalformed();
+	}
+
 	boolean hasPartialEvent() {
 		return this.parser.hasPartialEvent();
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -458,6 +458,10 @@
 		for (StreamedEvent event : events) {
 			deliver(event);
 		}
+		if (attempt.hasMalformedEvent()) {
+			this.excluded.add(attempt.firstEngine());
+			return continueAfterFailure(attempt, "malformed", "the server sent lines that are not an event");
+		}
 		if (attempt.hasTooLargeEvent()) {
 			return continueAfterFailure(attempt, "too-large",
 					"an event exceeds " + EventParser.MAX_EVENT_BYTES + " bytes");
