Continue a stream only with a stream

A stream that had begun took any 2xx for its continuation: after a 204 or a 200 of another type it ended as complete, and the other body stood in it.

Only status 200 without another content type than text/event-stream is a stream, and a continuation has the type of the response that has begun. A first response of another kind is passed on whole, once it is complete.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -2,12 +2,14 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 
 import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.StreamStallDetector;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
+import org.medlardrum.gateway.internal.request.HeaderList;
 
 /**
  * One attempt of a stream at a chain: the call, the reserved chain and the part of the
@@ -17,7 +19,7 @@
 
 	private static final int OK = 200;
 
-	private static final int MULTIPLE_CHOICES = 300;
+	private static final String EVENT_STREAM = "text/event-stream";
 
 	/** Shortest time between two records of the engines' answers. */
 	private static final long ANSWER_INTERVAL_MS = 100;
@@ -40,6 +42,9 @@
 
 	private List<String> headers = List.of();
 
+	/** Media type of the response in lower case, empty for none. */
+	private String contentType = "";
+
 	/** Body of a response that is not a stream, {@code null} for a stream. */
 	private ByteArrayOutputStream errorBody;
 
@@ -102,18 +107,24 @@
 	}
 
 	/**
-	 * Records the status and headers of the engine's response.
+	 * Records the status and headers of the engine's response. A response with status 200
+	 * is a stream, unless it names another type of content.
 	 * @param header the status and headers as received
 	 * @param responseHeaders the headers for the caller
 	 */
 	void setHeader(Signal.Header header, List<String> responseHeaders) {
 		this.status = header.status();
 		this.headers = responseHeaders;
-		if (header.status() < OK || header.status() >= MULTIPLE_CHOICES) {
+		this.contentType = mediaType(HeaderList.lookup(header.headers()).first("content-type").orElse(""));
+		if (header.status() != OK || !(this.contentType.isEmpty() || this.contentType.equals(EVENT_STREAM))) {
 			this.errorBody = new ByteArrayOutputStream();
 		}
 	}
 
+	private static String mediaType(String value) {
+		return value.split(";", 2)[0].trim().toLowerCase(Locale.ROOT);
+	}
+
 	boolean hasHeader() {
 		return this.status > 0;
 	}
@@ -126,6 +137,10 @@
 		return this.headers;
 	}
 
+	String contentType() {
+		return this.contentType;
+	}
+
 	boolean isStream() {
 		return this.errorBody == null;
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -63,6 +63,8 @@
 	/** Size limit of the body of a response that is not a stream. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
+	private static final int BAD_REQUEST = 400;
+
 	private static final int SERVER_ERROR = 500;
 
 	private static final String PART = "stream";
@@ -91,6 +93,9 @@
 
 	private boolean responseStarted;
 
+	/** Content type of the response that has begun, which its continuations share. */
+	private String contentType = "";
+
 	private long lastEventId;
 
 	private int eventsDelivered;
@@ -449,6 +454,9 @@
 			return (attempt.addToBody(data.bytes()) > MAX_BODY_BYTES)
 					? continueAfterFailure(attempt, "too-large", "the response is too large") : null;
 		}
+		if (!mayDeliver(attempt)) {
+			return failNoStream(attempt);
+		}
 		List<StreamedEvent> events = attempt.addToStream(data.bytes());
 		if (!events.isEmpty()) {
 			recordBegun(data.call());
@@ -470,6 +478,16 @@
 		return null;
 	}
 
+	private boolean mayDeliver(ChainAttempt attempt) {
+		return !this.responseStarted || attempt.contentType().equals(this.contentType);
+	}
+
+	private String failNoStream(ChainAttempt attempt) {
+		this.excluded.add(attempt.firstEngine());
+		return continueAfterFailure(attempt, "no-stream",
+				"status " + attempt.status() + ", content type \"" + attempt.contentType() + "\"");
+	}
+
 	// An event proves that all engines of the chain are working.
 	private void recordAnswers(ChainAttempt attempt) {
 		long nowMs = this.dependencies.nowMs();
@@ -505,6 +523,7 @@
 		}
 		if (!this.responseStarted) {
 			this.responseStarted = true;
+			this.contentType = this.current.contentType();
 			this.response.startStream(this.current.status(), this.current.headers());
 			this.firstEventMs = nowMs - this.request.arrivedAtMs();
 			this.dependencies.metrics().recordFirstByte(this.request.trafficKind(), this.firstEventMs);
@@ -528,6 +547,9 @@
 		if (!attempt.isStream()) {
 			return onErrorResponse(attempt);
 		}
+		if (!mayDeliver(attempt)) {
+			return failNoStream(attempt);
+		}
 		if (attempt.hasPartialEvent()) {
 			return continueAfterFailure(attempt, "broken", "the stream ended within an event");
 		}
@@ -544,13 +566,17 @@
 	}
 
 	private String onErrorResponse(ChainAttempt attempt) {
+		boolean success = attempt.status() < BAD_REQUEST;
 		boolean continues = this.successor != null || (attempt.status() >= SERVER_ERROR && sendDenial().isEmpty());
+		if (success && this.responseStarted) {
+			return failNoStream(attempt);
+		}
 		if (this.responseStarted || continues) {
 			this.excluded.add(attempt.firstEngine());
 			return continueAfterFailure(attempt, "server-error", "status " + attempt.status());
 		}
 		this.response.deliver(attempt.status(), attempt.headers(), attempt.body());
-		return "server-error";
+		return (success) ? ANSWERED : "server-error";
 	}
 
 	private String onFailed(Signal.Failed failed) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ErrorTextInStreamTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ErrorTextInStreamTests.java
@@ -5,7 +5,9 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -55,20 +57,25 @@
 			nextRegistered.await(5, TimeUnit.SECONDS);
 			FakeBackend.write(out, "8\r\nid: 9\nda");
 		})) {
-			this.fixture.register("pool", "e1", first);
-			Thread.ofVirtual().start(() -> {
-				while (first.requests().isEmpty()) {
-					Thread.onSpinWait();
-				}
-				this.fixture.register("pool", "e2", second);
-				nextRegistered.countDown();
-			});
-			Received received = Received.of(this.fixture.call("POST", "/stream/1"));
-			assertThat(second.requests()).hasSize(1);
-			return received;
+			return callFirstAndLater(first, second, nextRegistered);
 		}
 	}
 
+	private Received callFirstAndLater(FakeBackend first, FakeBackend second, CountDownLatch secondRegistered)
+			throws Exception {
+		this.fixture.register("pool", "e1", first);
+		Thread.ofVirtual().start(() -> {
+			while (first.requests().isEmpty()) {
+				Thread.onSpinWait();
+			}
+			this.fixture.register("pool", "e2", second);
+			secondRegistered.countDown();
+		});
+		Received received = Received.of(this.fixture.call("POST", "/stream/1"));
+		assertThat(second.requests()).hasSize(1);
+		return received;
+	}
+
 	private Received callOnly(FakeBackend.Script engine) throws Exception {
 		try (FakeBackend only = new FakeBackend(engine)) {
 			this.fixture.register("pool", "e1", only);
@@ -115,6 +122,61 @@
 		assertThat(received.complete()).isTrue();
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "204 x, ''", "200 x, ''", "200 x, content-type: text/plain", "200 x, content-type: application/json",
+			"200 x, content-type: text/event-streams", "206 x, content-type: text/event-stream",
+			"202 x, content-type: text/event-stream" })
+	void successThatIsNoStreamDoesNotContinueOne(String status, String contentType) throws Exception {
+		String header = (contentType.isEmpty()) ? "" : contentType + "\r\n";
+		FakeBackend.Script next = (status.startsWith("204"))
+				? (head, socket, out) -> FakeBackend.write(out, "HTTP/1.1 204 x\r\n" + PROOF + "\r\n")
+				: chunked(status, header, event(3), "0\r\n\r\n");
+		Received received = continueAt(BEGUN, next);
+		assertThat(received.body()).isEqualTo(BEGUN);
+		assertThat(received.complete()).isFalse();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "Text/Event-Stream", "text/event-stream; charset=utf-8", "text/event-stream ;x=y" })
+	void everyFormOfTheContentTypeContinuesAStream(String contentType) throws Exception {
+		Received received = continueAt(BEGUN,
+				chunked("200 x", "content-type: " + contentType + "\r\n", event(3), "0\r\n\r\n"));
+		assertThat(received.body()).isEqualTo(BEGUN + event(3));
+		assertThat(received.complete()).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "bad thing\n\n", "id: 1\ndata: e1\n\n" })
+	void firstResponseThatIsNoStreamIsPassedOnWhole(String text) throws Exception {
+		Received received = callOnly(chunked("200 x", "content-type: text/plain\r\n", text, "0\r\n\r\n"));
+		assertThat(received.head()).startsWith("HTTP/1.1 200");
+		assertThat(received.head()).contains("proof: p");
+		assertThat(received.head()).contains("content-length: " + text.length());
+		assertThat(received.body()).isEqualTo(text);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "bad thing\n\n", "id: 1\ndata: e1\n\n" })
+	void firstResponseThatIsNoStreamAndBreaksIsAFailure(String text) throws Exception {
+		Received received = callOnly(chunked("200 x", "content-type: text/plain\r\n", text, ""));
+		assertThat(received.head()).startsWith("HTTP/1.1 502");
+	}
+
+	/** The pages name the type of a stream, but show a response without one. */
+	@Test
+	void streamWithoutContentTypeIsContinuedByAnother() throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		try (FakeBackend second = new FakeBackend(chunked("200 x", "", event(3), "0\r\n\r\n"));
+				FakeBackend first = new FakeBackend((head, socket, out) -> {
+					chunked("200 x", "", BEGUN, "").handle(head, socket, out);
+					end.await(5, TimeUnit.SECONDS);
+				})) {
+			Received received = callFirstAndLater(first, second, end);
+			assertThat(received.body()).isEqualTo(BEGUN + event(3));
+			assertThat(received.complete()).isTrue();
+		}
+	}
+
 	/**
 	 * A response as a caller received it.
 	 *
