Complete a stream only after an event of its last server

A continuation without any event (an empty 200, or only comments) ended the caller's stream as complete; so did an empty response of a chain that was tried beside a slow one. Whether the first server had sent its last event before it broke is not known then.

Such a response is a failed attempt; if none is left, the stream is broken off, and the caller may resume it itself. Comments of a continuation are not passed on before its first event.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -50,6 +50,8 @@
 
 	private long stallCheckAtMs;
 
+	private boolean delivered;
+
 	private boolean written;
 
 	private boolean stallCheckDeferred;
@@ -180,6 +182,18 @@
 		return this.parser.hasPartialEvent();
 	}
 
+	void recordDelivered() {
+		this.delivered = true;
+	}
+
+	/**
+	 * Returns whether the caller has received an event of this attempt.
+	 * @return {@code true} if one was passed on
+	 */
+	boolean hasDelivered() {
+		return this.delivered;
+	}
+
 	/**
 	 * Records that the request is being written. Silence of the engine counts from here.
 	 * @param nowMs current time on the monotonic clock
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
@@ -22,8 +22,10 @@
 
 	private static final String DATA_FIELD = "data";
 
+	private static final String TYPE_FIELD = "event";
+
 	/** Names of fields; the empty name begins a comment. */
-	private static final Set<String> FIELDS = Set.of(ID_FIELD, DATA_FIELD, "event", "retry", "");
+	private static final Set<String> FIELDS = Set.of(ID_FIELD, DATA_FIELD, TYPE_FIELD, "retry", "");
 
 	/** A header that servers may send as the first line of an event. */
 	private static final Pattern NUMBERED_HEADER = Pattern.compile("[a-z][a-z0-9-]*:[ ]?[0-9]+");
@@ -110,10 +112,10 @@
 			if (name.equals(ID_FIELD) && id == StreamedEvent.NO_ID) {
 				id = number(line.substring(Math.min(line.length(), name.length() + 1)));
 			}
-			hasContent |= name.equals(ID_FIELD) || name.equals(DATA_FIELD);
+			hasContent |= name.equals(ID_FIELD) || name.equals(DATA_FIELD) || name.equals(TYPE_FIELD);
 			firstLine = false;
 		}
-		return (hasContent || !hasHeader) ? Optional.of(new StreamedEvent(block, id)) : Optional.empty();
+		return (hasContent || !hasHeader) ? Optional.of(new StreamedEvent(block, id, hasContent)) : Optional.empty();
 	}
 
 	private static long number(String text) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -515,6 +515,9 @@
 	private void deliver(StreamedEvent event) {
 		long nowMs = this.dependencies.nowMs();
 		this.current.recordEvent(nowMs);
+		if (this.responseStarted && !event.hasContent() && !this.current.hasDelivered()) {
+			return;
+		}
 		if (event.id() != StreamedEvent.NO_ID) {
 			if (event.id() <= this.lastEventId) {
 				return;
@@ -532,6 +535,7 @@
 			this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.lastDeliveredAtMs);
 		}
 		this.lastDeliveredAtMs = nowMs;
+		this.current.recordDelivered();
 		this.response.write(event.bytes());
 		this.eventsDelivered++;
 	}
@@ -553,6 +557,11 @@
 		if (attempt.hasPartialEvent()) {
 			return continueAfterFailure(attempt, "broken", "the stream ended within an event");
 		}
+		// A continuation without an event does not show that the stream was at its end.
+		if (attempt == this.successor || (this.responseStarted && !attempt.hasDelivered())) {
+			this.excluded.add(attempt.firstEngine());
+			return continueAfterFailure(attempt, "empty", "the response has no event");
+		}
 		if (!this.responseStarted) {
 			this.response.startStream(attempt.status(), attempt.headers());
 		}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ErrorTextInStreamTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ErrorTextInStreamTests.java
@@ -162,6 +162,41 @@
 		assertThat(received.head()).startsWith("HTTP/1.1 502");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "content-length: 0\r\n\r\n", "transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+			"transfer-encoding: chunked\r\n\r\n9\r\n: nothing\r\n0\r\n\r\n",
+			"transfer-encoding: chunked\r\n\r\nb\r\n: nothing\n\n\r\n0\r\n\r\n", "\r\n" })
+	void continuationWithoutAnEventDoesNotCompleteAStream(String rest) throws Exception {
+		Received received = continueAt(BEGUN, (head, socket, out) -> FakeBackend.write(out,
+				"HTTP/1.1 200 x\r\nconnection: close\r\n" + PROOF + STREAM + rest));
+		assertThat(received.body()).isEqualTo(BEGUN);
+		assertThat(received.complete()).isFalse();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "id: 1\ndata: e1\n\n" })
+	void secondChainWithoutAnEventDoesNotCompleteTheStreamOfASlowOne(String firstText) throws Exception {
+		CountDownLatch registered = new CountDownLatch(1);
+		try (FakeBackend second = new FakeBackend(stream(""));
+				FakeBackend first = new FakeBackend((head, socket, out) -> {
+					if (head.startsWith("get /report")) {
+						FakeBackend.response(200, "", "").handle(head, socket, out);
+						return;
+					}
+					chunked("200 x", STREAM, firstText, "").handle(head, socket, out);
+					registered.await(5, TimeUnit.SECONDS);
+					for (int i = 0; i < 500 && second.requests().isEmpty(); i++) {
+						Thread.sleep(1);
+					}
+					Thread.sleep(50);
+					FakeBackend.write(out, FakeBackend.chunk(event(2)) + "0\r\n\r\n");
+				})) {
+			Received received = callFirstAndLater(first, second, registered);
+			assertThat(received.body()).isEqualTo(firstText + event(2));
+			assertThat(received.complete()).isTrue();
+		}
+	}
+
 	/** The pages name the type of a stream, but show a response without one. */
 	@Test
 	void streamWithoutContentTypeIsContinuedByAnother() throws Exception {
