Continue a stream only with events that follow

A continuation could bring an event without an id, the same id again, or one behind a gap, and the stream ended as complete.

EventOrder judges the events of a continuation: each needs an id, ids of one server increase, and where the ids so far were consecutive, there is no gap. Events that the caller already has are still skipped. The comment of a second chain no longer ends the first one.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -50,8 +50,13 @@
 
 	private long stallCheckAtMs;
 
+	/** Identifier of the last event received, negative for none. */
+	private long receivedId = StreamedEvent.NO_ID;
+
 	private boolean delivered;
 
+	private boolean begunResponse;
+
 	private boolean written;
 
 	private boolean stallCheckDeferred;
@@ -182,8 +187,29 @@
 		return this.parser.hasPartialEvent();
 	}
 
-	void recordDelivered() {
+	void recordReceived(StreamedEvent event) {
+		this.receivedId = Math.max(this.receivedId, event.id());
+	}
+
+	long receivedId() {
+		return this.receivedId;
+	}
+
+	/**
+	 * Records that an event of this attempt was passed on.
+	 * @param first whether it was the first one of the response
+	 */
+	void recordDelivered(boolean first) {
 		this.delivered = true;
+		this.begunResponse |= first;
+	}
+
+	/**
+	 * Returns whether the response to the caller has begun with an event of this attempt.
+	 * @return {@code true} unless the attempt continues another one's response
+	 */
+	boolean hasBegunResponse() {
+		return this.begunResponse;
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -9,6 +9,7 @@
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainZones;
+import org.medlardrum.decisions.pool.EventOrder;
 import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamStallDetector;
 import org.medlardrum.decisions.routing.RetryAfter;
@@ -98,6 +99,8 @@
 
 	private long lastEventId;
 
+	private EventOrder order = EventOrder.NONE;
+
 	private int eventsDelivered;
 
 	private long firstEventMs;
@@ -458,12 +461,19 @@
 			return failNoStream(attempt);
 		}
 		List<StreamedEvent> events = attempt.addToStream(data.bytes());
-		if (!events.isEmpty()) {
+		for (StreamedEvent event : events) {
+			Optional<String> fault = continuationFault(attempt, event);
+			if (fault.isPresent()) {
+				this.excluded.add(attempt.firstEngine());
+				return continueAfterFailure(attempt, "not-continued", fault.get());
+			}
+			if (attempt == this.successor && !event.hasContent()) {
+				continue;
+			}
+			attempt.recordReceived(event);
 			recordBegun(data.call());
 			recordAnswers(attempt);
 			keepFirstToRespond(attempt);
-		}
-		for (StreamedEvent event : events) {
 			deliver(event);
 		}
 		if (attempt.hasMalformedEvent()) {
@@ -478,6 +488,12 @@
 		return null;
 	}
 
+	private Optional<String> continuationFault(ChainAttempt attempt, StreamedEvent event) {
+		boolean continues = this.responseStarted && !attempt.hasBegunResponse();
+		return (continues && event.hasContent()) ? this.order.continuationFault(event.id(), attempt.receivedId())
+				: Optional.empty();
+	}
+
 	private boolean mayDeliver(ChainAttempt attempt) {
 		return !this.responseStarted || attempt.contentType().equals(this.contentType);
 	}
@@ -515,7 +531,7 @@
 	private void deliver(StreamedEvent event) {
 		long nowMs = this.dependencies.nowMs();
 		this.current.recordEvent(nowMs);
-		if (this.responseStarted && !event.hasContent() && !this.current.hasDelivered()) {
+		if (this.responseStarted && !event.hasContent() && !this.current.hasBegunResponse()) {
 			return;
 		}
 		if (event.id() != StreamedEvent.NO_ID) {
@@ -524,6 +540,8 @@
 			}
 			this.lastEventId = event.id();
 		}
+		this.order = this.order.with(event.id());
+		this.current.recordDelivered(!this.responseStarted);
 		if (!this.responseStarted) {
 			this.responseStarted = true;
 			this.contentType = this.current.contentType();
@@ -535,7 +553,6 @@
 			this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.lastDeliveredAtMs);
 		}
 		this.lastDeliveredAtMs = nowMs;
-		this.current.recordDelivered();
 		this.response.write(event.bytes());
 		this.eventsDelivered++;
 	}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ErrorTextInStreamTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ErrorTextInStreamTests.java
@@ -174,10 +174,12 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(strings = { "", "id: 1\ndata: e1\n\n" })
-	void secondChainWithoutAnEventDoesNotCompleteTheStreamOfASlowOne(String firstText) throws Exception {
+	@CsvSource({ "false, false", "true, false", "false, true", "true, true" })
+	void secondChainWithoutAnEventDoesNotCompleteTheStreamOfASlowOne(boolean begun, boolean comment) throws Exception {
+		String firstText = (begun) ? event(1) : "";
+		String secondText = (comment) ? ": comment\n\n" : "";
 		CountDownLatch registered = new CountDownLatch(1);
-		try (FakeBackend second = new FakeBackend(stream(""));
+		try (FakeBackend second = new FakeBackend(stream(secondText));
 				FakeBackend first = new FakeBackend((head, socket, out) -> {
 					if (head.startsWith("get /report")) {
 						FakeBackend.response(200, "", "").handle(head, socket, out);
@@ -197,6 +199,33 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "data: bad thing\n\n", "id: none\ndata: bad thing\n\n", "event: error\n\n",
+			"id: 4\ndata: e4\n\n" })
+	void eventThatDoesNotFollowIsNotPassedOn(String text) throws Exception {
+		Received received = continueAt(BEGUN, stream(text));
+		assertThat(received.body()).isEqualTo(BEGUN);
+		assertThat(received.complete()).isFalse();
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 5 })
+	void eventBehindAGapOrTheSameOneAgainIsNotPassedOn(int next) throws Exception {
+		Received received = continueAt(BEGUN, stream(event(3) + event(next)));
+		assertThat(received.body()).isEqualTo(BEGUN + event(3));
+		assertThat(received.complete()).isFalse();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 30\ndata: e30\n\n", "id: 21\ndata: e21\n\nid: 40\ndata: e40\n\n",
+			": comment\n\nid: 30\ndata: e30\n\n" })
+	void identifiersThatAreNotConsecutiveAreNoFault(String text) throws Exception {
+		String begun = event(10) + event(20);
+		Received received = continueAt(begun, stream(text));
+		assertThat(received.body()).isEqualTo(begun + text.replace(": comment\n\n", ""));
+		assertThat(received.complete()).isTrue();
+	}
+
 	/** The pages name the type of a stream, but show a response without one. */
 	@Test
 	void streamWithoutContentTypeIsContinuedByAnother() throws Exception {
