Trust another host's refusal only if it names the request

Any 4xx or 503 without a proof that came in place of a relayed request's response counted as "not executed": the caller was told 503, or the request went to a second server.

Hosts name the request in every problem document for another host (`medlardrum-relayed`). A response without proof that does not name it is foreign: the request may have run. During a rolling update, refusals of hosts of the version before count as that.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.http;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -96,6 +97,9 @@
 		CallerExchange exchange = new CallerExchange(context, request, responses);
 		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
 		CallerAttributes attributes = this.dependencies.dialect().parseAttributes(exchange::header);
+		if (this.servesHosts) {
+			exchange.setProblemHeaders(List.of(RelayHeader.REQUEST_ID_NAME, attributes.requestId()));
+		}
 		RoutingTable table = this.dependencies.state().table();
 		int maxBytes = ((table != null) ? table.limits() : RequestLimits.DEFAULT).bodyBytes();
 		SourceAdapters
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/relay/RelayHeader.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/relay/RelayHeader.java
@@ -12,6 +12,12 @@
 	/** Name of the header, in lower case. */
 	public static final String NAME = "medlardrum-relay";
 
+	/**
+	 * Name of the header in which a host names the request that its problem document is
+	 * about, in lower case.
+	 */
+	public static final String REQUEST_ID_NAME = "medlardrum-relayed";
+
 	private static final String FIRST = "first";
 
 	private static final String AGAIN = "again";
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -43,6 +43,8 @@
 	private Runnable disconnectAction = () -> {
 	};
 
+	private List<String> problemHeaders = List.of();
+
 	private boolean started;
 
 	private boolean disconnected;
@@ -130,6 +132,22 @@
 		return HeaderList.of(this.request.headers());
 	}
 
+	/**
+	 * Sets headers that every problem document is sent with.
+	 * @param headers alternating names and values
+	 */
+	public void setProblemHeaders(List<String> headers) {
+		this.problemHeaders = List.copyOf(headers);
+	}
+
+	/**
+	 * Returns the headers that every problem document is sent with.
+	 * @return alternating names and values
+	 */
+	List<String> problemHeaders() {
+		return this.problemHeaders;
+	}
+
 	/**
 	 * Returns whether the header of the response has been sent.
 	 * @return {@code true} after {@link #respond} or {@link #startStream}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
@@ -59,6 +59,7 @@
 
 	private void problem(Problem problem, long retryAfterMs) {
 		List<String> headers = new ArrayList<>(List.of("content-type", Problem.CONTENT_TYPE));
+		headers.addAll(this.exchange.problemHeaders());
 		if (retryAfterMs > 0) {
 			headers.addAll(List.of("retry-after", String.format(Locale.ROOT, "%.2f", retryAfterMs / MS_PER_S)));
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -18,6 +18,7 @@
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.HeaderLookup;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -341,21 +342,24 @@
 
 	/**
 	 * Checks the status and headers of a response. A refusal of another host promises
-	 * that no server executed the request.
+	 * that no server executed the request if it names the request.
 	 * @param header the status and headers
 	 * @return the result of the check
 	 */
 	protected final BackendVerdict checkResponse(Signal.Header header) {
-		BackendVerdict verdict = this.dependencies.dialect()
-			.checkResponse(this.request.id(), header.status(), HeaderList.lookup(header.headers()));
+		HeaderLookup headers = HeaderList.lookup(header.headers());
+		BackendVerdict verdict = this.dependencies.dialect().checkResponse(this.request.id(), header.status(), headers);
 		RelayTarget target = this.relayTargets.get(header.call());
+		if (target == null || verdict.hasProofOfOrigin()) {
+			return verdict;
+		}
 		boolean refused = header.status() == SERVICE_UNAVAILABLE
 				|| (header.status() >= BAD_REQUEST && header.status() < SERVER_ERROR);
-		if (target == null || verdict.hasProofOfOrigin() || !refused) {
-			return verdict;
+		if (refused) {
+			this.dependencies.relayTargets().recordRefusal(target);
 		}
-		this.dependencies.relayTargets().recordRefusal(target);
-		return new BackendVerdict(true, false, true, Optional.empty());
+		boolean named = headers.first(RelayHeader.REQUEST_ID_NAME).equals(Optional.of(this.request.id()));
+		return new BackendVerdict(named, false, refused && named, Optional.empty());
 	}
 
 	/**
