Trust a refusal only if it names the request

A refusal without `Attempt-Id` was taken for the request's own, and one with another id was marked as not executed. Callers could be told "not run" about a request that had run, or it ran at a second server.

TestDialect is as strict, and two refusals in PlainRequestTests name their request.

--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/PlainRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/PlainRequestTests.java
@@ -47,7 +47,7 @@
 	@ParameterizedTest
 	@CsvSource({ "GET, /safe/1", "POST, /unsafe/1" })
 	void requestThatWasNotExecutedIsRetriedAtTheNextServer(String method, String path) throws Exception {
-		try (FakeBackend full = new FakeBackend(FakeBackend.response(503, "not-run: 1\r\n", ""));
+		try (FakeBackend full = new FakeBackend(FakeBackend.response(503, "id: r1\r\nnot-run: 1\r\n", ""));
 				FakeBackend free = new FakeBackend(FakeBackend.response(200, GOOD, "done"))) {
 			this.fixture.register("ledger", "s1", full);
 			this.fixture.register("ledger", "s2", free);
@@ -57,7 +57,7 @@
 
 	@Test
 	void requestIsRefusedWithRetryAfterWhenAllServersAreFull() throws Exception {
-		try (FakeBackend full = new FakeBackend(FakeBackend.response(503, "not-run: 1\r\n", ""))) {
+		try (FakeBackend full = new FakeBackend(FakeBackend.response(503, "id: r1\r\nnot-run: 1\r\n", ""))) {
 			this.fixture.register("ledger", "s1", full);
 			String response = this.fixture.call("POST", "/unsafe/1");
 			assertThat(response).startsWith("HTTP/1.1 503");
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -81,8 +81,9 @@
 	@Override
 	public BackendVerdict checkResponse(String requestId, int status, HeaderLookup headers) {
 		headers.first("hook").ifPresent((value) -> this.responseHook.run());
-		return new BackendVerdict(headers.first("id").map((id) -> id.equals(requestId)).orElse(true),
-				headers.first("proof").isPresent(), headers.first("not-run").isPresent(), headers.first("faulty"));
+		boolean belongsToRequest = headers.first("id").equals(Optional.of(requestId));
+		return new BackendVerdict(belongsToRequest, headers.first("proof").isPresent(),
+				belongsToRequest && headers.first("not-run").isPresent(), headers.first("faulty"));
 	}
 
 	@Override
