Give each call to engines and services its own connection

On our own interface connections were kept. A response that a server wrote late, at the place of the next one, was taken for the next request's: it was refused though it ran, got another call's body, or an order counted as accepted. Nothing in these responses names the request.

Each call now closes its connection (`Connection: close`), as the gateway's calls do. A response behind another one in the same write was no fault: the connection was already given up.

The cost of the connections is not measured.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/Attempt.java
@@ -21,7 +21,7 @@
 
 	/**
 	 * Time limit for reading the rest of a response after the attempt has ended, so that
-	 * its connection can be reused.
+	 * its engine does not see a cancelled call.
 	 */
 	private static final long FINISH_TIMEOUT_MS = 100;
 
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
@@ -19,7 +19,8 @@
 
 /**
  * Client of the model engines. Safe for use by several threads; calls block. No call is
- * retried.
+ * retried. Each call has its own connection: on a reused one, a late or additional
+ * response would be taken for the response to another request.
  *
  * <pre>
  * Outcome&lt;EngineStream&gt; outcome = client.generate("127.0.0.1:7100", request, 2000);
@@ -38,7 +39,7 @@
 
 	private static final int CONFLICT = 409;
 
-	private static final List<String> JSON = List.of("Content-Type", "application/json");
+	private static final List<String> JSON = List.of("Content-Type", "application/json", "Connection", "close");
 
 	private static final byte[] EMPTY = new byte[0];
 
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineStream.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineStream.java
@@ -73,8 +73,8 @@
 	}
 
 	/**
-	 * Reads the end of the response after its last frame, so that the connection can be
-	 * reused.
+	 * Reads the end of the response after its last frame, so that closing the stream does
+	 * not cancel it.
 	 * @param timeoutMs longest wait
 	 */
 	public void finish(long timeoutMs) {
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/ServiceClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/ServiceClient.java
@@ -12,7 +12,8 @@
 
 /**
  * Client of plain services. Safe for use by several threads; calls block. No call is
- * retried.
+ * retried. Each call has its own connection: on a reused one, a late or additional
+ * response would be taken for the response to another call.
  */
 public final class ServiceClient implements AutoCloseable {
 
@@ -41,9 +42,11 @@
 	public Outcome<ServiceResponse> call(String address, ServiceRequest request, long timeoutMs) {
 		long startNs = System.nanoTime();
 		BlockingStreamingHttpResponse response = null;
+		List<String> requestHeaders = new ArrayList<>(request.headers());
+		requestHeaders.addAll(List.of("Connection", "close"));
 		try {
 			response = HttpExchange.send(this.clients.client(address), request.method(), request.target(),
-					request.headers(), request.body(), timeoutMs);
+					requestHeaders, request.body(), timeoutMs);
 			long elapsedMs = (System.nanoTime() - startNs) / 1_000_000;
 			byte[] body = HttpExchange.readBody(response, this.maxResponseBytes, Math.max(1, timeoutMs - elapsedMs));
 			int status = response.status().code();
