Take an engine's refusal only for its own attempt

A first error frame with ran=no counted as "not run" whichever request and attempt it named. The frame is now handed to the validation of frames, which drops those of other attempts.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
@@ -78,7 +78,7 @@
 		catch (Exception ex) {
 			return failed(ex);
 		}
-		return firstFrame(stream, firstFrameTimeoutMs);
+		return firstFrame(stream, request, firstFrameTimeoutMs);
 	}
 
 	/**
@@ -192,10 +192,12 @@
 		return NotRunHeader.outcome(response, "HTTP status " + status);
 	}
 
-	private static Outcome<EngineStream> firstFrame(EngineStream stream, long timeoutMs) {
+	private static Outcome<EngineStream> firstFrame(EngineStream stream, GenerateRequest request, long timeoutMs) {
 		StreamEvent event = stream.next(timeoutMs);
 		if (event instanceof StreamEvent.Frame frame) {
-			if (frame.frame() instanceof EngineFrame.Error error && "no".equals(error.ran())) {
+			boolean own = request.request().equals(frame.frame().request())
+					&& request.attempt() == frame.frame().attempt();
+			if (own && frame.frame() instanceof EngineFrame.Error error && "no".equals(error.ran())) {
 				stream.close();
 				return new Outcome.NotRun<>(error.code(), 0);
 			}
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/StaleResponseTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/StaleResponseTests.java
@@ -88,6 +88,19 @@
 		}
 	}
 
+	/** The validation of frames drops those of other requests and attempts. */
+	@ParameterizedTest
+	@CsvSource({ "r, 1, NotRun", "other, 1, Completed", "r, 2, Completed" })
+	void refusalInAFrameNamesTheRequestAndItsAttempt(String request, int attempt, String expected) throws Exception {
+		String frame = "{\"type\":\"error\",\"request\":\"" + request + "\",\"attempt\":" + attempt
+				+ ",\"ran\":\"no\",\"code\":\"leaving\"}\n";
+		try (ScriptedServer server = new ScriptedServer((n) -> ScriptedServer.response(200, "", frame));
+				EngineClient client = new EngineClient(1000)) {
+			Outcome<EngineStream> outcome = client.generate(server.address(), GENERATE, TIMEOUT_MS);
+			assertThat(outcome.getClass().getSimpleName()).isEqualTo(expected);
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "false", "true" })
 	void orderIsNotAcceptedByAnEarlierAnswer(boolean late) throws Exception {
