--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -3,12 +3,14 @@
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 
 import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.StreamStallDetector;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
+import org.medlardrum.gateway.internal.request.HeaderList;
 
 /**
  * One attempt of a stream at a chain: the call, the reserved chain and the part of the
@@ -18,7 +20,7 @@
 
 	private static final int OK = 200;
 
-	private static final int MULTIPLE_CHOICES = 300;
+	private static final String EVENT_STREAM = "text/event-stream";
 
 	/** Shortest time between two records of the engines' answers. */
 	private static final long ANSWER_INTERVAL_MS = 100;
@@ -41,11 +43,21 @@
 
 	private List<String> headers = List.of();
 
+	/** Media type of the response in lower case, empty for none. */
+	private String contentType = "";
+
 	/** Body of a response that is not a stream, {@code null} for a stream. */
 	private ByteArrayOutputStream errorBody;
 
 	private long stallCheckAtMs;
 
+	/** Identifier of the last event received, negative for none. */
+	private long receivedId = StreamedEvent.NO_ID;
+
+	private boolean delivered;
+
+	private boolean begunResponse;
+
 	private boolean written;
 
 	private boolean stallCheckDeferred;
@@ -123,18 +135,24 @@
 	}
 
 	/**
-	 * Records the status and headers of the engine's response.
+	 * Records the status and headers of the engine's response. A response with status 200
+	 * is a stream, unless it names another type of content.
 	 * @param header the status and headers as received
 	 * @param responseHeaders the headers for the caller
 	 */
 	void setHeader(Signal.Header header, List<String> responseHeaders) {
 		this.status = header.status();
 		this.headers = responseHeaders;
-		if (header.status() < OK || header.status() >= MULTIPLE_CHOICES) {
+		this.contentType = mediaType(HeaderList.lookup(header.headers()).first("content-type").orElse(""));
+		if (header.status() != OK || !(this.contentType.isEmpty() || this.contentType.equals(EVENT_STREAM))) {
 			this.errorBody = new ByteArrayOutputStream();
 		}
 	}
 
+	private static String mediaType(String value) {
+		return value.split(";", 2)[0].trim().toLowerCase(Locale.ROOT);
+	}
+
 	boolean hasHeader() {
 		return this.status > 0;
 	}
@@ -147,6 +165,10 @@
 		return this.headers;
 	}
 
+	String contentType() {
+		return this.contentType;
+	}
+
 	boolean isStream() {
 		return this.errorBody == null;
 	}
@@ -178,10 +200,47 @@
 		return this.parser.isTooLarge();
 	}
 
+	boolean hasMalformedEvent() {
+		return this.parser.isMalformed();
+	}
+
 	boolean hasPartialEvent() {
 		return this.parser.hasPartialEvent();
 	}
 
+	void recordReceived(StreamedEvent event) {
+		this.receivedId = Math.max(this.receivedId, event.id());
+	}
+
+	long receivedId() {
+		return this.receivedId;
+	}
+
+	/**
+	 * Records that an event of this attempt was passed on.
+	 * @param first whether it was the first one of the response
+	 */
+	void recordDelivered(boolean first) {
+		this.delivered = true;
+		this.begunResponse |= first;
+	}
+
+	/**
+	 * Returns whether the response to the caller has begun with an event of this attempt.
+	 * @return {@code true} unless the attempt continues another one's response
+	 */
+	boolean hasBegunResponse() {
+		return this.begunResponse;
+	}
+
+	/**
+	 * Returns whether the caller has received an event of this attempt.
+	 * @return {@code true} if one was passed on
+	 */
+	boolean hasDelivered() {
+		return this.delivered;
+	}
+
 	/**
 	 * Records that the request is being written. Silence of the engine counts from here.
 	 * @param nowMs current time on the monotonic clock
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -9,6 +9,7 @@
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainZones;
+import org.medlardrum.decisions.pool.EventOrder;
 import org.medlardrum.decisions.pool.SilenceDecision;
 import org.medlardrum.decisions.pool.SilencePolicy;
 import org.medlardrum.decisions.pool.SilentAttempt;
@@ -66,6 +67,8 @@
 	/** Size limit of the body of a response that is not a stream. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
+	private static final int BAD_REQUEST = 400;
+
 	private static final int SERVER_ERROR = 500;
 
 	private static final String PART = "stream";
@@ -96,8 +99,13 @@
 
 	private boolean responseStarted;
 
+	/** Content type of the response that has begun, which its continuations share. */
+	private String contentType = "";
+
 	private long lastEventId;
 
+	private EventOrder order = EventOrder.NONE;
+
 	private int eventsDelivered;
 
 	private long firstEventMs;
@@ -518,15 +526,29 @@
 			return (attempt.addToBody(data.bytes()) > MAX_BODY_BYTES)
 					? continueAfterFailure(attempt, "too-large", "the response is too large") : null;
 		}
+		if (!mayDeliver(attempt)) {
+			return failNoStream(attempt);
+		}
 		List<StreamedEvent> events = attempt.addToStream(data.bytes());
-		if (!events.isEmpty()) {
+		for (StreamedEvent event : events) {
+			Optional<String> fault = continuationFault(attempt, event);
+			if (fault.isPresent()) {
+				this.excluded.add(attempt.firstEngine());
+				return continueAfterFailure(attempt, "not-continued", fault.get());
+			}
+			if (attempt != this.current && !event.hasContent()) {
+				continue;
+			}
+			attempt.recordReceived(event);
 			recordBegun(data.call());
 			recordAnswers(attempt);
 			keepFirstToRespond(attempt);
-		}
-		for (StreamedEvent event : events) {
 			deliver(event);
 		}
+		if (attempt.hasMalformedEvent()) {
+			this.excluded.add(attempt.firstEngine());
+			return continueAfterFailure(attempt, "malformed", "the server sent lines that are not an event");
+		}
 		if (attempt.hasTooLargeEvent()) {
 			return continueAfterFailure(attempt, "too-large",
 					"an event exceeds " + EventParser.MAX_EVENT_BYTES + " bytes");
@@ -535,6 +557,22 @@
 		return null;
 	}
 
+	private Optional<String> continuationFault(ChainAttempt attempt, StreamedEvent event) {
+		boolean continues = this.responseStarted && !attempt.hasBegunResponse();
+		return (continues && event.hasContent()) ? this.order.continuationFault(event.id(), attempt.receivedId())
+				: Optional.empty();
+	}
+
+	private boolean mayDeliver(ChainAttempt attempt) {
+		return !this.responseStarted || attempt.contentType().equals(this.contentType);
+	}
+
+	private String failNoStream(ChainAttempt attempt) {
+		this.excluded.add(attempt.firstEngine());
+		return continueAfterFailure(attempt, "no-stream",
+				"status " + attempt.status() + ", content type \"" + attempt.contentType() + "\"");
+	}
+
 	// An event proves that all engines of the chain are working.
 	private void recordAnswers(ChainAttempt attempt) {
 		long nowMs = this.dependencies.nowMs();
@@ -562,14 +600,20 @@
 	private void deliver(StreamedEvent event) {
 		long nowMs = this.dependencies.nowMs();
 		this.current.recordEvent(nowMs);
+		if (this.responseStarted && !event.hasContent() && !this.current.hasBegunResponse()) {
+			return;
+		}
 		if (event.id() != StreamedEvent.NO_ID) {
 			if (event.id() <= this.lastEventId) {
 				return;
 			}
 			this.lastEventId = event.id();
 		}
+		this.order = this.order.with(event.id());
+		this.current.recordDelivered(!this.responseStarted);
 		if (!this.responseStarted) {
 			this.responseStarted = true;
+			this.contentType = this.current.contentType();
 			this.response.startStream(this.current.status(), this.current.headers());
 			this.firstEventMs = nowMs - this.request.arrivedAtMs();
 			this.dependencies.metrics().recordFirstByte(this.request.trafficKind(), this.firstEventMs);
@@ -593,9 +637,17 @@
 		if (!attempt.isStream()) {
 			return onErrorResponse(attempt);
 		}
+		if (!mayDeliver(attempt)) {
+			return failNoStream(attempt);
+		}
 		if (attempt.hasPartialEvent()) {
 			return continueAfterFailure(attempt, "broken", "the stream ended within an event");
 		}
+		// A continuation without an event does not show that the stream was at its end.
+		if (attempt != this.current || (this.responseStarted && !attempt.hasDelivered())) {
+			this.excluded.add(attempt.firstEngine());
+			return continueAfterFailure(attempt, "empty", "the response has no event");
+		}
 		if (!this.responseStarted) {
 			this.response.startStream(attempt.status(), attempt.headers());
 		}
@@ -609,13 +661,17 @@
 	}
 
 	private String onErrorResponse(ChainAttempt attempt) {
+		boolean success = attempt.status() < BAD_REQUEST;
 		boolean continues = !this.successors.isEmpty() || (attempt.status() >= SERVER_ERROR && sendDenial().isEmpty());
+		if (success && this.responseStarted) {
+			return failNoStream(attempt);
+		}
 		if (this.responseStarted || continues) {
 			this.excluded.add(attempt.firstEngine());
 			return continueAfterFailure(attempt, "server-error", "status " + attempt.status());
 		}
 		this.response.deliver(attempt.status(), attempt.headers(), attempt.body());
-		return "server-error";
+		return (success) ? ANSWERED : "server-error";
 	}
 
 	private String onFailed(Signal.Failed failed) {
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
@@ -19,7 +19,8 @@
 
 /**
  * Client of the model engines. Safe for use by several threads; calls block. No call is
- * retried.
+ * retried. Each call has its own connection: on a reused one, a late or additional
+ * response would be taken for the response to another request.
  *
  * <pre>
  * Outcome&lt;EngineStream&gt; outcome = client.generate("127.0.0.1:7100", request, 2000);
@@ -38,7 +39,7 @@
 
 	private static final int CONFLICT = 409;
 
-	private static final List<String> JSON = List.of("Content-Type", "application/json");
+	private static final List<String> JSON = List.of("Content-Type", "application/json", "Connection", "close");
 
 	private static final byte[] EMPTY = new byte[0];
 
@@ -77,7 +78,7 @@
 		catch (Exception ex) {
 			return failed(ex);
 		}
-		return firstFrame(stream, firstFrameTimeoutMs);
+		return firstFrame(stream, request, firstFrameTimeoutMs);
 	}
 
 	/**
@@ -191,10 +192,12 @@
 		return NotRunHeader.outcome(response, "HTTP status " + status);
 	}
 
-	private static Outcome<EngineStream> firstFrame(EngineStream stream, long timeoutMs) {
+	private static Outcome<EngineStream> firstFrame(EngineStream stream, GenerateRequest request, long timeoutMs) {
 		StreamEvent event = stream.next(timeoutMs);
 		if (event instanceof StreamEvent.Frame frame) {
-			if (frame.frame() instanceof EngineFrame.Error error && "no".equals(error.ran())) {
+			boolean own = request.request().equals(frame.frame().request())
+					&& request.attempt() == frame.frame().attempt();
+			if (own && frame.frame() instanceof EngineFrame.Error error && "no".equals(error.ran())) {
 				stream.close();
 				return new Outcome.NotRun<>(error.code(), 0);
 			}
