Count a request as in progress until its response is written; answer those that remain at the stop

Callers saw: a slow caller's response cut off 3 s after SIGTERM (2,809,918 bytes of 6,000,000 received), and a closed connection without an answer for requests still in progress at the end of the grace period. Cause: a request counted as ended with its decision, and the close of the servers cut what was not written 400 ms later. Change: OpenRequests counts a request until its response is flushed or its connection is closed; the stop line names what is still open. At the end of the time, requests that are still in progress are refused (not sent) or answered with 502 (may have run); streams that have begun are aborted, with outcome=host-stopped. Once connections are about to close, new requests are refused. Failed before: slowCallerReceivesItsWholeResponse (expected > 6000000, was 2809918), requestInProgressAtTheEndGetsAnAnswer (expected HTTP/1.1 502, was empty). requestDuringTheClose... passed before, too; it is a guard. Run after: ShutdownTests, passed.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -272,7 +272,12 @@
 				break;
 			}
 		}
-		this.log.event("process", "stop", "inProgress", inProgress());
+		this.log.event("process", "stop", "inProgress", inProgress(), "callers", this.handler.describeInProgress(),
+				"hosts", this.relayHandler.describeInProgress());
+		this.handler.refuseNewRequests();
+		this.relayHandler.refuseNewRequests();
+		this.handler.stopRequests();
+		this.relayHandler.stopRequests();
 		close();
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -89,6 +91,30 @@
 		handler.set(action);
 	}
 
+	/**
+	 * Runs an action when all bytes that the library has sent on a connection until the
+	 * next turn of the event loop are written to the socket, or the connection is closed.
+	 * @param context context of a request
+	 * @param action the action, run on the event loop
+	 */
+	static void afterWrites(HttpServiceContext context, Runnable action) {
+		Channel channel = channel(context);
+		try {
+			channel.eventLoop().execute(() -> {
+				ChannelHandlerContext first = channel.pipeline().firstContext();
+				if (first == null) {
+					action.run();
+					return;
+				}
+				// An empty write completes after all writes before it.
+				first.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((written) -> action.run());
+			});
+		}
+		catch (RejectedExecutionException ex) {
+			action.run();
+		}
+	}
+
 	/**
 	 * Continues to read after a complete request. The library reads only when it expects
 	 * bytes, so a closed connection would otherwise be detected only by the next write.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -4,7 +4,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.servicetalk.buffer.api.Buffer;
@@ -65,10 +64,12 @@
 
 	private final boolean servesHosts;
 
-	private final AtomicInteger inProgress = new AtomicInteger();
+	private final OpenRequests openRequests = new OpenRequests();
 
 	private final long startedAtMs;
 
+	private volatile boolean refusing;
+
 	/**
 	 * Creates a handler.
 	 * @param dependencies settings, state and shared objects
@@ -81,27 +82,51 @@
 	}
 
 	/**
-	 * Returns the number of requests in progress.
+	 * Returns the number of requests that are not decided or whose response is not
+	 * written.
 	 * @return the number of requests
 	 */
 	public int inProgress() {
-		return this.inProgress.get();
+		return this.openRequests.size();
+	}
+
+	/**
+	 * Describes the requests in progress for the log.
+	 * @return the oldest requests
+	 */
+	public String describeInProgress() {
+		return this.openRequests.describe(this.dependencies.nowMs());
+	}
+
+	/**
+	 * Refuses all further requests, because the host is about to close its connections.
+	 */
+	public void refuseNewRequests() {
+		this.refusing = true;
+	}
+
+	/**
+	 * Ends all requests in progress: with an answer, or by aborting a streamed response.
+	 */
+	public void stopRequests() {
+		this.dependencies.executor().execute(this.openRequests::stopAll);
 	}
 
 	@Override
 	public Single<StreamingHttpResponse> handle(HttpServiceContext context, StreamingHttpRequest request,
 			StreamingHttpResponseFactory responses) {
-		this.inProgress.incrementAndGet();
 		long arrivedAtMs = this.dependencies.nowMs();
 		CallerExchange exchange = new CallerExchange(context, request, responses);
 		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
 		CallerAttributes attributes = this.dependencies.dialect().parseAttributes(exchange::header);
+		OpenRequest open = this.openRequests.begin(attributes.requestId(), arrivedAtMs);
+		exchange.onEnd(() -> EventLoopServer.afterWrites(context, open::recordWritten));
 		RoutingTable table = this.dependencies.state().table();
 		int maxBytes = ((table != null) ? table.limits() : RequestLimits.DEFAULT).bodyBytes();
 		SourceAdapters
 			.toSource(request.payloadBody()
 				.collect(ByteArrayOutputStream::new, (content, buffer) -> append(content, buffer, maxBytes)))
-			.subscribe(new BodySubscriber(context, exchange, attributes, arrivedAtMs, maxBytes));
+			.subscribe(new BodySubscriber(context, exchange, attributes, open, maxBytes));
 		return exchange.response();
 	}
 
@@ -115,26 +140,26 @@
 		return content;
 	}
 
-	private void admitAndStart(CallerExchange exchange, CallerAttributes attributes, long arrivedAtMs, byte[] body) {
-		if (waitsForConfiguration(arrivedAtMs)) {
+	private void admitAndStart(CallerExchange exchange, CallerAttributes attributes, OpenRequest open, byte[] body) {
+		if (waitsForConfiguration(open.arrivedAtMs())) {
 			this.dependencies.executor()
-				.schedule(() -> admitAndStart(exchange, attributes, arrivedAtMs, body), STARTUP_POLL_MS,
+				.schedule(() -> admitAndStart(exchange, attributes, open, body), STARTUP_POLL_MS,
 						TimeUnit.MILLISECONDS);
 			return;
 		}
 		try {
-			Admission admission = admit(exchange, attributes, arrivedAtMs, body);
+			Admission admission = admit(exchange, attributes, open.arrivedAtMs(), body);
 			if (admission.request() == null) {
-				recordEnd(attributes, NO_KIND, admission.outcome(), arrivedAtMs);
+				recordEnd(open, NO_KIND, admission.outcome());
 				return;
 			}
-			startRequest(exchange, admission.request());
+			startRequest(exchange, admission.request(), open);
 		}
 		catch (RuntimeException ex) {
 			this.dependencies.log().event(PART, "internal-error", "id", attributes.requestId(), "error", ex);
 			new CallerResponse(exchange, this.dependencies.state()).fail(ProblemType.BACKEND_FAILED, "Internal error",
 					UNKNOWN_RANK);
-			recordEnd(attributes, NO_KIND, "internal-error", arrivedAtMs);
+			recordEnd(open, NO_KIND, "internal-error");
 		}
 	}
 
@@ -146,12 +171,14 @@
 		return !configured && !state.isDraining() && StartupWait.waits(nowMs - this.startedAtMs, nowMs - arrivedAtMs);
 	}
 
-	private void recordEnd(CallerAttributes attributes, String kind, String outcome, long arrivedAtMs) {
-		this.inProgress.decrementAndGet();
+	private void recordEnd(OpenRequest open, String kind, String outcome) {
+		if (!open.recordDecision()) {
+			return;
+		}
 		this.dependencies.metrics().countRequest(kind, outcome);
 		this.dependencies.log()
-			.event(PART, "end", "id", attributes.requestId(), "kind", kind, "outcome", outcome, "tookMs",
-					this.dependencies.nowMs() - arrivedAtMs);
+			.event(PART, "end", "id", open.id(), "kind", kind, "outcome", outcome, "tookMs",
+					this.dependencies.nowMs() - open.arrivedAtMs());
 	}
 
 	private Admission admit(CallerExchange exchange, CallerAttributes attributes, long arrivedAtMs, byte[] body) {
@@ -167,7 +194,7 @@
 					otherHostRetryAfterMs());
 			return Admission.refused("no-configuration");
 		}
-		if (this.dependencies.state().drainingForMs() > MAX_ADMISSION_WHILE_DRAINING_MS) {
+		if (this.refusing || this.dependencies.state().drainingForMs() > MAX_ADMISSION_WHILE_DRAINING_MS) {
 			response.refuse(ProblemType.DRAINING, "The host is about to stop", UNKNOWN_RANK, otherHostRetryAfterMs());
 			return Admission.refused("draining");
 		}
@@ -251,14 +278,14 @@
 		return RetryAfter.otherHostMs(this.dependencies.random());
 	}
 
-	private void startRequest(CallerExchange exchange, GatewayRequest request) {
+	private void startRequest(CallerExchange exchange, GatewayRequest request, OpenRequest open) {
 		CallerResponse response = new CallerResponse(exchange, this.dependencies.state());
-		Consumer<String> listener = (outcome) -> recordEnd(request.attributes(), request.trafficKind(), outcome,
-				request.arrivedAtMs());
+		Consumer<String> listener = (outcome) -> recordEnd(open, request.trafficKind(), outcome);
 		RequestExecution execution = (request.service().pool().isPresent())
 				? new StreamExecution(this.dependencies, request, response, listener)
 				: new PlainExecution(this.dependencies, request, response, listener);
 		exchange.onDisconnect(() -> execution.onSignal(new Signal.CallerDisconnected()));
+		open.onStop(execution::stop);
 		execution.start();
 	}
 
@@ -273,16 +300,16 @@
 
 		private final CallerAttributes attributes;
 
-		private final long arrivedAtMs;
+		private final OpenRequest open;
 
 		private final int maxBytes;
 
 		BodySubscriber(HttpServiceContext context, CallerExchange exchange, CallerAttributes attributes,
-				long arrivedAtMs, int maxBytes) {
+				OpenRequest open, int maxBytes) {
 			this.context = context;
 			this.exchange = exchange;
 			this.attributes = attributes;
-			this.arrivedAtMs = arrivedAtMs;
+			this.open = open;
 			this.maxBytes = maxBytes;
 		}
 
@@ -296,10 +323,10 @@
 			if (content.size() > this.maxBytes) {
 				new CallerResponse(this.exchange, GatewayHandler.this.dependencies.state())
 					.refuse(ProblemType.BODY_TOO_LARGE, "Body exceeds " + this.maxBytes + " bytes", UNKNOWN_RANK, 0);
-				recordEnd(this.attributes, NO_KIND, "body-too-large", this.arrivedAtMs);
+				recordEnd(this.open, NO_KIND, "body-too-large");
 				return;
 			}
-			admitAndStart(this.exchange, this.attributes, this.arrivedAtMs, content.toByteArray());
+			admitAndStart(this.exchange, this.attributes, this.open, content.toByteArray());
 			this.context.executionContext().ioExecutor().execute(() -> EventLoopServer.detectPeerClose(this.context));
 		}
 
@@ -308,7 +335,7 @@
 			GatewayHandler.this.dependencies.log()
 				.event(PART, "body-incomplete", "id", this.attributes.requestId(), "reason", failure);
 			this.exchange.drop();
-			recordEnd(this.attributes, NO_KIND, "body-incomplete", this.arrivedAtMs);
+			recordEnd(this.open, NO_KIND, "body-incomplete");
 		}
 
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -43,10 +43,15 @@
 	private Runnable disconnectAction = () -> {
 	};
 
+	private Runnable endAction = () -> {
+	};
+
 	private boolean started;
 
 	private boolean disconnected;
 
+	private boolean ended;
+
 	/**
 	 * Creates an exchange.
 	 * @param context context of the request
@@ -65,7 +70,26 @@
 	 * @return the response
 	 */
 	public Single<StreamingHttpResponse> response() {
-		return SourceAdapters.fromSource(this.head).beforeCancel(this::peerClosed);
+		return SourceAdapters.fromSource(this.head).beforeCancel(this::peerClosed).beforeOnError((failure) -> end());
+	}
+
+	/**
+	 * Sets the action to run when the server has taken over the whole response, the
+	 * response has failed or the caller has disconnected.
+	 * @param action the action, run once
+	 */
+	public void onEnd(Runnable action) {
+		this.endAction = action;
+		if (this.ended) {
+			action.run();
+		}
+	}
+
+	private void end() {
+		if (!this.ended) {
+			this.ended = true;
+			this.endAction.run();
+		}
 	}
 
 	/**
@@ -86,6 +110,7 @@
 		if (!this.disconnected) {
 			this.disconnected = true;
 			this.disconnectAction.run();
+			end();
 		}
 	}
 
@@ -150,7 +175,7 @@
 		if (content.length > 0) {
 			response.payloadBody(Publisher.from(this.allocator.wrap(content)));
 		}
-		this.head.onSuccess(response);
+		send(response);
 	}
 
 	/**
@@ -160,8 +185,11 @@
 	 */
 	public void startStream(int status, List<String> headers) {
 		this.body = Processors.newPublisherProcessor(MAX_BUFFERED_PARTS);
-		this.head.onSuccess(
-				head(status, headers).payloadBody(SourceAdapters.fromSource(this.body).beforeCancel(this::peerClosed)));
+		send(head(status, headers).payloadBody(SourceAdapters.fromSource(this.body).beforeCancel(this::peerClosed)));
+	}
+
+	private void send(StreamingHttpResponse response) {
+		this.head.onSuccess(response.transformPayloadBody((payload) -> payload.beforeFinally(this::end)));
 	}
 
 	private StreamingHttpResponse head(int status, List<String> headers) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
@@ -100,6 +100,14 @@
 		this.exchange.finish();
 	}
 
+	/**
+	 * Returns whether the header of the response has been sent.
+	 * @return {@code true} after the first part of the response
+	 */
+	public boolean isStarted() {
+		return this.exchange.isStarted();
+	}
+
 	/**
 	 * Ends the response after an internal error of the gateway.
 	 * @param rank rank of the request
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -15,6 +15,7 @@
 import io.servicetalk.transport.api.IoExecutor;
 import org.medlardrum.decisions.routing.AttemptLedger;
 import org.medlardrum.decisions.routing.AttemptLimits;
+import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
@@ -25,6 +26,7 @@
 import org.medlardrum.gateway.internal.quarantine.RunningAttempt;
 import org.medlardrum.gateway.internal.relay.RelayHeader;
 import org.medlardrum.gateway.internal.relay.RelayTarget;
+import org.medlardrum.protocol.problem.ProblemType;
 
 /**
  * Execution of one request as a state machine on the event loop. It handles signals and a
@@ -149,6 +151,29 @@
 		}
 	}
 
+	/**
+	 * Ends the request because the host stops, unless it has ended.
+	 */
+	public final void stop() {
+		if (!this.ended) {
+			runStep(this::endForStop);
+		}
+	}
+
+	private String endForStop() {
+		if (this.response.isStarted()) {
+			this.response.abort();
+		}
+		else if (this.ledger.possibleExecutions() == 0) {
+			this.response.refuse(ProblemType.DRAINING, "The host stops", this.request.rank(),
+					RetryAfter.otherHostMs(this.dependencies.random()));
+		}
+		else {
+			this.response.fail(ProblemType.BACKEND_FAILED, "The host stops", this.request.rank());
+		}
+		return "host-stopped";
+	}
+
 	/**
 	 * Executes the first step of the request.
 	 * @return the outcome, {@code null} while the request is in progress
