End the process within its grace period whatever connections are open

Cause: idle kept connections hold a graceful close until the caller closes its side, and the servers were closed one after the other, 400 ms each: a shutdown that ended its requests at 7.3 s closed at up to 8.9 s. A failed step does not keep the others from running. One line 'process stopped' has the times of the steps. Failed before: openConnectionsDoNotDelayTheEnd, 3,824 ms (limit 3,350, no request in progress) and 5,222 ms (limit 4,500, two streams; shutdownMs is 4,000). After: 2,858 and 4,020 ms. silentStoreDoesNotDelayTheEnd passes before and after: calls to the store hold nothing up. Run after: ShutdownTests, AdmissionTests, Platform*Tests, passed.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 
 import io.servicetalk.transport.api.IoExecutor;
@@ -73,6 +74,12 @@
 
 	private static final long SHUTDOWN_POLL_MS = 20;
 
+	/**
+	 * Longest wait for connections to close gracefully. Callers that keep a connection
+	 * without reading from it take all of this time.
+	 */
+	private static final long CLOSE_TIMEOUT_MS = 250;
+
 	/** Position of the server for other hosts in the list of servers. */
 	private static final int RELAY_SERVER = 2;
 
@@ -100,6 +107,8 @@
 
 	private final List<EventLoopServer> servers;
 
+	private final AtomicBoolean closed = new AtomicBoolean();
+
 	private Gateway(GatewaySettings settings, RequestDialect dialect, GatewayClock clock, DecisionLog log)
 			throws Exception {
 		this.settings = settings;
@@ -255,41 +264,93 @@
 	 * {@link GatewaySettings#shutdownMs()}.
 	 */
 	public void shutDown() {
-		long startMs = this.state.clock().monotonicMs();
+		shutDown(() -> {
+		});
+	}
+
+	/**
+	 * Shuts down gracefully, together with other parts of the process.
+	 * @param closeOthers closes the other parts, after all requests have ended; must not
+	 * block
+	 */
+	public void shutDown(Runnable closeOthers) {
+		ShutdownSteps steps = new ShutdownSteps(this.state.clock(), this.log);
 		this.state.drain();
 		this.log.event("process", "draining", "inProgress", inProgress());
-		while (true) {
-			long passedMs = this.state.clock().monotonicMs() - startMs;
-			boolean idle = passedMs >= MIN_SHUTDOWN_MS && inProgress() == 0;
-			if (idle || passedMs >= this.settings.shutdownMs()) {
-				break;
-			}
-			try {
-				TimeUnit.MILLISECONDS.sleep(SHUTDOWN_POLL_MS);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				break;
-			}
-		}
+		steps.run("requestsMs", this::awaitRequests);
 		this.log.event("process", "stop", "inProgress", inProgress(), "callers", this.handler.describeInProgress(),
 				"hosts", this.relayHandler.describeInProgress());
+		if (this.closed.getAndSet(true)) {
+			return;
+		}
+		steps.run("connectionsMs", this::closeConnections);
+		steps.run("othersMs", closeOthers);
+		steps.run("clientsMs", this::closeClients);
+		steps.logStopped();
+		this.log.close();
+	}
+
+	// Waits until no request is in progress and none can be admitted any more. Requests
+	// that are still in progress when the time is over get an answer.
+	private void awaitRequests() {
+		long endMs = this.state.clock().monotonicMs() + this.settings.shutdownMs() - CLOSE_TIMEOUT_MS;
+		long idleEndMs = this.state.clock().monotonicMs() + MIN_SHUTDOWN_MS;
+		boolean refusing = false;
+		boolean interrupted = false;
+		for (long nowMs = 0; nowMs < endMs && !interrupted; nowMs = this.state.clock().monotonicMs()) {
+			if (nowMs >= idleEndMs && inProgress() == 0) {
+				if (refusing) {
+					return;
+				}
+				// A request may have been admitted after the count.
+				refusing = true;
+				refuseNewRequests();
+				continue;
+			}
+			interrupted = sleep(SHUTDOWN_POLL_MS);
+		}
+		refuseNewRequests();
+	}
+
+	private void refuseNewRequests() {
 		this.handler.refuseNewRequests();
 		this.relayHandler.refuseNewRequests();
+	}
+
+	// Returns whether the thread was interrupted.
+	private static boolean sleep(long timeMs) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(timeMs);
+			return false;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return true;
+		}
+	}
+
+	private void closeConnections() {
 		this.handler.stopRequests();
 		this.relayHandler.stopRequests();
-		close();
+		this.exchange.close();
+		// Waits for a thread that the close wakes up.
+		Thread.ofVirtual().name("peer-close").start(this.peerServer::close);
+		EventLoopServer.closeAll(this.servers, CLOSE_TIMEOUT_MS);
 	}
 
-	@Override
-	public void close() {
-		this.exchange.close();
-		this.servers.reversed().forEach(EventLoopServer::close);
-		this.peerServer.close();
+	private void closeClients() {
 		this.network.close();
 		this.clients.close();
 		this.executor.closeAsyncGracefully().subscribe();
-		this.log.close();
+	}
+
+	@Override
+	public void close() {
+		if (!this.closed.getAndSet(true)) {
+			closeConnections();
+			closeClients();
+			this.log.close();
+		}
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -11,6 +12,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.servicetalk.concurrent.api.AsyncCloseables;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
@@ -32,7 +34,7 @@
  * HTTP/1.1 server whose service runs on the event loop: handing an event over to another
  * thread and back costs more than processing it.
  */
-public final class EventLoopServer implements AutoCloseable {
+public final class EventLoopServer {
 
 	/** Size limit of the start line and of a header field, twice the users' limit. */
 	private static final int MAX_HEADER_BYTES = 32_768;
@@ -43,8 +45,6 @@
 	 */
 	private static final long IDLE_TIMEOUT_MS = 25_000;
 
-	private static final long CLOSE_TIMEOUT_MS = 400;
-
 	private final HttpServerContext server;
 
 	private EventLoopServer(HttpServerContext server) {
@@ -136,9 +136,15 @@
 		return ((InetSocketAddress) this.server.listenAddress()).getPort();
 	}
 
-	@Override
-	public void close() {
-		ServerShutdown.closeGracefully(this.server, CLOSE_TIMEOUT_MS);
+	/**
+	 * Closes servers gracefully and at the same time, or immediately if that takes too
+	 * long. A connection whose caller does not close its side takes all of that time.
+	 * @param servers the servers
+	 * @param timeoutMs longest wait, in milliseconds
+	 */
+	public static void closeAll(List<EventLoopServer> servers, long timeoutMs) {
+		ServerShutdown.closeGracefully(AsyncCloseables.newCompositeCloseable()
+			.mergeAll(servers.stream().map((server) -> server.server).toList()), timeoutMs);
 	}
 
 	private static final class ConnectionLimiter implements EarlyConnectionAcceptor {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ShutdownTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ShutdownTests.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -93,6 +95,41 @@
 		return head.toString();
 	}
 
+	private FakeBackend endlessStream() throws IOException {
+		return new FakeBackend((head, socket, out) -> {
+			FakeBackend.write(out, "HTTP/1.1 200 x\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+					+ GOOD + "\r\n");
+			for (int id = 1; id < 1_000; id++) {
+				FakeBackend.write(out, FakeBackend.chunk("id: " + id + "\ndata: x\n\n"));
+				TimeUnit.MILLISECONDS.sleep(20);
+			}
+		});
+	}
+
+	/**
+	 * The limits are the times that the shutdown may take at most, with half a second for
+	 * a busy machine.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "false, 3350", "true, 4500" })
+	void openConnectionsDoNotDelayTheEnd(boolean streaming, long limitMs) throws Exception {
+		try (FakeBackend engine = endlessStream();
+				FakeBackend backend = new FakeBackend(FakeBackend.response(200, GOOD, ""))) {
+			this.fixture.register("pool", "e1", engine);
+			this.fixture.register("ledger", "s1", backend);
+			keptConnection(this.fixture.gateway().callerPort(), "/safe/1");
+			keptConnection(this.fixture.gateway().relayPort(), "/safe/1");
+			keptConnection(this.fixture.gateway().readinessPort(), "/ready");
+			CompletableFuture<Long> end = shutDown();
+			if (streaming) {
+				TimeUnit.MILLISECONDS.sleep(LATE_REQUEST_MS);
+				keptConnection(this.fixture.gateway().callerPort(), "/stream/1");
+				keptConnection(this.fixture.gateway().relayPort(), "/stream/1");
+			}
+			assertThat(end.get()).isAtMost(limitMs);
+		}
+	}
+
 	@Test
 	void requestInProgressAtTheEndGetsAnAnswer() throws Exception {
 		try (FakeBackend silent = new FakeBackend((head, socket, out) -> TimeUnit.SECONDS.sleep(8))) {
