Close idle connections by the timeout of the configuration in force

Callers saw: connections closed after 25 s of idleness whatever idleTimeoutMs said; with a value above 31 s, they reuse connections that are closed under the request. A request in progress was not spared. Cause: the library's idle timeout is fixed when the server starts. Change: Netty's IdleStateHandler checks each second; a connection, also an open one, is closed after 5/3 of the value in force (25 s for 15 s, as before), and not while its caller waits for a response. Failed before: openConnectionFollowsTheTimeoutInForce[1] (300 ms in force, still open after 5 s: expected true, was false). The other two cases pass on the old code, too: they guard the change itself; idleness of more than 25 s was not run. Run after: IdleConnectionTests, ShutdownTests, AdmissionTests, passed.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.medlardrum.gateway.internal.request.TimerLateness;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.Host;
+import org.medlardrum.state.routing.RequestLimits;
 import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServiceInstance;
 import org.medlardrum.transport.internal.Addresses;
@@ -153,11 +154,13 @@
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
 		this.servers = List.of(
 				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
-						new ReadinessHandler(this.state, log, settings.readinessPath())),
+						this::idleTimeoutMs, new ReadinessHandler(this.state, log, settings.readinessPath())),
 				EventLoopServer.start(settings.metricsAddress(), this.executor, MAX_OWN_CONNECTIONS,
-						new MetricsHandler(metrics)),
-				EventLoopServer.start(settings.relayAddress(), this.executor, MAX_RELAY_CONNECTIONS, this.relayHandler),
-				EventLoopServer.start(settings.callerAddress(), this.executor, MAX_CONNECTIONS, this.handler));
+						this::idleTimeoutMs, new MetricsHandler(metrics)),
+				EventLoopServer.start(settings.relayAddress(), this.executor, MAX_RELAY_CONNECTIONS,
+						this::idleTimeoutMs, this.relayHandler),
+				EventLoopServer.start(settings.callerAddress(), this.executor, MAX_CONNECTIONS, this::idleTimeoutMs,
+						this.handler));
 		this.peerServer.start();
 		this.exchange.start();
 	}
@@ -194,6 +197,11 @@
 		return this.servers.get(RELAY_SERVER).port();
 	}
 
+	private long idleTimeoutMs() {
+		RoutingTable table = this.state.table();
+		return ((table != null) ? table.limits() : RequestLimits.DEFAULT).idleTimeoutMs();
+	}
+
 	private int inProgress() {
 		return this.handler.inProgress() + this.relayHandler.inProgress();
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/EventLoopServer.java
@@ -1,17 +1,15 @@
 package org.medlardrum.gateway.internal.http;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelPipeline;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.servicetalk.concurrent.api.AsyncCloseables;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -20,11 +18,12 @@
 import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.ConnectExecutionStrategy;
 import io.servicetalk.transport.api.ConnectionContext;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.api.EarlyConnectionAcceptor;
 import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import io.servicetalk.transport.api.LateConnectionAcceptor;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import org.medlardrum.transport.internal.Addresses;
 import org.medlardrum.transport.internal.ConnectionContexts;
@@ -39,12 +38,6 @@
 	/** Size limit of the start line and of a header field, twice the users' limit. */
 	private static final int MAX_HEADER_BYTES = 32_768;
 
-	/**
-	 * Time after which a connection without traffic in either direction is closed.
-	 * Callers reuse connections for up to four fifths of 15 s.
-	 */
-	private static final long IDLE_TIMEOUT_MS = 25_000;
-
 	private final HttpServerContext server;
 
 	private EventLoopServer(HttpServerContext server) {
@@ -57,12 +50,14 @@
 	 * @param executor the event loop
 	 * @param maxConnections limit of open connections; further ones are closed
 	 * immediately
+	 * @param idleTimeoutMs supplies the timeout of idle connections in force, in
+	 * milliseconds; connections are closed no earlier
 	 * @param service handles the requests; must not block
 	 * @return the running server
 	 * @throws Exception if the address cannot be used
 	 */
 	public static EventLoopServer start(String address, IoExecutor executor, int maxConnections,
-			StreamingHttpService service) throws Exception {
+			LongSupplier idleTimeoutMs, StreamingHttpService service) throws Exception {
 		return new EventLoopServer(HttpServers.forAddress(Addresses.parse(address))
 			.ioExecutor(executor)
 			.executionStrategy(HttpExecutionStrategies.offloadNone())
@@ -70,8 +65,8 @@
 				.maxStartLineLength(MAX_HEADER_BYTES)
 				.maxHeaderFieldLength(MAX_HEADER_BYTES)
 				.build())
-			.socketOption(ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MS)
 			.appendEarlyConnectionAcceptor(new ConnectionLimiter(maxConnections))
+			.appendLateConnectionAcceptor(new HandlerInstaller(idleTimeoutMs))
 			.listenStreamingAndAwait(service));
 	}
 
@@ -82,13 +77,21 @@
 	 * @param action the action, run on the event loop
 	 */
 	static void onPeerClosed(HttpServiceContext context, Runnable action) {
-		ChannelPipeline pipeline = channel(context).pipeline();
-		PeerCloseHandler handler = pipeline.get(PeerCloseHandler.class);
-		if (handler == null) {
-			handler = new PeerCloseHandler();
-			pipeline.addFirst(handler);
-		}
-		handler.set(action);
+		connectionHandler(context).onPeerClosed(action);
+	}
+
+	/**
+	 * Keeps the connection of a request open while the request is in progress, even if
+	 * neither side sends anything.
+	 * @param context context of the request
+	 * @param inProgress returns whether the request is in progress
+	 */
+	static void keepOpenWhile(HttpServiceContext context, BooleanSupplier inProgress) {
+		connectionHandler(context).keepWhile(inProgress);
+	}
+
+	private static ConnectionHandler connectionHandler(HttpServiceContext context) {
+		return channel(context).pipeline().get(ConnectionHandler.class);
 	}
 
 	/**
@@ -176,41 +179,26 @@
 	}
 
 	/**
-	 * Detects that the peer has closed its side of a connection. The library reports this
-	 * only when no response is due, and for a request with {@code Connection: close} it
-	 * also reports it when the peer has not closed.
+	 * Adds the handler of closed and idle connections, before the first request is read.
+	 *
+	 * @param idleTimeoutMs supplies the timeout of idle connections
 	 */
-	private static final class PeerCloseHandler extends ChannelInboundHandlerAdapter {
-
-		private Runnable action = () -> {
-		};
-
-		void set(Runnable next) {
-			this.action = next;
-		}
+	private record HandlerInstaller(LongSupplier idleTimeoutMs) implements LateConnectionAcceptor {
 
 		@Override
-		public void userEventTriggered(ChannelHandlerContext context, Object event) {
-			if (event instanceof ChannelInputShutdownEvent) {
-				this.action.run();
-			}
-			context.fireUserEventTriggered(event);
+		public Completable accept(ConnectionInfo info) {
+			return Completable.failed(new IllegalStateException("connection has no context"));
 		}
 
-		// A reset is reported as a failed read; the connection becomes inactive only with
-		// the next write.
 		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			if (cause instanceof IOException) {
-				this.action.run();
-			}
-			context.fireExceptionCaught(cause);
+		public Completable accept(ConnectionContext context) {
+			ConnectionHandler.install(channel(context).pipeline(), this.idleTimeoutMs);
+			return Completable.completed();
 		}
 
 		@Override
-		public void channelInactive(ChannelHandlerContext context) {
-			this.action.run();
-			context.fireChannelInactive();
+		public ConnectExecutionStrategy requiredOffloads() {
+			return ConnectExecutionStrategy.offloadNone();
 		}
 
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -120,6 +120,7 @@
 		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
 		CallerAttributes attributes = this.dependencies.dialect().parseAttributes(exchange::header);
 		OpenRequest open = this.openRequests.begin(attributes.requestId(), arrivedAtMs);
+		EventLoopServer.keepOpenWhile(context, open::isAwaited);
 		exchange.onEnd(() -> EventLoopServer.afterWrites(context, open::recordWritten));
 		RoutingTable table = this.dependencies.state().table();
 		int maxBytes = ((table != null) ? table.limits() : RequestLimits.DEFAULT).bodyBytes();
@@ -320,6 +321,7 @@
 
 		@Override
 		public void onSuccess(ByteArrayOutputStream content) {
+			this.open.recordReceived();
 			if (content.size() > this.maxBytes) {
 				new CallerResponse(this.exchange, GatewayHandler.this.dependencies.state())
 					.refuse(ProblemType.BODY_TOO_LARGE, "Body exceeds " + this.maxBytes + " bytes", UNKNOWN_RANK, 0);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/OpenRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/OpenRequest.java
@@ -19,6 +19,8 @@
 
 	private volatile boolean decided;
 
+	private boolean received;
+
 	private boolean written;
 
 	OpenRequest(String id, long arrivedAtMs, Consumer<OpenRequest> endAction) {
@@ -52,6 +54,21 @@
 		}
 	}
 
+	/**
+	 * Records that the request has been received completely.
+	 */
+	void recordReceived() {
+		this.received = true;
+	}
+
+	/**
+	 * Returns whether the caller waits for the response.
+	 * @return {@code true} from the last byte of the request until it is decided
+	 */
+	boolean isAwaited() {
+		return this.received && !this.decided;
+	}
+
 	/**
 	 * Records that the outcome of the request is known.
 	 * @return {@code false} if it was known before
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -113,13 +113,17 @@
 	}
 
 	static RoutingTable table(long version) {
+		return table(version, RequestLimits.DEFAULT);
+	}
+
+	static RoutingTable table(long version, RequestLimits limits) {
 		return new RoutingTable(version, List.of(route("safe", TrafficKind.SAFE, "ledger", 2),
 				route("unsafe", TrafficKind.UNSAFE, "ledger", 1), route("stream", TrafficKind.STREAMING, "pool", 2),
 				new ServiceRoute("once", "test", "/once/", TrafficKind.STREAMING, List.of(new ServiceShare("pool", 1)),
 						ROUTE_TIMEOUT_MS, TARGET_LATENCY_MS, GAP_TARGET_MS, 0, 2, false, false)),
 				List.of(new RoutedService("ledger", 100, Optional.empty()),
 						new RoutedService("pool", 100, Optional.of(POOL))),
-				true, Map.of("k1", new KeyHolder("org-1", -1)), RequestLimits.DEFAULT);
+				true, Map.of("k1", new KeyHolder("org-1", -1)), limits);
 	}
 
 	private static ServiceRoute route(String name, TrafficKind kind, String service, int attempts) {
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/RequestLimits.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/RequestLimits.java
@@ -1,9 +1,9 @@
 package org.medlardrum.state.routing;
 
 /**
- * Limits for the requests of callers, from the operator's configuration. Only
- * {@code bodyBytes} is enforced from here; the HTTP listener takes its limits for headers
- * and idle connections from its own {@code ServerLimits}.
+ * Limits for the requests of callers, from the operator's configuration. The gateway
+ * enforces {@code bodyBytes} and {@code idleTimeoutMs}; its limit of headers is fixed,
+ * and an incomplete header is bounded by the idle timeout.
  *
  * @param headerBytes largest request header, in bytes
  * @param bodyBytes largest request body, in bytes
