Answer requests at once after an error of any kind within the gateway

Cause: runStep caught RuntimeException only, what was recorded of a signal and the next due time were outside it, and handle() caught nothing. Change: steps, admission and receipt catch errors, too (OutOfMemoryError is thrown on as before); a request ends once, even if closing its calls fails. A response counts as started only once its header could be built. An error in the first step, before the timer, is covered by the same code but has no test.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -202,7 +202,7 @@
 		return ((table != null) ? table.limits() : RequestLimits.DEFAULT).idleTimeoutMs();
 	}
 
-	private int inProgress() {
+	int inProgress() {
 		return this.handler.inProgress() + this.relayHandler.inProgress();
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -118,17 +118,38 @@
 		long arrivedAtMs = this.dependencies.nowMs();
 		CallerExchange exchange = new CallerExchange(context, request, responses);
 		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
-		CallerAttributes attributes = this.dependencies.dialect().parseAttributes(exchange::header);
-		OpenRequest open = this.openRequests.begin(attributes.requestId(), arrivedAtMs);
+		OpenRequest open = this.openRequests.begin(arrivedAtMs);
 		EventLoopServer.keepOpenWhile(context, open::isAwaited);
 		exchange.onEnd(() -> EventLoopServer.afterWrites(context, open::recordWritten));
+		try {
+			receive(context, request, exchange, open);
+		}
+		catch (RuntimeException | Error ex) {
+			failInternally(exchange, open, ex);
+		}
+		return exchange.response();
+	}
+
+	private void receive(HttpServiceContext context, StreamingHttpRequest request, CallerExchange exchange,
+			OpenRequest open) {
+		CallerAttributes attributes = this.dependencies.dialect().parseAttributes(exchange::header);
+		open.setId(attributes.requestId());
 		RoutingTable table = this.dependencies.state().table();
 		int maxBytes = ((table != null) ? table.limits() : RequestLimits.DEFAULT).bodyBytes();
 		SourceAdapters
 			.toSource(request.payloadBody()
 				.collect(ByteArrayOutputStream::new, (content, buffer) -> append(content, buffer, maxBytes)))
 			.subscribe(new BodySubscriber(context, exchange, attributes, open, maxBytes));
-		return exchange.response();
+	}
+
+	// Each request that was read must get a response and end once.
+	private void failInternally(CallerExchange exchange, OpenRequest open, Throwable failure) {
+		if (failure instanceof OutOfMemoryError outOfMemory) {
+			throw outOfMemory;
+		}
+		this.dependencies.log().event(PART, "internal-error", "id", open.id(), "error", failure);
+		new CallerResponse(exchange, this.dependencies.state()).abandon(UNKNOWN_RANK);
+		recordEnd(open, NO_KIND, "internal-error");
 	}
 
 	// Stores no more once the limit is exceeded. The stored size then shows the excess.
@@ -142,13 +163,13 @@
 	}
 
 	private void admitAndStart(CallerExchange exchange, CallerAttributes attributes, OpenRequest open, byte[] body) {
-		if (waitsForConfiguration(open.arrivedAtMs())) {
-			this.dependencies.executor()
-				.schedule(() -> admitAndStart(exchange, attributes, open, body), STARTUP_POLL_MS,
-						TimeUnit.MILLISECONDS);
-			return;
-		}
 		try {
+			if (waitsForConfiguration(open.arrivedAtMs())) {
+				this.dependencies.executor()
+					.schedule(() -> admitAndStart(exchange, attributes, open, body), STARTUP_POLL_MS,
+							TimeUnit.MILLISECONDS);
+				return;
+			}
 			Admission admission = admit(exchange, attributes, open.arrivedAtMs(), body);
 			if (admission.request() == null) {
 				recordEnd(open, NO_KIND, admission.outcome());
@@ -156,11 +177,8 @@
 			}
 			startRequest(exchange, admission.request(), open);
 		}
-		catch (RuntimeException ex) {
-			this.dependencies.log().event(PART, "internal-error", "id", attributes.requestId(), "error", ex);
-			new CallerResponse(exchange, this.dependencies.state()).fail(ProblemType.BACKEND_FAILED, "Internal error",
-					UNKNOWN_RANK);
-			recordEnd(open, NO_KIND, "internal-error");
+		catch (RuntimeException | Error ex) {
+			failInternally(exchange, open, ex);
 		}
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/OpenRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/OpenRequest.java
@@ -8,12 +8,12 @@
  */
 final class OpenRequest {
 
-	private final String id;
-
 	private final long arrivedAtMs;
 
 	private final Consumer<OpenRequest> endAction;
 
+	private volatile String id = "unknown";
+
 	private Runnable stopAction = () -> {
 	};
 
@@ -23,8 +23,7 @@
 
 	private boolean written;
 
-	OpenRequest(String id, long arrivedAtMs, Consumer<OpenRequest> endAction) {
-		this.id = id;
+	OpenRequest(long arrivedAtMs, Consumer<OpenRequest> endAction) {
 		this.arrivedAtMs = arrivedAtMs;
 		this.endAction = endAction;
 	}
@@ -33,6 +32,10 @@
 		return this.id;
 	}
 
+	void setId(String id) {
+		this.id = id;
+	}
+
 	long arrivedAtMs() {
 		return this.arrivedAtMs;
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/OpenRequests.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/OpenRequests.java
@@ -18,12 +18,11 @@
 
 	/**
 	 * Adds a request.
-	 * @param id identifier of the request
 	 * @param arrivedAtMs time of its arrival on the monotonic clock
 	 * @return the request, to be removed by its end
 	 */
-	OpenRequest begin(String id, long arrivedAtMs) {
-		OpenRequest request = new OpenRequest(id, arrivedAtMs, this.requests::remove);
+	OpenRequest begin(long arrivedAtMs) {
+		OpenRequest request = new OpenRequest(arrivedAtMs, this.requests::remove);
 		this.requests.add(request);
 		return request;
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -189,11 +189,11 @@
 	}
 
 	private void send(StreamingHttpResponse response) {
+		this.started = true;
 		this.head.onSuccess(response.transformPayloadBody((payload) -> payload.beforeFinally(this::end)));
 	}
 
 	private StreamingHttpResponse head(int status, List<String> headers) {
-		this.started = true;
 		StreamingHttpResponse response = this.responseFactory.newResponse(HttpResponseStatus.of(status, ""));
 		for (int i = 0; i + 1 < headers.size(); i += 2) {
 			response.addHeader(headers.get(i), headers.get(i + 1));
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -126,28 +126,34 @@
 	 */
 	public final void onSignal(Signal signal) {
 		if (!this.ended) {
-			if (signal instanceof Signal.Writing writing && this.attempts.containsKey(writing.call())) {
-				this.attempts.get(writing.call()).recordWriting();
-				this.dependencies.state().recordReached(this.attempts.get(writing.call()).serverId());
-			}
-			if (signal instanceof Signal.Header header && this.attempts.containsKey(header.call())) {
-				this.dependencies.limits()
-					.recordAnswer(this.attempts.get(header.call()).serverId(),
-							this.dependencies.dialect().requestLimitPerS(HeaderList.lookup(header.headers())));
-			}
-			if (signal instanceof Signal.Failed failed && failed.requestNotSent()
-					&& this.attempts.containsKey(failed.call())) {
-				this.dependencies.state().recordUnreachable(this.attempts.get(failed.call()).serverId());
-			}
-			if (signal instanceof Signal.Failed failed && this.relayTargets.containsKey(failed.call())) {
-				this.dependencies.relayTargets().recordRefusal(this.relayTargets.get(failed.call()));
-			}
-			if (signal instanceof Signal.Failed failed && !failed.requestNotSent()
-					&& !this.relayTargets.containsKey(failed.call())) {
-				recordBroken(failed.call());
-				CrashProbe.probe(this.dependencies, failed.call().address());
-			}
-			runStep(() -> handleSignal(signal));
+			runStep(() -> {
+				recordSignal(signal);
+				return handleSignal(signal);
+			});
+		}
+	}
+
+	private void recordSignal(Signal signal) {
+		if (signal instanceof Signal.Writing writing && this.attempts.containsKey(writing.call())) {
+			this.attempts.get(writing.call()).recordWriting();
+			this.dependencies.state().recordReached(this.attempts.get(writing.call()).serverId());
+		}
+		if (signal instanceof Signal.Header header && this.attempts.containsKey(header.call())) {
+			this.dependencies.limits()
+				.recordAnswer(this.attempts.get(header.call()).serverId(),
+						this.dependencies.dialect().requestLimitPerS(HeaderList.lookup(header.headers())));
+		}
+		if (signal instanceof Signal.Failed failed && failed.requestNotSent()
+				&& this.attempts.containsKey(failed.call())) {
+			this.dependencies.state().recordUnreachable(this.attempts.get(failed.call()).serverId());
+		}
+		if (signal instanceof Signal.Failed failed && this.relayTargets.containsKey(failed.call())) {
+			this.dependencies.relayTargets().recordRefusal(this.relayTargets.get(failed.call()));
+		}
+		if (signal instanceof Signal.Failed failed && !failed.requestNotSent()
+				&& !this.relayTargets.containsKey(failed.call())) {
+			recordBroken(failed.call());
+			CrashProbe.probe(this.dependencies, failed.call().address());
 		}
 	}
 
@@ -435,20 +441,27 @@
 		}
 	}
 
-	private void endOrReschedule(String outcome) {
+	private void end(String outcome) {
 		if (this.ended) {
 			return;
 		}
-		if (outcome != null) {
-			this.ended = true;
+		this.ended = true;
+		try {
 			this.ledger.end();
 			if (this.timer != null) {
 				this.timer.cancel();
 			}
 			close();
+		}
+		catch (RuntimeException ex) {
+			logError(ex);
+		}
+		finally {
 			this.outcomeListener.accept(outcome);
-			return;
 		}
+	}
+
+	private void reschedule() {
 		long dueAtMs = dueAtMs();
 		if (dueAtMs < this.timerAtMs) {
 			if (this.timer != null) {
@@ -476,13 +489,36 @@
 		String outcome;
 		try {
 			outcome = work.get();
+			if (outcome == null && !this.ended) {
+				reschedule();
+			}
+		}
+		catch (RuntimeException | Error ex) {
+			if (ex instanceof OutOfMemoryError) {
+				throw ex;
+			}
+			outcome = endAfterError(ex);
+		}
+		if (outcome != null) {
+			end(outcome);
+		}
+	}
+
+	private String endAfterError(Throwable failure) {
+		logError(failure);
+		try {
+			if (!this.ended) {
+				this.response.abandon(this.request.rank());
+			}
 		}
 		catch (RuntimeException ex) {
-			this.dependencies.log().event("request", "internal-error", "id", this.request.id(), "error", ex);
-			this.response.abandon(this.request.rank());
-			outcome = "internal-error";
+			logError(ex);
 		}
-		endOrReschedule(outcome);
+		return "internal-error";
+	}
+
+	private void logError(Throwable failure) {
+		this.dependencies.log().event("request", "internal-error", "id", this.request.id(), "error", failure);
 	}
 
 }
