Close the connection of a caller that has left soon after its request ended

Seen: after a caller closed its side during a request (caller-left), this host kept the connection until the idle timeout: 25 s, and 100 s with idleTimeoutMs of 60 s, counted towards the limit of 1,200 connections. Cause: nothing is written to a caller that has left, so nothing closes. Change: such a connection is closed after 3 s without a byte; a caller that closed only its sending side may still read what has been decided. Failed before: connectionOfACallerThatHasLeftIsClosed (still open after 10 s: expected true). SlowCallerTests (209 and 1,000 events of 16 kB) pass before and after: guards. Run after: all tests of medlardrum-state, medlardrum-gateway and platform, passed.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ConnectionHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ConnectionHandler.java
@@ -28,6 +28,12 @@
 	 */
 	private static final double IDLE_TIMEOUT_MARGIN = 5.0 / 3;
 
+	/**
+	 * Idle time after which a connection is closed whose peer has closed its side. The
+	 * peer may still read the rest of a response.
+	 */
+	private static final long PEER_CLOSED_TIMEOUT_MS = 3_000;
+
 	private final LongSupplier idleTimeoutMs;
 
 	private Runnable closeAction = () -> {
@@ -38,6 +44,8 @@
 	/** Number of checks since the last byte in either direction. */
 	private long idleChecks;
 
+	private boolean peerClosed;
+
 	private ConnectionHandler(LongSupplier idleTimeoutMs) {
 		this.idleTimeoutMs = idleTimeoutMs;
 	}
@@ -77,6 +85,7 @@
 			return;
 		}
 		if (event instanceof ChannelInputShutdownEvent) {
+			this.peerClosed = true;
 			this.closeAction.run();
 		}
 		context.fireUserEventTriggered(event);
@@ -84,7 +93,8 @@
 
 	private void checkIdle(ChannelHandlerContext context, IdleStateEvent event) {
 		this.idleChecks = (event.isFirst()) ? 1 : this.idleChecks + 1;
-		double closeAfterMs = this.idleTimeoutMs.getAsLong() * IDLE_TIMEOUT_MARGIN;
+		double closeAfterMs = (this.peerClosed) ? PEER_CLOSED_TIMEOUT_MS
+				: this.idleTimeoutMs.getAsLong() * IDLE_TIMEOUT_MARGIN;
 		if (this.idleChecks * IDLE_CHECK_INTERVAL_MS >= closeAfterMs && !this.busy.getAsBoolean()) {
 			context.close();
 		}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/IdleConnectionTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/IdleConnectionTests.java
@@ -83,4 +83,22 @@
 		}
 	}
 
+	/**
+	 * Guards against descriptors held by callers that have left, up to the limit of
+	 * connections.
+	 */
+	@Test
+	void connectionOfACallerThatHasLeftIsClosed() throws Exception {
+		setIdleTimeout(2, LONG_MS);
+		try (FakeBackend silent = new FakeBackend((head, socket, out) -> TimeUnit.SECONDS.sleep(CLOSED_WITHIN_MS))) {
+			this.fixture.register("ledger", "s1", silent);
+			try (Socket socket = this.fixture.send("GET", "/safe/1", "key: k1\r\n")) {
+				TimeUnit.MILLISECONDS.sleep(SHORT_MS);
+				socket.shutdownOutput();
+				socket.setSoTimeout(2 * CLOSED_WITHIN_MS);
+				assertThat(isClosed(socket)).isTrue();
+			}
+		}
+	}
+
 }
