--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -43,12 +43,17 @@
 	private Runnable disconnectAction = () -> {
 	};
 
+	private Runnable endAction = () -> {
+	};
+
 	private List<String> problemHeaders = List.of();
 
 	private boolean started;
 
 	private boolean disconnected;
 
+	private boolean ended;
+
 	/**
 	 * Creates an exchange.
 	 * @param context context of the request
@@ -67,7 +72,26 @@
 	 * @return the response
 	 */
 	public Single<StreamingHttpResponse> response() {
-		return SourceAdapters.fromSource(this.head).beforeCancel(this::peerClosed);
+		return SourceAdapters.fromSource(this.head).beforeCancel(this::peerClosed).beforeOnError((failure) -> end());
+	}
+
+	/**
+	 * Sets the action to run when the server has taken over the whole response, the
+	 * response has failed or the caller has disconnected.
+	 * @param action the action, run once
+	 */
+	public void onEnd(Runnable action) {
+		this.endAction = action;
+		if (this.ended) {
+			action.run();
+		}
+	}
+
+	private void end() {
+		if (!this.ended) {
+			this.ended = true;
+			this.endAction.run();
+		}
 	}
 
 	/**
@@ -88,6 +112,7 @@
 		if (!this.disconnected) {
 			this.disconnected = true;
 			this.disconnectAction.run();
+			end();
 		}
 	}
 
@@ -168,7 +193,7 @@
 		if (content.length > 0) {
 			response.payloadBody(Publisher.from(this.allocator.wrap(content)));
 		}
-		this.head.onSuccess(response);
+		send(response);
 	}
 
 	/**
@@ -178,12 +203,15 @@
 	 */
 	public void startStream(int status, List<String> headers) {
 		this.body = Processors.newPublisherProcessor(MAX_BUFFERED_PARTS);
-		this.head.onSuccess(
-				head(status, headers).payloadBody(SourceAdapters.fromSource(this.body).beforeCancel(this::peerClosed)));
+		send(head(status, headers).payloadBody(SourceAdapters.fromSource(this.body).beforeCancel(this::peerClosed)));
 	}
 
-	private StreamingHttpResponse head(int status, List<String> headers) {
+	private void send(StreamingHttpResponse response) {
 		this.started = true;
+		this.head.onSuccess(response.transformPayloadBody((payload) -> payload.beforeFinally(this::end)));
+	}
+
+	private StreamingHttpResponse head(int status, List<String> headers) {
 		StreamingHttpResponse response = this.responseFactory.newResponse(HttpResponseStatus.of(status, ""));
 		for (int i = 0; i + 1 < headers.size(); i += 2) {
 			response.addHeader(headers.get(i), headers.get(i + 1));
