Treat a server whose address can't be used as one that isn't reached

Callers saw 502 (internal-error) for each request that chose a server with an address such as 127.0.0.1:99999, although another server of the service was sound.

BackendCall.send threw after the attempt was counted and the quarantine had recorded its start; neither was taken back, and the server was not recorded as unreachable, so the next request chose it again. A throw in LinkProbe.step would have left the probe 'running' for ever.

The call now fails with Signal.Failed, not sent, on the event loop after send has returned; requests, probes and relays handle it already.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -70,7 +70,8 @@
 	}
 
 	/**
-	 * Sends a request.
+	 * Sends a request. An address that cannot be used fails the call like a server that
+	 * cannot be reached.
 	 * @param clients clients by address
 	 * @param request the request
 	 * @param sink receives the signals; must not block
@@ -79,9 +80,16 @@
 	 */
 	public static BackendCall send(HttpClientPool clients, BackendRequest request, Consumer<Signal> sink,
 			Runnable closeAction) {
-		StreamingHttpClient client = clients.client(request.address()).asStreamingClient();
-		BackendCall call = new BackendCall(request.address(), client.executionContext().ioExecutor(), sink,
-				closeAction);
+		BackendCall call = new BackendCall(request.address(), clients.executor(), sink, closeAction);
+		StreamingHttpClient client;
+		try {
+			client = clients.client(request.address()).asStreamingClient();
+		}
+		catch (RuntimeException ex) {
+			call.deliver(new Signal.Failed(call, true, Failures.describe(ex)));
+			call.sending = false;
+			return call;
+		}
 		StreamingHttpRequest http = client.newRequest(HttpRequestMethod.of(request.method()), request.target());
 		http.context().put(HttpClientPool.WRITE_CHECK, call.writeCheck(request));
 		if (request.body().length > 0) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/call/BackendCallTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/call/BackendCallTests.java
@@ -8,15 +8,19 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.medlardrum.transport.internal.HttpClientPool;
 
 import static com.google.common.truth.Truth.assertThat;
 
 /**
  * Guards against requests that are written although their deadline passed, or their
- * caller left, while the connection was being set up.
+ * caller left, while the connection was being set up, and against an address that ends
+ * the step of the sender.
  */
 class BackendCallTests {
 
@@ -40,6 +44,26 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "127.0.0.1:99999", "127.0.0.1:0", "", "127.0.0.1", "localhost:80", "0.0.0.0:80" })
+	void unusableAddressFailsTheCallAsNotSent(String address) throws Exception {
+		BlockingQueue<Signal> signals = new ArrayBlockingQueue<>(8);
+		AtomicInteger closed = new AtomicInteger();
+		try (HttpClientPool clients = new HttpClientPool(CONNECT_TIMEOUT_MS)) {
+			BackendCall call = BackendCall.send(clients,
+					new BackendRequest(address, "GET", "/", () -> false, Optional::empty, new byte[0]), signals::add,
+					closed::incrementAndGet);
+			assertThat(call.address()).isEqualTo(address);
+			Signal signal = signals.poll(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			assertThat(signal).isInstanceOf(Signal.Failed.class);
+			assertThat(((Signal.Failed) signal).call()).isSameInstanceAs(call);
+			assertThat(((Signal.Failed) signal).requestNotSent()).isTrue();
+			call.close();
+			call.close();
+			assertThat(closed.get()).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void headersReplaceThoseOfTheLibrary() throws Exception {
 		try (HttpClientPool clients = new HttpClientPool(CONNECT_TIMEOUT_MS);
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -82,6 +82,14 @@
 		return IoExecutorHolder.INSTANCE;
 	}
 
+	/**
+	 * Returns the event loops of the clients.
+	 * @return the executor
+	 */
+	public IoExecutor executor() {
+		return this.executor;
+	}
+
 	/**
 	 * Returns the client of an address.
 	 * @param address {@code ip:port}
