Keep following the store when a listener fails

A listener that threw while the copy was replaced kept it from being confirmed, or, when it threw for the new era, from being taken over at all: the whole list was read again each second.

StoreFollower logs the failure of a listener and goes on. The listener receives all values again with the next change.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.medlardrum.coordination.ChangeFeed;
@@ -14,6 +15,7 @@
 import org.medlardrum.coordination.StoreResult;
 import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.coordination.internal.BackgroundThread;
+import org.tinylog.Logger;
 
 /**
  * Keeps a copy of the store's keys and reports until when the copy was current. One
@@ -165,7 +167,7 @@
 			sleep(this.options.catchUpMs());
 		}
 		if (!isMissingChanges(newest)) {
-			this.listener.confirmed(sentMs, sentWallMs);
+			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 		}
 		else if (!readAll()) {
 			return retryDelayMs();
@@ -201,7 +203,7 @@
 				recordFailure(EARLIER_ERA);
 				return false;
 			}
-			this.listener.confirmed(sentMs, sentWallMs);
+			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 			return true;
 		}
 		recordFailure(reason(result));
@@ -234,7 +236,8 @@
 			if (this.version != null) {
 				this.holdRemovalsUntilMs = this.monotonicMs.getAsLong() + this.options.holdRemovalsMs();
 			}
-			this.listener.eraChanged(this.version, all.version());
+			StoreVersion before = this.version;
+			notifyListener((listener) -> listener.eraChanged(before, all.version()));
 		}
 		Set<String> present = new HashSet<>();
 		all.changes().forEach((change) -> present.add(change.key()));
@@ -245,7 +248,8 @@
 		this.historyLost = false;
 		this.fullReadVersion = all.version();
 		this.version = all.version();
-		this.listener.changed(Map.copyOf(this.values));
+		Map<String, String> copy = Map.copyOf(this.values);
+		notifyListener((listener) -> listener.changed(copy));
 		return true;
 	}
 
@@ -273,7 +277,8 @@
 		}
 		this.version = (changes.version().isAfter(this.version)) ? changes.version() : this.version;
 		if (changed) {
-			this.listener.changed(Map.copyOf(this.values));
+			Map<String, String> copy = Map.copyOf(this.values);
+			notifyListener((listener) -> listener.changed(copy));
 		}
 		return (changed) ? this.options.batchDelayMs() : 0;
 	}
@@ -298,7 +303,8 @@
 		}
 		this.heldBackRemovals.forEach(this.values::remove);
 		this.heldBackRemovals.clear();
-		this.listener.changed(Map.copyOf(this.values));
+		Map<String, String> copy = Map.copyOf(this.values);
+		notifyListener((listener) -> listener.changed(copy));
 	}
 
 	private synchronized void recordResponse() {
@@ -306,7 +312,8 @@
 		if (this.storeUnavailable) {
 			this.storeUnavailable = false;
 			this.holdRemovalsUntilMs = nowMs + this.options.holdRemovalsMs();
-			this.listener.storeAvailable(nowMs - this.lastResponseAtMs);
+			long outageMs = nowMs - this.lastResponseAtMs;
+			notifyListener((listener) -> listener.storeAvailable(outageMs));
 		}
 		this.lastResponseAtMs = nowMs;
 		this.retryMs = FIRST_RETRY_MS;
@@ -315,7 +322,7 @@
 	private synchronized long recordFailure(String reason) {
 		if (!this.storeUnavailable) {
 			this.storeUnavailable = true;
-			this.listener.storeUnavailable(reason);
+			notifyListener((listener) -> listener.storeUnavailable(reason));
 		}
 		this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
 		return this.retryMs / 2;
@@ -325,4 +332,14 @@
 		return this.retryMs;
 	}
 
+	// The copy stays valid when the listener fails, and must not be read again for it.
+	private void notifyListener(Consumer<StoreListener> call) {
+		try {
+			call.accept(this.listener);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			Logger.error(ex, "store: listener failed");
+		}
+	}
+
 }
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -71,6 +71,19 @@
 		assertThat(this.recorder.confirmedMs).isEqualTo(10_000);
 	}
 
+	@Test
+	void listenerThatFailsDoesNotEndTheReadOrTheConfirmation() {
+		this.recorder.failure = new IllegalArgumentException("odd value");
+		follow(1, ok(5, put("a", "1")));
+		assertThat(this.recorder.confirmedMs).isEqualTo(10_000);
+		this.recorder.failure = new StackOverflowError();
+		follow(1, ok(7, new StoreChange("a", "2", version(7))));
+		this.recorder.failure = null;
+		follow(1, ok(8, new StoreChange("b", "3", version(8))));
+		assertThat(this.recorder.values).containsExactly("a", "2", "b", "3");
+		assertThat(this.calls.stream().filter((call) -> call.startsWith("read")).toList()).hasSize(1);
+	}
+
 	@Test
 	void watchWithoutChangesConfirmsNothing() {
 		follow(1, ok(5));
@@ -212,8 +225,20 @@
 
 		private long confirmedMs;
 
+		private Throwable failure;
+
+		private void fail() {
+			if (this.failure instanceof RuntimeException exception) {
+				throw exception;
+			}
+			if (this.failure instanceof Error error) {
+				throw error;
+			}
+		}
+
 		@Override
 		public void changed(Map<String, String> changed) {
+			fail();
 			this.values = changed;
 		}
 
@@ -230,6 +255,7 @@
 
 		@Override
 		public void eraChanged(StoreVersion before, StoreVersion after) {
+			fail();
 			if (before != null) {
 				this.events.add("era " + after.era());
 			}
