Call a background thread's step again after an Error too

A StackOverflowError, or a class that could not be loaded, ended the thread for good: the list was followed no longer, and no digest sent.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/internal/BackgroundThread.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/internal/BackgroundThread.java
@@ -84,7 +84,7 @@
 		try {
 			return this.step.getAsLong();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			Logger.error(ex, "{}: step failed, called again within {} ms", this.thread.getName(), MAX_WAIT_MS);
 			return MAX_WAIT_MS;
 		}
