Report a call to an address that can't be used as not run

Callers of our own interface saw a request as one that may have run, and no second server was tried for a request that must not run twice, although nothing could be sent; an order to such an engine counted as unknown, here and on the users' platform.

HttpClientPool throws an exception of its own, which counts as not sent.

BackendClientTests on the old code: 5 of 24 failed, 'expected instance of Outcome.NotRun'. Now 24 of 24 pass.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/Failures.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/Failures.java
@@ -26,7 +26,7 @@
 		Throwable cause = failure;
 		for (int depth = 0; cause != null && depth < MAX_CAUSE_DEPTH; depth++) {
 			if (cause instanceof RetryableException || cause instanceof ConnectException
-					|| cause instanceof NoRouteToHostException) {
+					|| cause instanceof NoRouteToHostException || cause instanceof UnusableAddressException) {
 				return true;
 			}
 			cause = cause.getCause();
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -94,6 +94,7 @@
 	 * Returns the client of an address.
 	 * @param address {@code ip:port}
 	 * @return the client
+	 * @throws UnusableAddressException if the address cannot be parsed
 	 */
 	public BlockingStreamingHttpClient client(String address) {
 		return this.clients.computeIfAbsent(address, this::create);
@@ -120,9 +121,18 @@
 		this.clients.clear();
 	}
 
+	private static InetSocketAddress parse(String address) {
+		try {
+			return Addresses.parse(address);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UnusableAddressException(ex);
+		}
+	}
+
 	private BlockingStreamingHttpClient create(String address) {
 		SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> builder = HttpClients
-			.forResolvedAddress(Addresses.parse(address))
+			.forResolvedAddress(parse(address))
 			.ioExecutor(this.executor)
 			.executionStrategy(HttpExecutionStrategies.offloadNone())
 			.protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
@@ -9,6 +9,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.medlardrum.coordination.orders.OrderResult;
+import org.medlardrum.protocol.engine.EngineOrder;
 import org.medlardrum.protocol.engine.GenerateRequest;
 import org.medlardrum.state.Outcome;
 import org.medlardrum.state.Rank;
@@ -74,6 +77,18 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "127.0.0.1:99999", "", "127.0.0.1", "localhost:80", "127.0.0.1:-1" })
+	void callToAnUnusableAddressIsReportedAsNotRun(String address) {
+		try (ServiceClient services = new ServiceClient(CONNECT_TIMEOUT_MS, MAX_RESPONSE_BYTES);
+				EngineClient engines = new EngineClient(CONNECT_TIMEOUT_MS)) {
+			assertThat(services.call(address, BOOKING, 5000)).isInstanceOf(Outcome.NotRun.class);
+			assertThat(engines.generate(address, GENERATE, 5000)).isInstanceOf(Outcome.NotRun.class);
+			assertThat(engines.sendOrder(address, new EngineOrder(1, "o", "m", "", List.of(), ""), 5000))
+				.isInstanceOf(OrderResult.NotSent.class);
+		}
+	}
+
 	@Test
 	void connectionWithAnUnreadResponseIsNotReused() throws IOException {
 		String oversized = "HTTP/1.1 200 X\r\nContent-Length: 9000\r\nX-Hold: 1\r\n\r\n" + "x".repeat(5000);
