--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -82,10 +82,19 @@
 		return IoExecutorHolder.INSTANCE;
 	}
 
+	/**
+	 * Returns the event loops of the clients.
+	 * @return the executor
+	 */
+	public IoExecutor executor() {
+		return this.executor;
+	}
+
 	/**
 	 * Returns the client of an address.
 	 * @param address {@code ip:port}
 	 * @return the client
+	 * @throws UnusableAddressException if the address cannot be parsed
 	 */
 	public BlockingStreamingHttpClient client(String address) {
 		return this.clients.computeIfAbsent(address, this::create);
@@ -112,9 +121,18 @@
 		this.clients.clear();
 	}
 
+	private static InetSocketAddress parse(String address) {
+		try {
+			return Addresses.parse(address);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UnusableAddressException(ex);
+		}
+	}
+
 	private BlockingStreamingHttpClient create(String address) {
 		SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> builder = HttpClients
-			.forResolvedAddress(Addresses.parse(address))
+			.forResolvedAddress(parse(address))
 			.ioExecutor(this.executor)
 			.executionStrategy(HttpExecutionStrategies.offloadNone())
 			.protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
