Let a successor take over only with an event that the caller lacks

Callers saw: a stream broken off although its first chain went on. A successor that repeated events which the caller had, and then broke, had ended the silent chain; comments of a stuck chain ended its successor; a diagnosis that named an engine by an address which a new start of the engine has taken was dropped, and one of an engine that has started again and names nobody led nowhere.

Change: events that are no news and comments leave both attempts in place; an engine of the chain is found as it was registered when the attempt began, and one whose address has a later start counts as the cause; a relayed stream, whose engines are not probed, tries another chain at each check; a silence is logged once.

Failed before: 2 of 5 new cases of SilentServerTests (successorThatRepeats..., commentsOfAStuckEngine...); the three cases of an engine that has started again passed there, too: guards.

--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/SilencePolicyTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/SilencePolicyTests.java
@@ -17,7 +17,7 @@
 
 	private static SilentAttempt attempt(long gapMs, boolean begun, boolean faultKnown, boolean awaitsOther,
 			SendDenial denial) {
-		return new SilentAttempt(gapMs, begun, faultKnown, awaitsOther, Optional.ofNullable(denial));
+		return new SilentAttempt(gapMs, begun, false, faultKnown, awaitsOther, Optional.ofNullable(denial));
 	}
 
 	@ParameterizedTest
@@ -36,6 +36,13 @@
 		assertThat(actual).isEqualTo(expected);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "100, true", "250, true", "2000, true", "2000, false" })
+	void otherChainIsTriedForARelayedStreamWithoutReports(long gapMs, boolean begun) {
+		assertThat(SilencePolicy.decide(new SilentAttempt(gapMs, begun, true, false, false, Optional.empty())))
+			.isEqualTo(new SilenceDecision.TrySpareChain());
+	}
+
 	@ParameterizedTest
 	@EnumSource(SendDenial.class)
 	void attemptIsKeptWithTheReasonWhenTheRequestMustNotBeSentAgain(SendDenial denial) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -11,6 +11,7 @@
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.HeaderList;
+import org.medlardrum.state.routing.ServiceInstance;
 
 /**
  * One attempt of a stream at a chain: the call, the reserved chain and the part of the
@@ -27,6 +28,8 @@
 
 	private final ChainChooser.ReservedChain chain;
 
+	private final List<ServiceInstance> engines;
+
 	private final String firstEngine;
 
 	private final BackendCall call;
@@ -78,6 +81,7 @@
 	 * Creates an attempt.
 	 * @param chain the reserved chain, released when the attempt is closed; without
 	 * engines if another host chooses it
+	 * @param engines the engines of the chain as they are registered
 	 * @param firstEngine identifier of the first engine, or of the other host
 	 * @param call the call to the first engine
 	 * @param reason reason of the attempt, as logged
@@ -85,9 +89,10 @@
 	 * @param eventGaps the gaps between the attempt's events
 	 * @param nowMs current time on the monotonic clock
 	 */
-	ChainAttempt(ChainChooser.ReservedChain chain, String firstEngine, BackendCall call, String reason,
-			Set<String> excluded, StreamStallDetector eventGaps, long nowMs) {
+	ChainAttempt(ChainChooser.ReservedChain chain, List<ServiceInstance> engines, String firstEngine, BackendCall call,
+			String reason, Set<String> excluded, StreamStallDetector eventGaps, long nowMs) {
 		this.chain = chain;
+		this.engines = engines;
 		this.firstEngine = firstEngine;
 		this.call = call;
 		this.reason = reason;
@@ -114,6 +119,14 @@
 		return ids;
 	}
 
+	/**
+	 * Returns the engines of the chain as they were registered when the attempt began.
+	 * @return the engines
+	 */
+	List<ServiceInstance> engines() {
+		return this.engines;
+	}
+
 	boolean isRelayed() {
 		return this.chain.hops().isEmpty();
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -27,6 +27,7 @@
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.request.RequestExecution;
+import org.medlardrum.gateway.internal.state.FleetView;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.protocol.problem.ProblemType;
 import org.medlardrum.state.routing.ModelPool;
@@ -106,6 +107,9 @@
 
 	private EventOrder order = EventOrder.NONE;
 
+	/** Whether the caller has received an event that is more than a comment. */
+	private boolean contentDelivered;
+
 	private int eventsDelivered;
 
 	private long firstEventMs;
@@ -248,7 +252,7 @@
 				|| this.successors.listWith(this.current).stream().anyMatch((other) -> other.isBelowThreshold(nowMs));
 		Optional<SendDenial> denial = (awaitsOther) ? Optional.empty() : sendDenial();
 		SilenceDecision decision = SilencePolicy.decide(new SilentAttempt(gaps.currentGapMs(nowMs), gaps.hasBegun(),
-				silent.isFaultKnown(), awaitsOther, denial));
+				silent.isRelayed(), silent.isFaultKnown(), awaitsOther, denial));
 		switch (decision) {
 			case SilenceDecision.TrySpareChain spare -> tryOtherChainForStall(silent, nowMs);
 			case SilenceDecision.TryAnyChain any -> tryAnyChainForStall(silent, nowMs);
@@ -267,8 +271,11 @@
 	private void tryOtherChainForStall(ChainAttempt silent, long nowMs) {
 		Set<String> excludedEngines = excludedWithAttempts();
 		if (silent.isRelayed() || isRelayPreferred()) {
-			addSuccessor(startRelay(REASON_STALLED, excludedEngines));
-			return;
+			ChainAttempt relayed = startRelay(REASON_STALLED, excludedEngines);
+			addSuccessor(relayed);
+			if (relayed != null || isRelayPreferred()) {
+				return;
+			}
 		}
 		ChainRequest requirements = chainRequest()
 			.preferring(this.chooser.chooseRandomZone(this.request.service(), excludedEngines));
@@ -388,9 +395,11 @@
 
 	private void probeStall(ChainAttempt attempt, long nowMs) {
 		attempt.scheduleStallCheck(nowMs + StreamLimits.PROBE_INTERVAL_MS);
-		this.dependencies.log()
-			.event(PART, "silent", "id", this.request.id(), "server", attempt.firstEngine(), "silentMs",
-					attempt.eventGaps().currentGapMs(nowMs));
+		if (attempt.mayLogKeepReason("silent")) {
+			this.dependencies.log()
+				.event(PART, "silent", "id", this.request.id(), "server", attempt.firstEngine(), "silentMs",
+						attempt.eventGaps().currentGapMs(nowMs));
+		}
 		if (!attempt.isRelayed()) {
 			this.probe.probe(attempt.call(), this.request.id());
 		}
@@ -429,8 +438,13 @@
 		logSend(chosen, reason, remainingMs);
 		StreamStallDetector gaps = new StreamStallDetector(nowMs, this.request.route().targetLatencyMs(),
 				this.request.route().gapTargetMs());
-		return new ChainAttempt(chosen, chosen.engineIds().getFirst(), call.get(), reason, excludedEngines, gaps,
-				nowMs);
+		FleetView fleet = this.dependencies.state().fleet();
+		List<ServiceInstance> engines = chosen.engineIds()
+			.stream()
+			.flatMap((id) -> fleet.instance(id).stream())
+			.toList();
+		return new ChainAttempt(chosen, engines, chosen.engineIds().getFirst(), call.get(), reason, excludedEngines,
+				gaps, nowMs);
 	}
 
 	// Passes the request on to another host; null if none is left or allowed.
@@ -446,7 +460,7 @@
 				this.request.route().gapTargetMs());
 		ChainChooser.ReservedChain noEngines = new ChainChooser.ReservedChain(List.of(), 0,
 				this.dependencies.loads().reserveNothing());
-		return new ChainAttempt(noEngines, target.get().id(), call.get(), reason, excludedIds, gaps, nowMs);
+		return new ChainAttempt(noEngines, List.of(), target.get().id(), call.get(), reason, excludedIds, gaps, nowMs);
 	}
 
 	private void logSend(ChainChooser.ReservedChain chosen, String reason, long remainingMs) {
@@ -536,10 +550,15 @@
 				this.excluded.add(attempt.firstEngine());
 				return continueAfterFailure(attempt, "not-continued", fault.get());
 			}
-			if (attempt != this.current && !event.hasContent()) {
+			attempt.recordReceived(event);
+			if (attempt != this.current && !mayTakeOver(event)) {
+				attempt.recordEvent(this.dependencies.nowMs());
+				continue;
+			}
+			if (!event.hasContent()) {
+				deliver(event);
 				continue;
 			}
-			attempt.recordReceived(event);
 			recordBegun(data.call());
 			recordAnswers(attempt);
 			keepFirstToRespond(attempt);
@@ -557,8 +576,13 @@
 		return null;
 	}
 
+	// A successor that repeats events is still behind the stream's current chain.
+	private boolean mayTakeOver(StreamedEvent event) {
+		return event.hasContent() && (event.id() == StreamedEvent.NO_ID || event.id() > this.lastEventId);
+	}
+
 	private Optional<String> continuationFault(ChainAttempt attempt, StreamedEvent event) {
-		boolean continues = this.responseStarted && !attempt.hasBegunResponse();
+		boolean continues = this.contentDelivered && !attempt.hasBegunResponse();
 		return (continues && event.hasContent()) ? this.order.continuationFault(event.id(), attempt.receivedId())
 				: Optional.empty();
 	}
@@ -599,8 +623,10 @@
 
 	private void deliver(StreamedEvent event) {
 		long nowMs = this.dependencies.nowMs();
-		this.current.recordEvent(nowMs);
-		if (this.responseStarted && !event.hasContent() && !this.current.hasBegunResponse()) {
+		if (event.hasContent()) {
+			this.current.recordEvent(nowMs);
+		}
+		else if (this.responseStarted && !this.current.hasBegunResponse()) {
 			return;
 		}
 		if (event.id() != StreamedEvent.NO_ID) {
@@ -609,7 +635,10 @@
 			}
 			this.lastEventId = event.id();
 		}
-		this.order = this.order.with(event.id());
+		if (event.hasContent()) {
+			this.order = this.order.with(event.id());
+			this.contentDelivered = true;
+		}
 		this.current.recordDelivered(!this.responseStarted);
 		if (!this.responseStarted) {
 			this.responseStarted = true;
@@ -716,21 +745,32 @@
 		if (attempt == null || attempt.eventGaps().currentGapMs(nowMs) < StreamStallDetector.PROBE_AFTER_MS) {
 			return null;
 		}
-		Optional<ServiceInstance> faulty = this.dependencies.state().fleet().atAddress(diagnosis.faultyAddress());
 		// The report may be about another attempt with the same first engine.
-		if (diagnosis.faultyAddress().isEmpty()
-				|| faulty.filter((server) -> !attempt.servers().contains(server.id())).isPresent()) {
+		Optional<ServiceInstance> faulty = attempt.engines()
+			.stream()
+			.filter((engine) -> engine.address().equals(diagnosis.faultyAddress()))
+			.findFirst()
+			.or(() -> attempt.engines().stream().filter(this::hasRestarted).findFirst());
+		if (faulty.isEmpty()) {
 			logKept(attempt, "no-server-named", nowMs);
 			return null;
 		}
-		faulty.ifPresent(
-				(server) -> this.dependencies.state().suspect(attempt.callingZone(server.id(), ownZone()), server));
-		attempt.recordFault(faulty.map(ServiceInstance::id).orElse(diagnosis.faultyAddress()), nowMs);
-		logAttempt("stalled", "the chain waits for " + diagnosis.faultyAddress());
+		String faultyId = faulty.get().id();
+		if (!hasRestarted(faulty.get())) {
+			this.dependencies.state().suspect(attempt.callingZone(faultyId, ownZone()), faulty.get());
+		}
+		attempt.recordFault(faultyId, nowMs);
+		logAttempt("stalled", "the chain waits for " + faulty.get().address());
 		scheduleNextSearch(attempt, tryOtherChain(attempt, nowMs), nowMs);
 		return null;
 	}
 
+	// An engine that has started again knows nothing of the stream.
+	private boolean hasRestarted(ServiceInstance engine) {
+		FleetView fleet = this.dependencies.state().fleet();
+		return fleet.atAddress(engine.address()).filter((now) -> now.startedAtMs() > engine.startedAtMs()).isPresent();
+	}
+
 	// Ends a failed attempt and continues with a concurrent attempt or another chain.
 	// Abandons the request if neither is possible.
 	private String continueAfterFailure(ChainAttempt failed, String event, String reason) {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/SilentServerTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/SilentServerTests.java
@@ -414,6 +414,52 @@
 		assertWhole(this.fixture.call("POST", "/stream/1"));
 	}
 
+	/** The engine's streams are lost, whatever it answers now under its old address. */
+	@ParameterizedTest
+	@CsvSource({ "e1, NAMES_NOBODY", "e9, NAMES_NOBODY", "e9, NAMES_ITSELF" })
+	void streamMovesAwayFromAnEngineThatHasStartedAgain(String newId, Report report) throws Exception {
+		FakeBackend restarted = engine(report, silentForGoodAfter(2));
+		FakeBackend other = engine(Report.NAMES_NOBODY, completeFrom(3, 0));
+		this.fixture.gateway().updateInstances(List.of(instance("e1", restarted.address(), 8)));
+		afterRequestTo(restarted, () -> {
+			// Longer than the silence up to which another chain is tried without a cause.
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(700));
+			this.fixture.gateway()
+				.updateInstances(List.of(new ServiceInstance(newId, "pool", restarted.address(), "a", 8, false, 2,
+						"fast", Optional.empty()), instance("e2", other.address(), 8)));
+		});
+		assertWhole(this.fixture.call("POST", "/stream/1"));
+	}
+
+	@Test
+	void successorThatRepeatsEventsAndBreaksDoesNotEndTheSilentEngine() throws Exception {
+		FakeBackend silent = engine(Report.NAMES_NOBODY, silentAfter(2, 1_200));
+		FakeBackend repeating = engine(Report.NAMES_NOBODY, (head, socket, out) -> {
+			FakeBackend.write(out, HEAD + "p2\r\n\r\n");
+			events(out, 1, 2);
+			TimeUnit.MILLISECONDS.sleep(100);
+		});
+		allowServers(2);
+		this.fixture.register("pool", "e1", silent);
+		registerAfter(this.fixture, silent, "e2", repeating);
+		assertWhole(this.fixture.call("POST", "/stream/1"));
+	}
+
+	@Test
+	void commentsOfAStuckEngineDoNotEndItsSuccessor() throws Exception {
+		FakeBackend stuck = engine(Report.NAMES_NOBODY, (head, socket, out) -> {
+			FakeBackend.write(out, HEAD + "p1\r\n\r\n");
+			events(out, 1, 2);
+			while (!this.end.await(20, TimeUnit.MILLISECONDS)) {
+				FakeBackend.write(out, FakeBackend.chunk(": ping\n\n"));
+			}
+		});
+		FakeBackend other = engine(Report.NAMES_NOBODY, completeFrom(3, 300));
+		this.fixture.register("pool", "e1", stuck);
+		registerAfter(this.fixture, stuck, "e2", other);
+		assertWhole(this.fixture.call("POST", "/stream/1"));
+	}
+
 	@Test
 	void streamStillEndsAtItsDeadline() throws Exception {
 		this.fixture.register("pool", "e1", engine(Report.NAMES_ITSELF, silentForGoodAfter(2)));
