Keep the sending side of a generation's connection open

A generation now has a client of its own, closed with its stream. Other calls still send `Connection: close`.

StaleResponseTests, BackendClientTests, EntryHostTests, SessionTests and FrameFailureTests pass; the other tests of medlardrum-entry had not been run again on this commit when it was made.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import com.google.gson.Gson;
+import io.servicetalk.http.api.BlockingStreamingHttpClient;
 import io.servicetalk.http.api.BlockingStreamingHttpResponse;
 import org.medlardrum.coordination.orders.OrderResult;
 import org.medlardrum.protocol.engine.CancelRequest;
@@ -39,7 +40,9 @@
 
 	private static final int CONFLICT = 409;
 
-	private static final List<String> JSON = List.of("Content-Type", "application/json", "Connection", "close");
+	private static final List<String> JSON = List.of("Content-Type", "application/json");
+
+	private static final List<String> JSON_ONCE = List.of("Content-Type", "application/json", "Connection", "close");
 
 	private static final byte[] EMPTY = new byte[0];
 
@@ -67,15 +70,22 @@
 	 */
 	public Outcome<EngineStream> generate(String address, GenerateRequest request, long firstFrameTimeoutMs) {
 		EngineStream stream = null;
+		// With "Connection: close" the client would end its sending side, which engines
+		// take for a cancellation.
+		BlockingStreamingHttpClient client = this.clients.createSingle(address);
+		Runnable closeAction = () -> client.asStreamingClient().closeAsync().subscribe();
 		try {
-			BlockingStreamingHttpResponse response = HttpExchange.send(this.clients.client(address), "POST",
-					"/v1/generate", JSON, GSON.toJson(request).getBytes(StandardCharsets.UTF_8), firstFrameTimeoutMs);
+			BlockingStreamingHttpResponse response = HttpExchange.send(client, "POST", "/v1/generate", JSON,
+					GSON.toJson(request).getBytes(StandardCharsets.UTF_8), firstFrameTimeoutMs);
 			if (response.status().code() != NotRunHeader.OK) {
-				return refused(response, firstFrameTimeoutMs);
+				Outcome<EngineStream> outcome = refused(response, firstFrameTimeoutMs);
+				closeAction.run();
+				return outcome;
 			}
-			stream = new EngineStream(response);
+			stream = new EngineStream(response, closeAction);
 		}
 		catch (Exception ex) {
+			closeAction.run();
 			return failed(ex);
 		}
 		return firstFrame(stream, request, firstFrameTimeoutMs);
@@ -123,7 +133,7 @@
 		byte[] body = GSON.toJson(order).getBytes(StandardCharsets.UTF_8);
 		try {
 			BlockingStreamingHttpResponse response = HttpExchange.send(this.clients.client(address), "POST",
-					"/v1/orders", JSON, body, timeoutMs);
+					"/v1/orders", JSON_ONCE, body, timeoutMs);
 			int status = response.status().code();
 			HttpExchange.readBody(response, MAX_RESPONSE_BYTES, timeoutMs);
 			return switch (status) {
@@ -170,7 +180,7 @@
 	private Outcome<String> call(String address, String method, String target, byte[] body, long timeoutMs) {
 		try {
 			BlockingStreamingHttpResponse response = HttpExchange.send(this.clients.client(address), method, target,
-					JSON, body, timeoutMs);
+					JSON_ONCE, body, timeoutMs);
 			byte[] bytes = HttpExchange.readBody(response, MAX_RESPONSE_BYTES, timeoutMs);
 			int status = response.status().code();
 			return (status == NotRunHeader.OK) ? new Outcome.Completed<>(new String(bytes, StandardCharsets.UTF_8))
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineStream.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineStream.java
@@ -31,7 +31,10 @@
 
 	private boolean finished;
 
-	EngineStream(BlockingStreamingHttpResponse response) {
+	private final Runnable closeAction;
+
+	EngineStream(BlockingStreamingHttpResponse response, Runnable closeAction) {
+		this.closeAction = closeAction;
 		this.buffers = response.payloadBody().iterator();
 	}
 
@@ -88,17 +91,19 @@
 
 	@Override
 	public void close() {
-		if (this.finished) {
-			return;
-		}
-		this.finished = true;
 		try {
-			this.buffers.close();
+			if (!this.finished) {
+				this.finished = true;
+				this.buffers.close();
+			}
 		}
 		catch (Exception ex) {
 			// The connection is already closed.
 			return;
 		}
+		finally {
+			this.closeAction.run();
+		}
 	}
 
 }
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -91,6 +91,15 @@
 		return this.clients.computeIfAbsent(address, this::create);
 	}
 
+	/**
+	 * Creates a client outside of the pool, for one call on its own connection.
+	 * @param address {@code ip:port}
+	 * @return the client, which the caller closes
+	 */
+	public BlockingStreamingHttpClient createSingle(String address) {
+		return create(address);
+	}
+
 	/**
 	 * Closes the clients of all addresses except the given ones.
 	 * @param addresses addresses that are still in use
