Use the rest of the host list beside an odd host or server

One element of the host list that is no object, or has a field of another type, made the whole list unavailable, here and in a list pulled from a peer; one without id, pool, kind or state, or with an address that can't be used, was taken into the fleet.

HostDirectoryDecoder decodes the elements one by one and skips an odd one with a warning. A list that can't be decoded as a whole leaves the former one in use.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.function.Function;
 
-import com.google.gson.Gson;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -20,6 +19,7 @@
 import org.medlardrum.coordination.StoreVersion;
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.transport.internal.Failures;
+import org.medlardrum.transport.internal.HostDirectoryDecoder;
 import org.medlardrum.transport.internal.HttpClientPool;
 import org.medlardrum.transport.internal.HttpExchange;
 
@@ -58,8 +58,6 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
-	private static final Gson GSON = new Gson();
-
 	private final HttpClientPool clients;
 
 	private final String address;
@@ -118,7 +116,7 @@
 	@Override
 	public StoreResult<HostDirectory> hosts(long afterRevision, long waitMs) {
 		return call(false, "GET", "/v1/hosts?after=" + afterRevision + "&waitMs=" + waitMs, "", waitMs,
-				(json) -> GSON.fromJson(json, HostDirectory.class));
+				HostDirectoryDecoder::decode);
 	}
 
 	@Override
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
-import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
 import org.apache.thrift.TException;
 import org.medlardrum.coordination.PeerNetwork;
 import org.medlardrum.coordination.PeerResult;
@@ -28,6 +28,7 @@
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.state.HostState;
+import org.medlardrum.transport.internal.HostDirectoryDecoder;
 import org.tinylog.Logger;
 
 /**
@@ -42,8 +43,6 @@
  */
 public final class ThriftPeerNetwork implements PeerNetwork, AutoCloseable {
 
-	private static final Gson GSON = new Gson();
-
 	private final PeerOptions options;
 
 	private final DatagramSocket udp;
@@ -101,7 +100,7 @@
 			return Optional.empty();
 		}
 		try {
-			return Optional.ofNullable(GSON.fromJson(ok.value(), HostDirectory.class))
+			return Optional.of(HostDirectoryDecoder.decode(JsonParser.parseString(ok.value())))
 				.filter((directory) -> directory.revision() > 0);
 		}
 		catch (JsonParseException ex) {
