--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.Map;
@@ -28,6 +27,7 @@
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.state.HostState;
+import org.medlardrum.transport.internal.Addresses;
 import org.medlardrum.transport.internal.HostDirectoryDecoder;
 import org.tinylog.Logger;
 
@@ -165,11 +165,14 @@
 	 */
 	static InetSocketAddress address(String text) throws UnknownHostException {
 		int colon = text.lastIndexOf(':');
-		String ip = (colon > 0) ? text.substring(0, colon) : "";
-		if (!ip.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]?")) {
-			throw new UnknownHostException("'" + text + "' is not a numeric ip:port");
+		boolean bareIpv6 = text.indexOf(':') < colon && !text.startsWith("[");
+		try {
+			return Addresses
+				.parseRemote((bareIpv6) ? '[' + text.substring(0, colon) + ']' + text.substring(colon) : text);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UnknownHostException(ex.getMessage());
 		}
-		return new InetSocketAddress(InetAddress.getByName(ip), Integer.parseInt(text.substring(colon + 1)));
 	}
 
 	/**
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/peer/PeerNetworkTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/peer/PeerNetworkTests.java
@@ -190,6 +190,19 @@
 		assertThat(network(OPTIONS).claim(host(port), claim("k"))).isInstanceOf(PeerResult.Unreachable.class);
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "127.1:%d", "2130706433:%d", "127.0.0.1.1:%d", "localhost:%d", "127.0.0.1:+%d",
+			"127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1", "" })
+	void hostWithoutANumericAddressIsUnreachable(String address) throws Exception {
+		PeerServer server = serve(this.handler);
+		ThriftPeerNetwork network = network(OPTIONS);
+		String peerAddress = address.formatted(server.port());
+		Host peer = new Host("entry-1", "elqui-a", "", peerAddress, "", HostState.LIVE);
+		assertThat(network.claim(peer, claim("k"))).isInstanceOf(PeerResult.Unreachable.class);
+		network.send(peer, new Digest());
+		assertThat(network.unsentDatagrams()).isEqualTo(1);
+	}
+
 	@Test
 	void lostResponseIsUnknown() throws Exception {
 		PeerServer failing = serve(new RecordingHandler() {
