--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/peer/ThriftPeerNetwork.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.Map;
@@ -13,8 +12,8 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
-import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
 import org.apache.thrift.TException;
 import org.medlardrum.coordination.PeerNetwork;
 import org.medlardrum.coordination.PeerResult;
@@ -28,6 +27,8 @@
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostDirectory;
 import org.medlardrum.state.HostState;
+import org.medlardrum.transport.internal.Addresses;
+import org.medlardrum.transport.internal.HostDirectoryDecoder;
 import org.tinylog.Logger;
 
 /**
@@ -42,8 +43,6 @@
  */
 public final class ThriftPeerNetwork implements PeerNetwork, AutoCloseable {
 
-	private static final Gson GSON = new Gson();
-
 	private final PeerOptions options;
 
 	private final DatagramSocket udp;
@@ -101,7 +100,7 @@
 			return Optional.empty();
 		}
 		try {
-			return Optional.ofNullable(GSON.fromJson(ok.value(), HostDirectory.class))
+			return Optional.of(HostDirectoryDecoder.decode(JsonParser.parseString(ok.value())))
 				.filter((directory) -> directory.revision() > 0);
 		}
 		catch (JsonParseException ex) {
@@ -166,11 +165,14 @@
 	 */
 	static InetSocketAddress address(String text) throws UnknownHostException {
 		int colon = text.lastIndexOf(':');
-		String ip = (colon > 0) ? text.substring(0, colon) : "";
-		if (!ip.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]?")) {
-			throw new UnknownHostException("'" + text + "' is not a numeric ip:port");
+		boolean bareIpv6 = text.indexOf(':') < colon && !text.startsWith("[");
+		try {
+			return Addresses
+				.parseRemote((bareIpv6) ? '[' + text.substring(0, colon) + ']' + text.substring(colon) : text);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UnknownHostException(ex.getMessage());
 		}
-		return new InetSocketAddress(InetAddress.getByName(ip), Integer.parseInt(text.substring(colon + 1)));
 	}
 
 	/**
