--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/StoryCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/StoryCommand.java
@@ -43,6 +43,8 @@
 					"The stream failed after it had started, and failover to another chain was not possible."),
 			Map.entry("timed-out",
 					"The timeout of the caller or the route expired while a server handled the request."),
+			Map.entry("host-stopped",
+					"The host was shut down before the response was complete. See the lines with part=process."),
 			Map.entry("server-error", "The server responded with an error."),
 			Map.entry("caller-left", "The caller closed its connection before the response was complete."));
 
