Keep a silent attempt of our own interface until its successor is in hand

Callers of our own interface lost answers of sound engines: after a silence of the stall timeout (1,500 ms, or 20 times the target) or without a first frame within 10 s the attempt was ended, and only then was asked whether the request may be sent again and to which chain.

A silence no longer ends an attempt. It moves when the request may be sent again (SilencePolicy), a chain without the silent engines is planned and the retry budget grants it; else it is kept, with a log line that says why, and checked again at each stall timeout. The deadline, the caller's leaving and a crash of an engine of the chain end it as before. When all engines respond and no chain avoids all of them, one that avoids one of them will do (lost link). The old attempt ends before the new one has sent its first frame: two at once would need two writers of one completion.

EngineStream cannot be read after a timeout, although TimedOut says so: the next read ends with "stream ended". So a thread of the attempt reads until the deadline, and the request's thread waits for it.

--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Retries.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/host/Retries.java
@@ -69,7 +69,16 @@
 	 * @return {@code true} if the request may be retried
 	 */
 	public synchronized boolean tryRetry(int attempts) {
-		return this.enabled && attempts < this.maxAttempts && this.budget.tryRetry(this.clock.millis());
+		return attemptsLeft(attempts) && this.budget.tryRetry(this.clock.millis());
+	}
+
+	/**
+	 * Returns whether a request may be retried while the budget lasts.
+	 * @param attempts number of attempts of the request so far
+	 * @return {@code false} if the request had as many attempts as it may
+	 */
+	public boolean attemptsLeft(int attempts) {
+		return this.enabled && attempts < this.maxAttempts;
 	}
 
 	/**
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/AttemptResult.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/AttemptResult.java
@@ -28,8 +28,9 @@
 	 * {@code crashSuspected} are set, and {@code mayHaveRun} as for a refusal.</li>
 	 * <li>The engine sent frames that cannot be used: {@code mayHaveRun} and
 	 * {@code serverFault} are set.</li>
-	 * <li>No frame arrived in time, and it is unknown which engine failed: the server is
-	 * empty, and only {@code mayHaveRun} is set.</li>
+	 * <li>The attempt was silent and an engine has crashed, or the first engine's
+	 * response was lost: the server is empty, and all engines of the chain are
+	 * probed.</li>
 	 * <li>The deadline of the request passed: the server is empty, and only
 	 * {@code mayHaveRun} is set, if the request had been sent.</li>
 	 * </ul>
@@ -45,6 +46,15 @@
 			boolean crashSuspected) implements AttemptResult {
 	}
 
+	/**
+	 * The attempt was silent and is ended for a successor, which has been planned and
+	 * permitted.
+	 *
+	 * @param silentMs time since the last frame or the start
+	 */
+	record Replaced(long silentMs) implements AttemptResult {
+	}
+
 	/**
 	 * The engines reject the request itself, so that a retry on another chain would fail
 	 * as well.
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/AttemptTimeouts.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/model/AttemptTimeouts.java
@@ -1,11 +1,12 @@
 package org.medlardrum.entry.internal.model;
 
 /**
- * Timeouts of one attempt.
+ * Times after which a silent attempt is replaced if a successor is in hand. They never
+ * end an attempt that has none.
  *
- * @param firstFrameTimeoutMs longest time until the first frame
- * @param minStallTimeoutMs lower bound of the longest gap between frames, which applies
- * to ranks with a short target
+ * @param firstFrameTimeoutMs time until the first frame
+ * @param minStallTimeoutMs lower bound of the gap between frames, which applies to ranks
+ * with a short target
  */
 public record AttemptTimeouts(long firstFrameTimeoutMs, long minStallTimeoutMs) {
 
@@ -17,7 +18,8 @@
 	private static final long STALL_PER_TARGET = 20;
 
 	/**
-	 * Returns the longest gap between frames. A longer gap is a stall.
+	 * Returns the gap between frames from which the attempt counts as stalled, which is
+	 * also the interval at which a silent attempt is checked again.
 	 * @param betweenTokensTargetMs target of the request's rank for the time between
 	 * tokens
 	 * @return the time, in milliseconds
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Flags.java
@@ -64,10 +64,13 @@
 	String connectTimeoutMs = "500";
 
 	@Parameter(names = "--first-frame-timeout-ms",
-			description = "Maximum time to the first frame of an attempt, in milliseconds")
+			description = "Time without a first frame after which an attempt moves to another chain, "
+					+ "if there is one, in milliseconds")
 	String firstFrameTimeoutMs = "10000";
 
-	@Parameter(names = "--stall-timeout-ms", description = "Maximum time between frames of an attempt, in milliseconds")
+	@Parameter(names = "--stall-timeout-ms",
+			description = "Time between frames after which an attempt moves to another chain, if there is one, "
+					+ "in milliseconds")
 	String stallTimeoutMs = "1500";
 
 	@Parameter(names = "--poll-interval-ms",
--- a/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Settings.java
+++ b/medlardrum-entry/src/main/java/org/medlardrum/entry/internal/settings/Settings.java
@@ -20,8 +20,10 @@
  * @param peerOptions options of the connections between entry hosts
  * @param callerLimits limits of the HTTP server for callers
  * @param connectTimeoutMs maximum time to connect to a backend server
- * @param firstFrameTimeoutMs maximum time to the first frame of an attempt
- * @param stallTimeoutMs maximum time between frames of an attempt
+ * @param firstFrameTimeoutMs time without a first frame after which an attempt moves to
+ * another chain, if there is one
+ * @param stallTimeoutMs time between frames after which an attempt moves to another
+ * chain, if there is one
  * @param pollIntervalMs interval between polls of a backend server's load
  * @param drainDelayMs time from failing readiness to refusing new requests
  * @param drainTimeoutMs maximum wait for requests in progress at shutdown
