--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/EngineClient.java
@@ -17,6 +17,7 @@
 import org.medlardrum.transport.internal.Failures;
 import org.medlardrum.transport.internal.HttpClientPool;
 import org.medlardrum.transport.internal.HttpExchange;
+import org.medlardrum.transport.internal.UnusableAddressException;
 
 /**
  * Client of the model engines. Safe for use by several threads; calls block. No call is
@@ -69,11 +70,17 @@
 	 * with {@code ran=no} before any token
 	 */
 	public Outcome<EngineStream> generate(String address, GenerateRequest request, long firstFrameTimeoutMs) {
-		EngineStream stream = null;
 		// With "Connection: close" the client would end its sending side, which engines
 		// take for a cancellation.
-		BlockingStreamingHttpClient client = this.clients.createSingle(address);
+		BlockingStreamingHttpClient client;
+		try {
+			client = this.clients.createSingle(address);
+		}
+		catch (UnusableAddressException ex) {
+			return failed(ex);
+		}
 		Runnable closeAction = () -> client.asStreamingClient().closeAsync().subscribe();
+		EngineStream stream;
 		try {
 			BlockingStreamingHttpResponse response = HttpExchange.send(client, "POST", "/v1/generate", JSON,
 					GSON.toJson(request).getBytes(StandardCharsets.UTF_8), firstFrameTimeoutMs);
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/StreamEvent.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/StreamEvent.java
@@ -16,7 +16,7 @@
 	}
 
 	/**
-	 * No frame arrived in time. The stream is still open.
+	 * No frame arrived in time. The stream cannot be read any further.
 	 */
 	record TimedOut() implements StreamEvent {
 	}
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -104,6 +104,7 @@
 	 * Creates a client outside of the pool, for one call on its own connection.
 	 * @param address {@code ip:port}
 	 * @return the client, which the caller closes
+	 * @throws UnusableAddressException if the address cannot be parsed
 	 */
 	public BlockingStreamingHttpClient createSingle(String address) {
 		return create(address);
