--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/RetryAfter.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/RetryAfter.java
@@ -26,6 +26,9 @@
 
 	private static final int REMAINING_TIME_DIVISOR = 3;
 
+	/** Spread of the delays after the end of a server's pause. */
+	private static final long PAUSE_SPREAD_MS = 500;
+
 	private RetryAfter() {
 	}
 
@@ -38,6 +41,17 @@
 		return OTHER_HOST_MS + random.nextLong(OTHER_HOST_MS);
 	}
 
+	/**
+	 * Returns the delay after which the first of the servers that want no requests now
+	 * accepts them again.
+	 * @param pauseMs remaining time of the pause that ends first, in milliseconds
+	 * @param random random source
+	 * @return the delay in milliseconds
+	 */
+	public static long afterPauseMs(long pauseMs, RandomGenerator random) {
+		return pauseMs + 1 + random.nextLong(PAUSE_SPREAD_MS);
+	}
+
 	/**
 	 * Returns the delay after which an overloaded service is likely to have free
 	 * capacity.
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/SendDenial.java
@@ -33,6 +33,12 @@
 	 */
 	SUSPECTED,
 
+	/** The server is leaving, by its own word or by the registry. */
+	SERVER_LEAVING,
+
+	/** The server wants no requests of this host for a time. */
+	SERVER_PAUSED,
+
 	/** This host's share of the limit that the server has named is used up. */
 	REQUEST_LIMIT,
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.medlardrum.gateway.internal.request.RetryBudgets;
 import org.medlardrum.gateway.internal.request.TimerLateness;
 import org.medlardrum.gateway.internal.state.GatewayState;
+import org.medlardrum.gateway.internal.state.ServerPermits;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.routing.RequestLimits;
 import org.medlardrum.state.routing.RoutingTable;
@@ -90,6 +91,8 @@
 
 	private final DecisionLog log;
 
+	private final ServerPermits permits;
+
 	private final HttpClientPool clients;
 
 	private final GatewayHandler handler;
@@ -127,11 +130,12 @@
 		this.peerServer = new PeerServer(Addresses.parse(settings.peerAddress()), new DigestReceiver(this.exchange),
 				peerOptions);
 		GatewayMetrics metrics = new GatewayMetrics();
+		this.permits = new ServerPermits(this.state, log);
 		RetryBudgets retries = new RetryBudgets(settings, this.exchange::peerCount);
 		TimerLateness lateness = new TimerLateness(clock, log);
 		this.relayTargets = new RelayTargets(this.state, RandomGenerator.getDefault());
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, quarantine, limits, lateness, this.relayTargets,
+				this.clients, dialect, log, metrics, quarantine, limits, this.permits, lateness, this.relayTargets,
 				RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
 		this.relayHandler = new GatewayHandler(dependencies, true);
@@ -230,6 +234,39 @@
 		this.state.updateInstances(instances);
 	}
 
+	/**
+	 * Returns whether a backend server has said that it is leaving.
+	 * @param server report of the server in the registry
+	 * @return {@code true} until it starts again
+	 */
+	public boolean isLeaving(ServiceInstance server) {
+		return this.state.isLeaving(server);
+	}
+
+	/**
+	 * Returns whether a backend server accepts calls of this host.
+	 * @param address {@code ip:port} of the server
+	 * @return {@code false} while it is leaving, or until the end of its pause
+	 */
+	public boolean mayCall(String address) {
+		List<ServiceInstance> servers = this.state.fleet()
+			.all()
+			.stream()
+			.filter((server) -> server.address().equals(address))
+			.toList();
+		return servers.isEmpty() || servers.stream().anyMatch((server) -> this.permits.mayWrite(server.id()));
+	}
+
+	/**
+	 * Records what a backend server said about itself in response to a call that was no
+	 * caller's request.
+	 * @param address {@code ip:port} of the server
+	 * @param notice what the server said
+	 */
+	public void recordNotice(String address, ServerNotice notice) {
+		this.permits.recordNotice(address, notice);
+	}
+
 	/**
 	 * Records that the configuration and the backend servers were up to date.
 	 * @param monotonicMs time of the confirmation on the monotonic clock
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/RequestDialect.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/RequestDialect.java
@@ -53,6 +53,14 @@
 	 */
 	OptionalDouble requestLimitPerS(HeaderLookup headers);
 
+	/**
+	 * Returns what a backend server says about itself in a response.
+	 * @param status status of the response
+	 * @param headers headers of the response
+	 * @return the notice
+	 */
+	ServerNotice serverNotice(int status, HeaderLookup headers);
+
 	/**
 	 * Returns the headers of a backend server's response that are passed on to the
 	 * caller.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -12,11 +12,13 @@
 import org.medlardrum.coordination.internal.BackgroundThread;
 import org.medlardrum.decisions.crash.Evidence;
 import org.medlardrum.decisions.pool.ServerLoad;
+import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.LimitReport;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.LeavingServer;
 import org.medlardrum.peer.gen.ServerLimit;
 import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.peer.gen.SilentServer;
@@ -63,6 +65,9 @@
 
 	private static final int MAX_SUSPICIONS = 8;
 
+	/** Limit of leaving servers in a digest, about 22 bytes each. */
+	private static final int MAX_LEAVING_SERVERS = 12;
+
 	/** Limit of the limits of servers in a digest, about 40 bytes each. */
 	private static final int MAX_LIMIT_REPORTS = 24;
 
@@ -198,6 +203,14 @@
 								limit.getDemandPerS()))
 						.toList());
 		}
+		if (digest.isSetLeavingServers()) {
+			for (LeavingServer leaving : digest.getLeavingServers()) {
+				if (leaving.isSetServer()) {
+					this.state.recordPeerLeaving(digest.getHostId(),
+							new ServerStart(leaving.getServer(), leaving.getStartedAtMs()));
+				}
+			}
+		}
 		this.state.recordPeerPaths(digest.getHostId(), digest.isCutOff(), digest.isDraining(),
 				(digest.isSetAnsweredMsAgo()) ? digest.getAnsweredMsAgo() : -1);
 		if (digest.isSetSilentServers() && !digest.isCutOff()) {
@@ -227,7 +240,7 @@
 		List<Evidence> evidence = this.quarantine.evidenceToTell();
 		List<LimitReport> reports = this.limits.takeReports();
 		boolean idle = !this.state.isCutOff() && own.isEmpty() && suspicions.isEmpty() && evidence.isEmpty()
-				&& reports.isEmpty();
+				&& reports.isEmpty() && this.state.leavingToTell().isEmpty();
 		if (idle && !this.asksPeers && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
 			return busyIntervalMs;
 		}
@@ -282,6 +295,15 @@
 			.forEach((suspicion) -> silentServers.add(new SilentServer(suspicion.fromZone(), suspicion.server(),
 					suspicion.serverZone(), (int) suspicion.remainingMs())));
 		digest.setSilentServers(silentServers);
+		List<LeavingServer> leavingServers = this.state.leavingToTell()
+			.reversed()
+			.stream()
+			.limit(MAX_LEAVING_SERVERS)
+			.map((start) -> new LeavingServer(start.server(), start.startedAtMs()))
+			.toList();
+		if (!leavingServers.isEmpty()) {
+			digest.setLeavingServers(leavingServers);
+		}
 		// A host that is cut off asks which hosts have paths to the servers.
 		if (this.asksPeers || this.state.isCutOff()) {
 			digest.setReply(true);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -7,9 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.medlardrum.decisions.pool.ServerLoad;
-import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.decisions.routing.ServerSelector;
 import org.medlardrum.gateway.BackendVerdict;
@@ -179,24 +179,28 @@
 	}
 
 	private Optional<ServiceInstance> choose(long nowMs) {
-		Optional<ServiceInstance> preferred = choose(nowMs, this.tried);
+		Set<String> unavailable = new HashSet<>(this.tried);
+		serviceServers().filter((id) -> !this.dependencies.permits().mayReceive(id)).forEach(unavailable::add);
+		Optional<ServiceInstance> preferred = choose(nowMs, unavailable);
 		preferred.ifPresent((server) -> this.dependencies.limits().recordDemand(server.id()));
 		if (preferred.isEmpty() || this.dependencies.limits().isAllowed(preferred.get().id())) {
 			return preferred;
 		}
-		Set<String> excludedServers = new HashSet<>(this.tried);
-		this.dependencies.state()
-			.fleet()
-			.instances(this.request.service().name())
-			.stream()
-			.map(ServiceInstance::id)
-			.filter((id) -> !this.dependencies.limits().isAllowed(id))
-			.forEach(excludedServers::add);
+		Set<String> excludedServers = new HashSet<>(unavailable);
+		serviceServers().filter((id) -> !this.dependencies.limits().isAllowed(id)).forEach(excludedServers::add);
 		Optional<ServiceInstance> other = choose(nowMs, excludedServers);
 		this.dependencies.limits().logMove(this.request.id(), preferred.get().id(), other.map(ServiceInstance::id));
 		return other;
 	}
 
+	private Stream<String> serviceServers() {
+		return this.dependencies.state()
+			.fleet()
+			.instances(this.request.service().name())
+			.stream()
+			.map(ServiceInstance::id);
+	}
+
 	private Optional<ServiceInstance> choose(long nowMs, Set<String> excludedServers) {
 		String zone = this.dependencies.settings().availabilityZone();
 		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
@@ -301,12 +305,15 @@
 		}
 	}
 
-	// Only the deadline withholds a call while the request is in progress.
+	// The deadline or the server withholds a call while the request is in progress.
 	private String onWithheld(Signal.Withheld withheld) {
 		PlainAttempt attempt = attemptOf(withheld.call());
 		if (attempt == null) {
 			return null;
 		}
+		if (this.ledger.mayWrite(this.dependencies.nowMs())) {
+			return onNotExecuted(attempt, "the server accepts no more requests");
+		}
 		this.ledger.recordNotExecuted();
 		closeAttempt(attempt);
 		this.dependencies.log()
@@ -352,9 +359,8 @@
 	}
 
 	private String refuseWithoutCapacity(String detail) {
-		long retryAfterMs = RetryAfter.overloadedMs(0, this.request.deadlineAtMs() - this.dependencies.nowMs(),
-				this.dependencies.random());
-		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(), retryAfterMs);
+		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(),
+				comeBackAfterMs(serviceServers().toList()));
 		return "refused";
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/LinkProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/LinkProbe.java
@@ -48,7 +48,11 @@
 
 	private void step() {
 		GatewayState state = this.dependencies.state();
-		List<ServiceInstance> servers = List.copyOf(state.fleet().all());
+		List<ServiceInstance> servers = state.fleet()
+			.all()
+			.stream()
+			.filter((server) -> this.dependencies.permits().mayReceive(server.id()))
+			.toList();
 		if (!state.isCutOff()) {
 			this.running.set(false);
 			return;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -1,11 +1,13 @@
 package org.medlardrum.gateway.internal.request;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,11 +17,13 @@
 import io.servicetalk.transport.api.IoExecutor;
 import org.medlardrum.decisions.routing.AttemptLedger;
 import org.medlardrum.decisions.routing.AttemptLimits;
+import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.HeaderLookup;
+import org.medlardrum.gateway.RequestDialect;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -67,6 +71,9 @@
 
 	private final Map<BackendCall, RunningAttempt> attempts = new IdentityHashMap<>();
 
+	/** Servers to which the request was sent. */
+	private final Map<BackendCall, ServerStart> receivers = new IdentityHashMap<>();
+
 	/** Hosts to which the request was passed on. */
 	private final Map<BackendCall, RelayTarget> relayTargets = new IdentityHashMap<>();
 
@@ -143,6 +150,7 @@
 			this.dependencies.limits()
 				.recordAnswer(this.attempts.get(header.call()).serverId(),
 						this.dependencies.dialect().requestLimitPerS(HeaderList.lookup(header.headers())));
+			recordNotice(header);
 		}
 		if (signal instanceof Signal.Failed failed && failed.requestNotSent()
 				&& this.attempts.containsKey(failed.call())) {
@@ -158,6 +166,15 @@
 		}
 	}
 
+	private void recordNotice(Signal.Header header) {
+		RequestDialect dialect = this.dependencies.dialect();
+		HeaderLookup headers = HeaderList.lookup(header.headers());
+		this.dependencies.permits()
+			.recordResponse(this.receivers.get(header.call()), this.request.id(), header.status(),
+					dialect.checkResponse(this.request.id(), header.status(), headers),
+					dialect.serverNotice(header.status(), headers));
+	}
+
 	/**
 	 * Ends the request because the host stops, unless it has ended.
 	 */
@@ -258,8 +275,8 @@
 
 	/**
 	 * Sends the request to a server, unless it must not be sent. The server counts before
-	 * the connection is set up. The request is withheld if it has ended, or its deadline
-	 * has passed, when the connection is ready.
+	 * the connection is set up. The request is withheld if it has ended, its deadline has
+	 * passed or the server accepts no more requests when the connection is ready.
 	 * @param address {@code ip:port} of the server
 	 * @param plan parameters of the attempt
 	 * @return the call, empty if the request must not be sent
@@ -278,9 +295,18 @@
 		BackendRequest toSend = new BackendRequest(address, this.request.method(), this.request.target(),
 				() -> this.dependencies.nowMs() - decidedAtMs >= TimerLateness.LATE_MS, () -> headersToWrite(plan),
 				this.request.body());
-		BackendCall call = BackendCall.send(this.dependencies.clients(), toSend, this::onSignal,
-				() -> quarantine.recordEnd(attempt));
+		ServerStart receiver = this.dependencies.state()
+			.fleet()
+			.instance(plan.instanceId())
+			.map(ServerStart::of)
+			.orElseGet(() -> new ServerStart(plan.instanceId(), 0));
+		Runnable endSend = this.dependencies.permits().recordSend(plan.instanceId());
+		BackendCall call = BackendCall.send(this.dependencies.clients(), toSend, this::onSignal, () -> {
+			quarantine.recordEnd(attempt);
+			endSend.run();
+		});
 		this.attempts.put(call, attempt);
+		this.receivers.put(call, receiver);
 		return Optional.of(call);
 	}
 
@@ -406,12 +432,29 @@
 		}
 	}
 
+	/**
+	 * Returns the delay after which the caller of a request without a server should come
+	 * back.
+	 * @param servers identifiers of the servers that could have received it
+	 * @return the delay in milliseconds
+	 */
+	protected final long comeBackAfterMs(Collection<String> servers) {
+		OptionalLong pauseMs = this.dependencies.permits().shortestPauseMs(servers);
+		return (pauseMs.isPresent()) ? RetryAfter.afterPauseMs(pauseMs.getAsLong(), this.dependencies.random())
+				: RetryAfter.overloadedMs(this.request.rank(), this.request.deadlineAtMs() - this.dependencies.nowMs(),
+						this.dependencies.random());
+	}
+
 	private Optional<SendDenial> takeSend(String serverId) {
 		long nowMs = this.dependencies.nowMs();
 		Optional<SendDenial> denial = sendDenial(nowMs);
 		if (denial.isPresent()) {
 			return denial;
 		}
+		denial = this.dependencies.permits().denial(serverId);
+		if (denial.isPresent()) {
+			return denial;
+		}
 		if (!this.dependencies.limits().tryTake(serverId)) {
 			return Optional.of(SendDenial.REQUEST_LIMIT);
 		}
@@ -423,7 +466,10 @@
 
 	private Optional<List<String>> headersToWrite(ForwardPlan plan) {
 		long nowMs = this.dependencies.nowMs();
-		if (!this.ledger.mayWrite(nowMs)) {
+		// The request being written is one of those that the server may receive, so only
+		// the
+		// pause and the leaving of the server count.
+		if (!this.ledger.mayWrite(nowMs) || !this.dependencies.permits().mayWrite(plan.instanceId())) {
 			return Optional.empty();
 		}
 		return Optional.of(this.dependencies.dialect()
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -9,6 +9,8 @@
 import org.medlardrum.decisions.routing.BackendLinks;
 import org.medlardrum.decisions.routing.ConfigFreshness;
 import org.medlardrum.decisions.routing.InstanceReports;
+import org.medlardrum.decisions.routing.LeavingServers;
+import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.PeerConfigVersions;
 import org.medlardrum.decisions.routing.PeerPaths;
 import org.medlardrum.decisions.routing.ServerSuspicions;
@@ -47,6 +49,8 @@
 
 	private Collection<ServiceInstance> registered = List.of();
 
+	private final LeavingServers leavingServers = new LeavingServers();
+
 	private boolean restoring;
 
 	private final ServerSuspicions suspicions = new ServerSuspicions();
@@ -127,7 +131,8 @@
 		this.registered = instances;
 		this.restoring = this.reports.isRestoring(nowMs);
 		FleetView before = this.fleet;
-		FleetView after = new FleetView(this.reports.update(instances, nowMs), this.table);
+		List<ServiceInstance> believed = instances.stream().map(this.leavingServers::correct).toList();
+		FleetView after = new FleetView(this.reports.update(believed, nowMs), this.table);
 		Map<String, Long> leaving = new HashMap<>();
 		for (ServiceInstance old : before.all()) {
 			Optional<ServiceInstance> now = after.instance(old.id());
@@ -161,6 +166,49 @@
 		this.suspicions.retainAnswers((id) -> after.instance(id).isPresent());
 	}
 
+	/**
+	 * Records that a server has said in a response that it is leaving. The registry may
+	 * learn of it later, or not at all.
+	 * @param start start of the server
+	 * @param requestId identifier of the request
+	 */
+	public synchronized void recordLeaving(ServerStart start, String requestId) {
+		if (this.leavingServers.record(start, this.clock.monotonicMs())) {
+			this.log.event("fleet", "leaving", "server", start.server(), "id", requestId);
+			updateInstances(this.registered);
+			this.suspicionListener.run();
+		}
+	}
+
+	/**
+	 * Records that another host has told that a server is leaving.
+	 * @param hostId identifier of the host
+	 * @param start start of the server
+	 */
+	public synchronized void recordPeerLeaving(String hostId, ServerStart start) {
+		if (this.leavingServers.recordTold(start)) {
+			this.log.event("fleet", "leaving", "server", start.server(), "host", hostId);
+			updateInstances(this.registered);
+		}
+	}
+
+	/**
+	 * Returns the servers of which the other hosts are to be told that they are leaving.
+	 * @return their starts
+	 */
+	public List<ServerStart> leavingToTell() {
+		return this.leavingServers.toTell(this.clock.monotonicMs());
+	}
+
+	/**
+	 * Returns whether a server has said that it is leaving.
+	 * @param server report of the server in the registry
+	 * @return {@code true} until it starts again
+	 */
+	public boolean isLeaving(ServiceInstance server) {
+		return this.leavingServers.contains(server);
+	}
+
 	/**
 	 * Records the era of the store from which configuration and servers are read.
 	 * @param era number of the store's history
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -63,7 +63,8 @@
 		if (first.isEmpty() || limits.isAllowed(first.get())) {
 			return preferred;
 		}
-		Optional<List<ChainHop>> other = find(snapshot.withExcludedAsFirst((server) -> !limits.isAllowed(server.id())),
+		Optional<List<ChainHop>> other = find(
+				snapshot.withExcludedAsFirst(snapshot.excludedAsFirst().or((server) -> !limits.isAllowed(server.id()))),
 				request, resumes);
 		limits.logMove(this.requestId, first.get(), other.map((hops) -> hops.getFirst().server().id()));
 		return other;
@@ -107,6 +108,21 @@
 		return usable > 1 || first.size() <= 1;
 	}
 
+	/**
+	 * Returns the engines with which chains begin.
+	 * @param service the service
+	 * @return identifiers of the engines that hold the first layer
+	 */
+	List<String> firstEngines(RoutedService service) {
+		return this.dependencies.state()
+			.fleet()
+			.poolServers(service)
+			.stream()
+			.filter((server) -> server.layers().fromLayer() == 0)
+			.map(PoolServer::id)
+			.toList();
+	}
+
 	/**
 	 * Chooses a random availability zone for a stream that fails over to another chain.
 	 * @param service the service
@@ -124,13 +140,14 @@
 		List<PoolServer> servers = state.fleet()
 			.poolServers(service)
 			.stream()
-			.filter((server) -> !excluded.contains(server.id()))
+			.filter((server) -> !excluded.contains(server.id()) && this.dependencies.permits().mayBePart(server.id()))
 			.toList();
 		Map<String, Boolean> suspects = new HashMap<>();
 		return new PoolSnapshot(service.pool().orElseThrow(), servers,
 				this.dependencies.loads().total(this.dependencies.nowMs()),
 				(zone, server) -> suspects.computeIfAbsent(zone + '|' + server.id(),
-						(key) -> state.isSuspect(zone, server.id(), server.availabilityZone())));
+						(key) -> state.isSuspect(zone, server.id(), server.availabilityZone())),
+				(server) -> !this.dependencies.permits().mayReceive(server.id()));
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StallProbe.java
@@ -11,6 +11,7 @@
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
+import org.medlardrum.gateway.internal.request.HeaderList;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 
 /**
@@ -46,7 +47,12 @@
 						() -> Optional.of(List.of()), new byte[0]),
 				(signal) -> {
 					switch (signal) {
-						case Signal.Header header -> status[0] = header.status();
+						case Signal.Header header -> {
+							status[0] = header.status();
+							this.dependencies.permits()
+								.recordNotice(stalledCall.address(), this.dependencies.dialect()
+									.serverNotice(header.status(), HeaderList.lookup(header.headers())));
+						}
 						case Signal.Data data -> body.writeBytes(data.bytes());
 						case Signal.End end -> {
 							if (diagnosed.compareAndSet(false, true)) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -400,7 +400,7 @@
 				.event(PART, "silent", "id", this.request.id(), "server", attempt.firstEngine(), "silentMs",
 						attempt.eventGaps().currentGapMs(nowMs));
 		}
-		if (!attempt.isRelayed()) {
+		if (!attempt.isRelayed() && !this.dependencies.permits().isPaused(attempt.firstEngine())) {
 			this.probe.probe(attempt.call(), this.request.id());
 		}
 	}
@@ -727,13 +727,17 @@
 		return null;
 	}
 
-	// Only the deadline withholds a call while the request is in progress.
+	// The deadline or the server withholds a call while the request is in progress.
 	private String onWithheld(Signal.Withheld withheld) {
 		ChainAttempt attempt = attemptOf(withheld.call());
 		if (attempt == null) {
 			return null;
 		}
 		this.ledger.recordNotExecuted();
+		if (this.ledger.mayWrite(this.dependencies.nowMs())) {
+			this.excluded.add(attempt.firstEngine());
+			return continueAfterFailure(attempt, "withheld", "the server accepts no more requests");
+		}
 		logAttempt("withheld", "the deadline passed before the first byte");
 		return onTimeout();
 	}
@@ -864,8 +868,7 @@
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
-		long retryAfterMs = RetryAfter.overloadedMs(this.request.rank(),
-				this.request.deadlineAtMs() - this.dependencies.nowMs(), this.dependencies.random());
+		long retryAfterMs = comeBackAfterMs(this.chooser.firstEngines(this.request.service()));
 		this.dependencies.log()
 			.event(PART, "refuse", "id", this.request.id(), "reason", reason, "lastFailure", this.lastFailure, "rank",
 					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.dependencies.loads().peerCount());
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -144,11 +144,33 @@
 	 * identifier.
 	 */
 	void register(String service, String id, FakeBackend backend) {
-		this.instances.add(new ServiceInstance(id, service, backend.address(), "a", SLOTS, false, 1, "fast",
+		register(service, id, backend.address());
+	}
+
+	void register(String service, String id, String address) {
+		this.instances.add(new ServiceInstance(id, service, address, "a", SLOTS, false, 1, "fast",
 				(service.equals("pool")) ? Optional.of(new LayerRange(0, LAYERS)) : Optional.empty()));
 		this.gateway.updateInstances(this.instances);
 	}
 
+	/**
+	 * Registers all servers once more, as sound.
+	 */
+	void registerAgain() {
+		this.gateway.updateInstances(this.instances);
+	}
+
+	/**
+	 * Registers the next start of a server.
+	 */
+	void restart(String id) {
+		this.instances.replaceAll((instance) -> (!instance.id().equals(id)) ? instance
+				: new ServiceInstance(id, instance.service(), instance.address(), instance.availabilityZone(),
+						instance.slots(), false, instance.startedAtMs() + 1, instance.acceleratorKind(),
+						instance.layers()));
+		registerAgain();
+	}
+
 	/**
 	 * Replaces all registered servers by one.
 	 */
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/TestDialect.java
@@ -10,6 +10,8 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
+import org.medlardrum.decisions.routing.RequestedPause;
+
 /**
  * Dialect for tests with short header names. A status report has one line
  * {@code requestId address} for each stalled request, with the address of the server that
@@ -93,6 +95,13 @@
 			.orElse(OptionalDouble.empty());
 	}
 
+	@Override
+	public ServerNotice serverNotice(int status, HeaderLookup headers) {
+		Optional<String> pause = (status == 503) ? headers.first("pause") : Optional.empty();
+		return new ServerNotice(headers.first("leaving").isPresent(),
+				pause.map(RequestedPause::parseSeconds).orElse(RequestedPause.NONE));
+	}
+
 	@Override
 	public List<String> responseHeaders(List<String> headers) {
 		List<String> kept = new ArrayList<>();
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -7,11 +7,13 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
+import org.medlardrum.peer.gen.LeavingServer;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -100,6 +102,27 @@
 		return new ServiceInstance("e1", "pool", "127.0.0.1:9", "b", 8, draining, 1, "fast", Optional.empty());
 	}
 
+	@Test
+	void leavingServerIsToldAtOnceAndBelievedFromOthers() {
+		this.state.updateInstances(List.of(instance(false)));
+		this.nowMs.addAndGet(LoadExchange.URGENT_INTERVAL_MS);
+		this.state.recordLeaving(new ServerStart("e1", 1), "r1");
+		this.exchange.step();
+		assertThat(this.sent).hasSize(1);
+		assertThat(this.sent.getFirst().getLeavingServers()).containsExactly(new LeavingServer("e1", 1));
+		GatewayState other = new GatewayState(this.clock, this.log, KEY_FRESHNESS_MS);
+		other.updateInstances(List.of(instance(false)));
+		LoadExchange receiver = new LoadExchange(other, new LoadTable(),
+				new RequestQuarantine(this.clock, this.log, "other"), new ServerLimits(this.clock, this.log, "other"),
+				(peer, digest) -> {
+				}, "other", "b", "127.0.0.1:5");
+		receiver.receive(this.sent.getFirst());
+		assertThat(other.fleet().instance("e1").orElseThrow().draining()).isTrue();
+		other.updateInstances(List.of());
+		other.updateInstances(List.of(instance(false)));
+		assertThat(other.fleet().instance("e1").orElseThrow().draining()).isTrue();
+	}
+
 	private static ServiceInstance engine(String id) {
 		return new ServiceInstance(id, "pool", "127.0.0.1:9", "b", 8, false, 1, "fast", Optional.empty());
 	}
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -29,6 +29,7 @@
   private static final org.apache.thrift.protocol.TField REPLY_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("replyAddress", org.apache.thrift.protocol.TType.STRING, (short)14);
   private static final org.apache.thrift.protocol.TField CUT_OFF_FIELD_DESC = new org.apache.thrift.protocol.TField("cutOff", org.apache.thrift.protocol.TType.BOOL, (short)15);
   private static final org.apache.thrift.protocol.TField ANSWERED_MS_AGO_FIELD_DESC = new org.apache.thrift.protocol.TField("answeredMsAgo", org.apache.thrift.protocol.TType.I64, (short)16);
+  private static final org.apache.thrift.protocol.TField LEAVING_SERVERS_FIELD_DESC = new org.apache.thrift.protocol.TField("leavingServers", org.apache.thrift.protocol.TType.LIST, (short)17);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -58,6 +59,7 @@
    * Age of the last answer of a backend server to the sender, not set without one.
    */
   public long answeredMsAgo; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<LeavingServer> leavingServers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -85,7 +87,8 @@
     /**
      * Age of the last answer of a backend server to the sender, not set without one.
      */
-    ANSWERED_MS_AGO((short)16, "answeredMsAgo");
+    ANSWERED_MS_AGO((short)16, "answeredMsAgo"),
+    LEAVING_SERVERS((short)17, "leavingServers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -133,6 +136,8 @@
           return CUT_OFF;
         case 16: // ANSWERED_MS_AGO
           return ANSWERED_MS_AGO;
+        case 17: // LEAVING_SERVERS
+          return LEAVING_SERVERS;
         default:
           return null;
       }
@@ -183,7 +188,7 @@
   private static final int __CUTOFF_ISSET_ID = 4;
   private static final int __ANSWEREDMSAGO_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS,_Fields.CUT_OFF,_Fields.ANSWERED_MS_AGO};
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS,_Fields.CUT_OFF,_Fields.ANSWERED_MS_AGO,_Fields.LEAVING_SERVERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -226,6 +231,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.ANSWERED_MS_AGO, new org.apache.thrift.meta_data.FieldMetaData("answeredMsAgo", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEAVING_SERVERS, new org.apache.thrift.meta_data.FieldMetaData("leavingServers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LeavingServer.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -329,6 +337,13 @@
     }
     this.cutOff = other.cutOff;
     this.answeredMsAgo = other.answeredMsAgo;
+    if (other.isSetLeavingServers()) {
+      java.util.List<LeavingServer> __this__leavingServers = new java.util.ArrayList<LeavingServer>(other.leavingServers.size());
+      for (LeavingServer other_element : other.leavingServers) {
+        __this__leavingServers.add(new LeavingServer(other_element));
+      }
+      this.leavingServers = __this__leavingServers;
+    }
   }
 
   @Override
@@ -360,6 +375,7 @@
     this.cutOff = false;
     setAnsweredMsAgoIsSet(false);
     this.answeredMsAgo = 0;
+    this.leavingServers = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -880,6 +896,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ANSWEREDMSAGO_ISSET_ID, value);
   }
 
+  public int getLeavingServersSize() {
+    return (this.leavingServers == null) ? 0 : this.leavingServers.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<LeavingServer> getLeavingServersIterator() {
+    return (this.leavingServers == null) ? null : this.leavingServers.iterator();
+  }
+
+  public void addToLeavingServers(LeavingServer elem) {
+    if (this.leavingServers == null) {
+      this.leavingServers = new java.util.ArrayList<LeavingServer>();
+    }
+    this.leavingServers.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<LeavingServer> getLeavingServers() {
+    return this.leavingServers;
+  }
+
+  public Digest setLeavingServers(@org.apache.thrift.annotation.Nullable java.util.List<LeavingServer> leavingServers) {
+    this.leavingServers = leavingServers;
+    return this;
+  }
+
+  public void unsetLeavingServers() {
+    this.leavingServers = null;
+  }
+
+  /** Returns true if field leavingServers is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeavingServers() {
+    return this.leavingServers != null;
+  }
+
+  public void setLeavingServersIsSet(boolean value) {
+    if (!value) {
+      this.leavingServers = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1011,6 +1068,14 @@
       }
       break;
 
+    case LEAVING_SERVERS:
+      if (value == null) {
+        unsetLeavingServers();
+      } else {
+        setLeavingServers((java.util.List<LeavingServer>)value);
+      }
+      break;
+
     }
   }
 
@@ -1066,6 +1131,9 @@
     case ANSWERED_MS_AGO:
       return getAnsweredMsAgo();
 
+    case LEAVING_SERVERS:
+      return getLeavingServers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1110,6 +1178,8 @@
       return isSetCutOff();
     case ANSWERED_MS_AGO:
       return isSetAnsweredMsAgo();
+    case LEAVING_SERVERS:
+      return isSetLeavingServers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1271,6 +1341,15 @@
         return false;
     }
 
+    boolean this_present_leavingServers = true && this.isSetLeavingServers();
+    boolean that_present_leavingServers = true && that.isSetLeavingServers();
+    if (this_present_leavingServers || that_present_leavingServers) {
+      if (!(this_present_leavingServers && that_present_leavingServers))
+        return false;
+      if (!this.leavingServers.equals(that.leavingServers))
+        return false;
+    }
+
     return true;
   }
 
@@ -1334,6 +1413,10 @@
     if (isSetAnsweredMsAgo())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(answeredMsAgo);
 
+    hashCode = hashCode * 8191 + ((isSetLeavingServers()) ? 131071 : 524287);
+    if (isSetLeavingServers())
+      hashCode = hashCode * 8191 + leavingServers.hashCode();
+
     return hashCode;
   }
 
@@ -1505,6 +1588,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeavingServers(), other.isSetLeavingServers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeavingServers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leavingServers, other.leavingServers);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1646,6 +1739,16 @@
       sb.append(this.answeredMsAgo);
       first = false;
     }
+    if (isSetLeavingServers()) {
+      if (!first) sb.append(", ");
+      sb.append("leavingServers:");
+      if (this.leavingServers == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leavingServers);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1898,6 +2001,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 17: // LEAVING_SERVERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list21 = iprot.readListBegin();
+                struct.leavingServers = new java.util.ArrayList<LeavingServer>(_list21.size);
+                @org.apache.thrift.annotation.Nullable LeavingServer _elem22;
+                for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+                {
+                  _elem22 = new LeavingServer();
+                  _elem22.read(iprot);
+                  struct.leavingServers.add(_elem22);
+                }
+                iprot.readListEnd();
+              }
+              struct.setLeavingServersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1937,9 +2059,9 @@
         oprot.writeFieldBegin(RANKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ranks.size()));
-          for (RankDemand _iter21 : struct.ranks)
+          for (RankDemand _iter24 : struct.ranks)
           {
-            _iter21.write(oprot);
+            _iter24.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1949,9 +2071,9 @@
         oprot.writeFieldBegin(ORGANISATIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.organisations.size()));
-          for (OrganisationDemand _iter22 : struct.organisations)
+          for (OrganisationDemand _iter25 : struct.organisations)
           {
-            _iter22.write(oprot);
+            _iter25.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1961,9 +2083,9 @@
         oprot.writeFieldBegin(RUMOURS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rumours.size()));
-          for (Rumour _iter23 : struct.rumours)
+          for (Rumour _iter26 : struct.rumours)
           {
-            _iter23.write(oprot);
+            _iter26.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1977,9 +2099,9 @@
           oprot.writeFieldBegin(SERVER_SHARES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serverShares.size()));
-            for (ServerShare _iter24 : struct.serverShares)
+            for (ServerShare _iter27 : struct.serverShares)
             {
-              _iter24.write(oprot);
+              _iter27.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1991,9 +2113,9 @@
           oprot.writeFieldBegin(SILENT_SERVERS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentServers.size()));
-            for (SilentServer _iter25 : struct.silentServers)
+            for (SilentServer _iter28 : struct.silentServers)
             {
-              _iter25.write(oprot);
+              _iter28.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2005,9 +2127,9 @@
           oprot.writeFieldBegin(CRASH_EVIDENCE_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashEvidence.size()));
-            for (CrashEvidence _iter26 : struct.crashEvidence)
+            for (CrashEvidence _iter29 : struct.crashEvidence)
             {
-              _iter26.write(oprot);
+              _iter29.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2019,9 +2141,9 @@
           oprot.writeFieldBegin(SERVER_LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serverLimits.size()));
-            for (ServerLimit _iter27 : struct.serverLimits)
+            for (ServerLimit _iter30 : struct.serverLimits)
             {
-              _iter27.write(oprot);
+              _iter30.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2045,6 +2167,20 @@
         oprot.writeI64(struct.answeredMsAgo);
         oprot.writeFieldEnd();
       }
+      if (struct.leavingServers != null) {
+        if (struct.isSetLeavingServers()) {
+          oprot.writeFieldBegin(LEAVING_SERVERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leavingServers.size()));
+            for (LeavingServer _iter31 : struct.leavingServers)
+            {
+              _iter31.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2112,7 +2248,10 @@
       if (struct.isSetAnsweredMsAgo()) {
         optionals.set(15);
       }
-      oprot.writeBitSet(optionals, 16);
+      if (struct.isSetLeavingServers()) {
+        optionals.set(16);
+      }
+      oprot.writeBitSet(optionals, 17);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -2131,27 +2270,27 @@
       if (struct.isSetRanks()) {
         {
           oprot.writeI32(struct.ranks.size());
-          for (RankDemand _iter28 : struct.ranks)
+          for (RankDemand _iter32 : struct.ranks)
           {
-            _iter28.write(oprot);
+            _iter32.write(oprot);
           }
         }
       }
       if (struct.isSetOrganisations()) {
         {
           oprot.writeI32(struct.organisations.size());
-          for (OrganisationDemand _iter29 : struct.organisations)
+          for (OrganisationDemand _iter33 : struct.organisations)
           {
-            _iter29.write(oprot);
+            _iter33.write(oprot);
           }
         }
       }
       if (struct.isSetRumours()) {
         {
           oprot.writeI32(struct.rumours.size());
-          for (Rumour _iter30 : struct.rumours)
+          for (Rumour _iter34 : struct.rumours)
           {
-            _iter30.write(oprot);
+            _iter34.write(oprot);
           }
         }
       }
@@ -2161,36 +2300,36 @@
       if (struct.isSetServerShares()) {
         {
           oprot.writeI32(struct.serverShares.size());
-          for (ServerShare _iter31 : struct.serverShares)
+          for (ServerShare _iter35 : struct.serverShares)
           {
-            _iter31.write(oprot);
+            _iter35.write(oprot);
           }
         }
       }
       if (struct.isSetSilentServers()) {
         {
           oprot.writeI32(struct.silentServers.size());
-          for (SilentServer _iter32 : struct.silentServers)
+          for (SilentServer _iter36 : struct.silentServers)
           {
-            _iter32.write(oprot);
+            _iter36.write(oprot);
           }
         }
       }
       if (struct.isSetCrashEvidence()) {
         {
           oprot.writeI32(struct.crashEvidence.size());
-          for (CrashEvidence _iter33 : struct.crashEvidence)
+          for (CrashEvidence _iter37 : struct.crashEvidence)
           {
-            _iter33.write(oprot);
+            _iter37.write(oprot);
           }
         }
       }
       if (struct.isSetServerLimits()) {
         {
           oprot.writeI32(struct.serverLimits.size());
-          for (ServerLimit _iter34 : struct.serverLimits)
+          for (ServerLimit _iter38 : struct.serverLimits)
           {
-            _iter34.write(oprot);
+            _iter38.write(oprot);
           }
         }
       }
@@ -2203,12 +2342,21 @@
       if (struct.isSetAnsweredMsAgo()) {
         oprot.writeI64(struct.answeredMsAgo);
       }
+      if (struct.isSetLeavingServers()) {
+        {
+          oprot.writeI32(struct.leavingServers.size());
+          for (LeavingServer _iter39 : struct.leavingServers)
+          {
+            _iter39.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(16);
+      java.util.BitSet incoming = iprot.readBitSet(17);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -2231,42 +2379,42 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list35 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.ranks = new java.util.ArrayList<RankDemand>(_list35.size);
-          @org.apache.thrift.annotation.Nullable RankDemand _elem36;
-          for (int _i37 = 0; _i37 < _list35.size; ++_i37)
+          org.apache.thrift.protocol.TList _list40 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.ranks = new java.util.ArrayList<RankDemand>(_list40.size);
+          @org.apache.thrift.annotation.Nullable RankDemand _elem41;
+          for (int _i42 = 0; _i42 < _list40.size; ++_i42)
           {
-            _elem36 = new RankDemand();
-            _elem36.read(iprot);
-            struct.ranks.add(_elem36);
+            _elem41 = new RankDemand();
+            _elem41.read(iprot);
+            struct.ranks.add(_elem41);
           }
         }
         struct.setRanksIsSet(true);
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list38 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list38.size);
-          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem39;
-          for (int _i40 = 0; _i40 < _list38.size; ++_i40)
+          org.apache.thrift.protocol.TList _list43 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.organisations = new java.util.ArrayList<OrganisationDemand>(_list43.size);
+          @org.apache.thrift.annotation.Nullable OrganisationDemand _elem44;
+          for (int _i45 = 0; _i45 < _list43.size; ++_i45)
           {
-            _elem39 = new OrganisationDemand();
-            _elem39.read(iprot);
-            struct.organisations.add(_elem39);
+            _elem44 = new OrganisationDemand();
+            _elem44.read(iprot);
+            struct.organisations.add(_elem44);
           }
         }
         struct.setOrganisationsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list41 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.rumours = new java.util.ArrayList<Rumour>(_list41.size);
-          @org.apache.thrift.annotation.Nullable Rumour _elem42;
-          for (int _i43 = 0; _i43 < _list41.size; ++_i43)
+          org.apache.thrift.protocol.TList _list46 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.rumours = new java.util.ArrayList<Rumour>(_list46.size);
+          @org.apache.thrift.annotation.Nullable Rumour _elem47;
+          for (int _i48 = 0; _i48 < _list46.size; ++_i48)
           {
-            _elem42 = new Rumour();
-            _elem42.read(iprot);
-            struct.rumours.add(_elem42);
+            _elem47 = new Rumour();
+            _elem47.read(iprot);
+            struct.rumours.add(_elem47);
           }
         }
         struct.setRumoursIsSet(true);
@@ -2277,56 +2425,56 @@
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list44 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.serverShares = new java.util.ArrayList<ServerShare>(_list44.size);
-          @org.apache.thrift.annotation.Nullable ServerShare _elem45;
-          for (int _i46 = 0; _i46 < _list44.size; ++_i46)
+          org.apache.thrift.protocol.TList _list49 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serverShares = new java.util.ArrayList<ServerShare>(_list49.size);
+          @org.apache.thrift.annotation.Nullable ServerShare _elem50;
+          for (int _i51 = 0; _i51 < _list49.size; ++_i51)
           {
-            _elem45 = new ServerShare();
-            _elem45.read(iprot);
-            struct.serverShares.add(_elem45);
+            _elem50 = new ServerShare();
+            _elem50.read(iprot);
+            struct.serverShares.add(_elem50);
           }
         }
         struct.setServerSharesIsSet(true);
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list47 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentServers = new java.util.ArrayList<SilentServer>(_list47.size);
-          @org.apache.thrift.annotation.Nullable SilentServer _elem48;
-          for (int _i49 = 0; _i49 < _list47.size; ++_i49)
+          org.apache.thrift.protocol.TList _list52 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentServers = new java.util.ArrayList<SilentServer>(_list52.size);
+          @org.apache.thrift.annotation.Nullable SilentServer _elem53;
+          for (int _i54 = 0; _i54 < _list52.size; ++_i54)
           {
-            _elem48 = new SilentServer();
-            _elem48.read(iprot);
-            struct.silentServers.add(_elem48);
+            _elem53 = new SilentServer();
+            _elem53.read(iprot);
+            struct.silentServers.add(_elem53);
           }
         }
         struct.setSilentServersIsSet(true);
       }
       if (incoming.get(11)) {
         {
-          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashEvidence = new java.util.ArrayList<CrashEvidence>(_list50.size);
-          @org.apache.thrift.annotation.Nullable CrashEvidence _elem51;
-          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
+          org.apache.thrift.protocol.TList _list55 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashEvidence = new java.util.ArrayList<CrashEvidence>(_list55.size);
+          @org.apache.thrift.annotation.Nullable CrashEvidence _elem56;
+          for (int _i57 = 0; _i57 < _list55.size; ++_i57)
           {
-            _elem51 = new CrashEvidence();
-            _elem51.read(iprot);
-            struct.crashEvidence.add(_elem51);
+            _elem56 = new CrashEvidence();
+            _elem56.read(iprot);
+            struct.crashEvidence.add(_elem56);
           }
         }
         struct.setCrashEvidenceIsSet(true);
       }
       if (incoming.get(12)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.serverLimits = new java.util.ArrayList<ServerLimit>(_list53.size);
-          @org.apache.thrift.annotation.Nullable ServerLimit _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serverLimits = new java.util.ArrayList<ServerLimit>(_list58.size);
+          @org.apache.thrift.annotation.Nullable ServerLimit _elem59;
+          for (int _i60 = 0; _i60 < _list58.size; ++_i60)
           {
-            _elem54 = new ServerLimit();
-            _elem54.read(iprot);
-            struct.serverLimits.add(_elem54);
+            _elem59 = new ServerLimit();
+            _elem59.read(iprot);
+            struct.serverLimits.add(_elem59);
           }
         }
         struct.setServerLimitsIsSet(true);
@@ -2343,6 +2491,20 @@
         struct.answeredMsAgo = iprot.readI64();
         struct.setAnsweredMsAgoIsSet(true);
       }
+      if (incoming.get(16)) {
+        {
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leavingServers = new java.util.ArrayList<LeavingServer>(_list61.size);
+          @org.apache.thrift.annotation.Nullable LeavingServer _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          {
+            _elem62 = new LeavingServer();
+            _elem62.read(iprot);
+            struct.leavingServers.add(_elem62);
+          }
+        }
+        struct.setLeavingServersIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -78,6 +78,13 @@
   4: double demandPerS
 }
 
+/** A server that has said in a response to the sender that it is leaving. */
+struct LeavingServer {
+  1: string server
+  /** Start of the server, in milliseconds since the Unix epoch, 0 if unknown. */
+  2: i64 startedAtMs
+}
+
 /** State that an entry host sends to another once a second. */
 struct Digest {
   1: string hostId
@@ -99,6 +106,7 @@
   15: optional bool cutOff
   /** Age of the last answer of a backend server to the sender, not set without one. */
   16: optional i64 answeredMsAgo
+  17: optional list<LeavingServer> leavingServers
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
