Read the store's version once a zone, and probe an outage with one thread

The told age is counted from the question, so a late answer is no risk; the copy must have reached the told version. A confirmation that finds changes missing makes the follower ask for them. While the confirmer finds the store unavailable, the follower waits. Hosts that want the lease of the issuer spread by 75 ms for each host.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -14,6 +15,7 @@
 import org.medlardrum.coordination.StoreChanges;
 import org.medlardrum.coordination.StoreResult;
 import org.medlardrum.coordination.StoreVersion;
+import org.medlardrum.coordination.follow.PeerConfirmations.PeerConfirmation;
 import org.medlardrum.coordination.internal.BackgroundThread;
 import org.tinylog.Logger;
 
@@ -33,11 +35,13 @@
  * has lost, are written again when their owners reach the store; their removals are held
  * back for that time.
  */
-public final class StoreFollower implements AutoCloseable {
+public final class StoreFollower implements StoreReads, AutoCloseable {
 
 	private static final long FIRST_RETRY_MS = 100;
 
-	private static final long MAX_RETRY_MS = 400;
+	private static final long MAX_RETRY_MS = 600;
+
+	private static final long CATCH_UP_POLL_MS = 10;
 
 	private static final String EARLIER_ERA = "an answer of an earlier era";
 
@@ -51,6 +55,17 @@
 
 	private final FollowerOptions options;
 
+	private volatile PeerConfirmations peers = PeerConfirmations.NONE;
+
+	/** Last version that this host has read from the store, {@code null} for none. */
+	private volatile ConfirmedVersion lastConfirmed;
+
+	/** Whether another host waits for a read of the store. */
+	private volatile boolean readAsked;
+
+	private volatile Runnable readListener = () -> {
+	};
+
 	private final BackgroundThread follower = new BackgroundThread("store-follower", this::followStep);
 
 	private final BackgroundThread confirmer = new BackgroundThread("store-confirmer", this::confirmStep);
@@ -68,8 +83,8 @@
 
 	private boolean historyLost;
 
-	/** Time of the next confirmation; used by the confirmer thread only. */
-	private long confirmDueMs = Long.MIN_VALUE;
+	/** Time of the next confirmation. */
+	private volatile long confirmDueMs = Long.MIN_VALUE;
 
 	private boolean storeUnavailable;
 
@@ -77,7 +92,12 @@
 
 	private long holdRemovalsUntilMs = Long.MIN_VALUE;
 
-	private long retryMs = FIRST_RETRY_MS;
+	private long followRetryMs = FIRST_RETRY_MS;
+
+	private long confirmRetryMs = FIRST_RETRY_MS;
+
+	/** Whether the last read of the newest version failed. */
+	private boolean confirmFailed;
 
 	/**
 	 * Creates a follower.
@@ -97,6 +117,37 @@
 		this.lastResponseAtMs = monotonicMs.getAsLong();
 	}
 
+	/**
+	 * Sets the hosts that are asked for the newest version before the store is read.
+	 * @param confirmations the hosts
+	 */
+	public void usePeers(PeerConfirmations confirmations) {
+		this.peers = Objects.requireNonNull(confirmations, "confirmations");
+	}
+
+	@Override
+	public void onRead(Runnable action) {
+		this.readListener = Objects.requireNonNull(action, "action");
+	}
+
+	@Override
+	public Optional<PeerConfirmation> lastRead(long maxAgeMs) {
+		ConfirmedVersion confirmed = this.lastConfirmed;
+		if (confirmed == null) {
+			return Optional.empty();
+		}
+		// The monotonic clock may stop while the host is suspended.
+		long ageMs = Math.max(this.monotonicMs.getAsLong() - confirmed.monotonicMs,
+				this.wallMs.getAsLong() - confirmed.wallMs);
+		return (ageMs <= maxAgeMs) ? Optional.of(new PeerConfirmation(confirmed.version, ageMs)) : Optional.empty();
+	}
+
+	@Override
+	public void requestRead() {
+		this.readAsked = true;
+		this.confirmer.wake();
+	}
+
 	/**
 	 * Starts the threads that follow the store.
 	 */
@@ -117,9 +168,12 @@
 	 * @return time until the next call, in milliseconds
 	 */
 	public long followStep() {
+		if (isWaitingForStore()) {
+			return MAX_RETRY_MS;
+		}
 		StoreVersion after = version();
 		if (after == null) {
-			return (readAll()) ? 0 : retryDelayMs();
+			return (readAll()) ? 0 : followRetryDelayMs();
 		}
 		StoreResult<StoreChanges> result = this.feed.changes("", after, this.options.waitMs());
 		return switch (result) {
@@ -144,33 +198,78 @@
 			return FIRST_RETRY_MS;
 		}
 		long sentMs = this.monotonicMs.getAsLong();
-		if (sentMs < this.confirmDueMs) {
+		if (sentMs < this.confirmDueMs && !this.readAsked) {
 			return this.confirmDueMs - sentMs;
 		}
 		long sentWallMs = this.wallMs.getAsLong();
-		return switch (this.feed.version()) {
+		if (!this.readAsked && isStoreAvailable() && confirmThroughPeer(sentMs, sentWallMs)) {
+			this.confirmDueMs = sentMs + this.options.confirmMs();
+			return this.options.confirmMs();
+		}
+		this.readAsked = false;
+		StoreResult<StoreVersion> result = this.feed.version();
+		if (result instanceof StoreResult.Ok<StoreVersion> ok && !isEarlierEra(ok.value())) {
+			this.lastConfirmed = new ConfirmedVersion(ok.value(), sentMs, sentWallMs);
+		}
+		this.readListener.run();
+		return switch (result) {
 			case StoreResult.Ok<StoreVersion> ok -> confirm(ok.value(), sentMs, sentWallMs);
-			case StoreResult.NotFound<StoreVersion> none -> recordFailure("the store returned no version");
-			case StoreResult.Conflict<StoreVersion> conflict -> recordFailure("unexpected conflict");
-			case StoreResult.Unavailable<StoreVersion> unavailable -> recordFailure(unavailable.reason());
-			case StoreResult.Unknown<StoreVersion> unknown -> recordFailure(unknown.reason());
+			case StoreResult.NotFound<StoreVersion> none -> recordConfirmFailure("the store returned no version");
+			case StoreResult.Conflict<StoreVersion> conflict -> recordConfirmFailure("unexpected conflict");
+			case StoreResult.Unavailable<StoreVersion> unavailable -> recordConfirmFailure(unavailable.reason());
+			case StoreResult.Unknown<StoreVersion> unknown -> recordConfirmFailure(unknown.reason());
 		};
 	}
 
+	private synchronized boolean isStoreAvailable() {
+		return !this.storeUnavailable;
+	}
+
+	// While the confirmer finds the store unavailable, only the confirmer calls it.
+	private synchronized boolean isWaitingForStore() {
+		return this.confirmFailed && this.version != null && !this.historyLost;
+	}
+
+	// Returns false if this host has to read the store itself.
+	private boolean confirmThroughPeer(long askedMs, long askedWallMs) {
+		Optional<PeerConfirmation> told = this.peers.ask();
+		if (told.isEmpty() || isEarlierEra(told.get().newest())) {
+			return false;
+		}
+		catchUpWith(told.get().newest());
+		if (isMissingChanges(told.get().newest())) {
+			return false;
+		}
+		applyHeldBackRemovals();
+		long ageMs = told.get().ageMs();
+		notifyListener((listener) -> listener.confirmed(askedMs - ageMs, askedWallMs - ageMs));
+		return true;
+	}
+
+	// The follower may be waiting for further changes before its next call.
+	private void catchUpWith(StoreVersion newest) {
+		if (isMissingChanges(newest)) {
+			this.follower.wake();
+		}
+		for (long waitedMs = 0; isMissingChanges(newest)
+				&& waitedMs < this.options.catchUpMs(); waitedMs += CATCH_UP_POLL_MS) {
+			sleep(CATCH_UP_POLL_MS);
+		}
+	}
+
 	private long confirm(StoreVersion newest, long sentMs, long sentWallMs) {
 		if (isEarlierEra(newest)) {
-			return recordFailure(EARLIER_ERA);
+			return recordConfirmFailure(EARLIER_ERA);
 		}
 		recordResponse();
+		resetConfirmRetry();
 		applyHeldBackRemovals();
-		if (isMissingChanges(newest)) {
-			sleep(this.options.catchUpMs());
-		}
+		catchUpWith(newest);
 		if (!isMissingChanges(newest)) {
 			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 		}
 		else if (!readAll()) {
-			return retryDelayMs();
+			return MAX_RETRY_MS;
 		}
 		this.confirmDueMs = sentMs + this.options.confirmMs();
 		return this.options.confirmMs();
@@ -245,6 +344,7 @@
 		missing.removeAll(present);
 		missing.forEach(this::remove);
 		all.changes().forEach(this::put);
+		this.followRetryMs = FIRST_RETRY_MS;
 		this.historyLost = false;
 		this.fullReadVersion = all.version();
 		this.version = all.version();
@@ -263,6 +363,7 @@
 			markHistoryLost();
 			return 0;
 		}
+		this.followRetryMs = FIRST_RETRY_MS;
 		boolean changed = false;
 		for (StoreChange change : changes.changes()) {
 			if (change.version().isAfter(this.fullReadVersion)) {
@@ -316,20 +417,40 @@
 			notifyListener((listener) -> listener.storeAvailable(outageMs));
 		}
 		this.lastResponseAtMs = nowMs;
-		this.retryMs = FIRST_RETRY_MS;
 	}
 
+	// A failed call for changes leaves it to the confirmer to find out whether the store
+	// is
+	// available, so that an outage costs the calls of one thread only.
 	private synchronized long recordFailure(String reason) {
+		markUnavailable(reason);
+		this.confirmDueMs = Long.MIN_VALUE;
+		this.confirmer.wake();
+		this.followRetryMs = Math.min(MAX_RETRY_MS, this.followRetryMs * 2);
+		return this.followRetryMs / 2;
+	}
+
+	private synchronized long recordConfirmFailure(String reason) {
+		markUnavailable(reason);
+		this.confirmFailed = true;
+		this.confirmRetryMs = Math.min(MAX_RETRY_MS, this.confirmRetryMs * 2);
+		return this.confirmRetryMs / 2;
+	}
+
+	private void markUnavailable(String reason) {
 		if (!this.storeUnavailable) {
 			this.storeUnavailable = true;
 			notifyListener((listener) -> listener.storeUnavailable(reason));
 		}
-		this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
-		return this.retryMs / 2;
 	}
 
-	private synchronized long retryDelayMs() {
-		return this.retryMs;
+	private synchronized long followRetryDelayMs() {
+		return this.followRetryMs;
+	}
+
+	private synchronized void resetConfirmRetry() {
+		this.confirmFailed = false;
+		this.confirmRetryMs = FIRST_RETRY_MS;
 	}
 
 	// The copy stays valid when the listener fails, and must not be read again for it.
@@ -342,4 +463,14 @@
 		}
 	}
 
+	/**
+	 * Version that was read from the store.
+	 *
+	 * @param version the version
+	 * @param monotonicMs time at which the read was sent, on the monotonic clock
+	 * @param wallMs the same time on the wall clock
+	 */
+	private record ConfirmedVersion(StoreVersion version, long monotonicMs, long wallMs) {
+	}
+
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -45,6 +46,12 @@
 	 */
 	private static final long ACQUIRE_SPREAD_MS = 1_500;
 
+	/**
+	 * The same for each host of a large fleet: the first of them tries about this time
+	 * after the lease became free, and most others see its success before their turn.
+	 */
+	private static final long ACQUIRE_SPREAD_MS_PER_HOST = 75;
+
 	private final OrderLease lease;
 
 	private final LayerOrders engines;
@@ -71,6 +78,8 @@
 
 	private long acquireAtMs = -1;
 
+	private IntSupplier hostCount = () -> 1;
+
 	/**
 	 * Creates an issuer.
 	 * @param store the store
@@ -97,6 +106,14 @@
 		this.options = Objects.requireNonNull(options, "options");
 	}
 
+	/**
+	 * Sets the number of hosts that try to acquire the lease. Called before the start.
+	 * @param hosts supplies the number
+	 */
+	public void spreadOver(IntSupplier hosts) {
+		this.hostCount = Objects.requireNonNull(hosts, "hosts");
+	}
+
 	/**
 	 * Returns the key of the lease in the store.
 	 * @return the key
@@ -146,7 +163,8 @@
 		}
 		long nowMs = this.clock.millis();
 		if (this.acquireAtMs < 0) {
-			this.acquireAtMs = nowMs + this.random.nextLong(ACQUIRE_SPREAD_MS);
+			this.acquireAtMs = nowMs + this.random
+				.nextLong(Math.max(ACQUIRE_SPREAD_MS, this.hostCount.getAsInt() * ACQUIRE_SPREAD_MS_PER_HOST));
 		}
 		if (nowMs < this.acquireAtMs) {
 			return false;
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -5,14 +5,18 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.medlardrum.coordination.ChangeFeed;
 import org.medlardrum.coordination.StoreChange;
 import org.medlardrum.coordination.StoreChanges;
 import org.medlardrum.coordination.StoreResult;
 import org.medlardrum.coordination.StoreVersion;
+import org.medlardrum.coordination.follow.PeerConfirmations.PeerConfirmation;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -133,6 +137,48 @@
 		assertThat(this.recorder.events).containsExactly("lost", "regained").inOrder();
 	}
 
+	/** An outage must not cost the calls of both threads. */
+	@Test
+	void changesAreNotAskedForWhileTheConfirmationsFail() {
+		follow(1, ok(5, put("a", "1")));
+		follow(1, new StoreResult.Unavailable<>("down"));
+		confirm(1, new StoreResult.Unavailable<>("down"));
+		int callsBefore = this.calls.size();
+		assertThat(this.follower.followStep()).isGreaterThan(0L);
+		assertThat(this.calls).hasSize(callsBefore);
+		this.nowMs.addAndGet(2_000);
+		confirm(1, new StoreResult.Ok<>(version(5)));
+		follow(1, ok(6, new StoreChange("a", "2", version(6))));
+		assertThat(this.recorder.values).containsExactly("a", "2");
+		assertThat(this.recorder.events).containsExactly("lost", "regained").inOrder();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "5, 300, 11700", "4, 0, 12000" })
+	void versionThatAnotherHostHasReadConfirmsTheCopyAtItsAge(long revision, long ageMs, long confirmedMs) {
+		follow(1, ok(5, put("a", "1")));
+		this.nowMs.set(12_000);
+		this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(revision), ageMs)));
+		this.follower.confirmStep();
+		assertThat(this.recorder.confirmedMs).isEqualTo(confirmedMs);
+		assertThat(this.follower.lastRead(Long.MAX_VALUE)).isEmpty();
+	}
+
+	/** The answer does not count, and the store is read as without it. */
+	@ParameterizedTest
+	@CsvSource({ "1, 7", "0, 9", "0, 0" })
+	void versionOfAnotherHostThatTheCopyLacksConfirmsNothing(long era, long revision) {
+		follow(1, ok(5, put("a", "1")));
+		this.nowMs.set(12_000);
+		this.follower.usePeers(() -> (revision == 0) ? Optional.empty()
+				: Optional.of(new PeerConfirmation(new StoreVersion(era, revision), 0)));
+		confirm(700, new StoreResult.Ok<>(version(5)));
+		assertThat(this.versions).isEmpty();
+		assertThat(this.recorder.confirmedMs).isEqualTo(12_000);
+		assertThat(this.follower.lastRead(700)).isEqualTo(Optional.of(new PeerConfirmation(version(5), 700)));
+		assertThat(this.follower.lastRead(699)).isEmpty();
+	}
+
 	@Test
 	void removalWithoutAnOutageTakesEffectAtOnce() {
 		follow(1, ok(5, put("servers/a", "1")));
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -8,6 +8,8 @@
 
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import org.medlardrum.coordination.follow.PeerConfirmations;
+import org.medlardrum.coordination.follow.StoreReads;
 import org.medlardrum.gateway.internal.http.EventLoopServer;
 import org.medlardrum.gateway.internal.http.GatewayHandler;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
@@ -276,6 +278,22 @@
 		this.state.recordConfirmation(monotonicMs, wallMs);
 	}
 
+	/**
+	 * Returns the other hosts that read the store's version for this one.
+	 * @return the hosts
+	 */
+	public PeerConfirmations peerConfirmations() {
+		return this.exchange.confirmations();
+	}
+
+	/**
+	 * Sets the reads of the store that answer the questions of other hosts.
+	 * @param reads the reads
+	 */
+	public void serveReads(StoreReads reads) {
+		this.exchange.confirmations().serve(reads);
+	}
+
 	/**
 	 * Records the era of the store from which configuration and servers are read.
 	 * @param era number of the store's history
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -81,6 +81,8 @@
 
 	private final ServerLimits limits;
 
+	private final ConfirmationExchange confirmations;
+
 	private final BiConsumer<Host, Digest> sender;
 
 	private final String hostId;
@@ -123,6 +125,8 @@
 		this.hostId = hostId;
 		this.availabilityZone = availabilityZone;
 		this.peerAddress = peerAddress;
+		this.confirmations = new ConfirmationExchange(hostId, availabilityZone, peerAddress, sender, state.clock(),
+				this::emptyDigest);
 		state.onPeerQuery(this::askPeers);
 		state.onSuspicion(this::requestUrgentDigest);
 		quarantine.onChange(this::requestUrgentDigest);
@@ -157,10 +161,19 @@
 	 */
 	public void updatePeers(Collection<Host> hosts) {
 		this.peers = List.copyOf(hosts);
+		this.confirmations.updatePeers(hosts);
 		this.state.updatePeers(hosts.stream().map(Host::id).toList());
 		this.limits.updateHosts(hosts.stream().map(Host::id).toList());
 	}
 
+	/**
+	 * Returns the exchange of confirmations with other hosts.
+	 * @return the exchange
+	 */
+	public ConfirmationExchange confirmations() {
+		return this.confirmations;
+	}
+
 	/**
 	 * Returns the number of other hosts.
 	 * @return the number of hosts
@@ -177,6 +190,7 @@
 		if (digest.getHostId().equals(this.hostId)) {
 			return;
 		}
+		this.confirmations.receive(digest);
 		this.state.recordPeerVersion(digest.getHostId(), digest.getConfigVersion());
 		if (digest.isReply() && digest.isSetReplyAddress()) {
 			this.sender.accept(new Host(digest.getHostId(), digest.getAvailabilityZone(), "", digest.getReplyAddress(),
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/Digest.java
@@ -30,6 +30,8 @@
   private static final org.apache.thrift.protocol.TField CUT_OFF_FIELD_DESC = new org.apache.thrift.protocol.TField("cutOff", org.apache.thrift.protocol.TType.BOOL, (short)15);
   private static final org.apache.thrift.protocol.TField ANSWERED_MS_AGO_FIELD_DESC = new org.apache.thrift.protocol.TField("answeredMsAgo", org.apache.thrift.protocol.TType.I64, (short)16);
   private static final org.apache.thrift.protocol.TField LEAVING_SERVERS_FIELD_DESC = new org.apache.thrift.protocol.TField("leavingServers", org.apache.thrift.protocol.TType.LIST, (short)17);
+  private static final org.apache.thrift.protocol.TField STORE_VERSION_QUERY_FIELD_DESC = new org.apache.thrift.protocol.TField("storeVersionQuery", org.apache.thrift.protocol.TType.STRUCT, (short)18);
+  private static final org.apache.thrift.protocol.TField STORE_VERSION_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("storeVersionReply", org.apache.thrift.protocol.TType.STRUCT, (short)19);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestTupleSchemeFactory();
@@ -60,6 +62,8 @@
    */
   public long answeredMsAgo; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<LeavingServer> leavingServers; // optional
+  public @org.apache.thrift.annotation.Nullable StoreVersionQuery storeVersionQuery; // optional
+  public @org.apache.thrift.annotation.Nullable StoreVersionReply storeVersionReply; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -88,7 +92,9 @@
      * Age of the last answer of a backend server to the sender, not set without one.
      */
     ANSWERED_MS_AGO((short)16, "answeredMsAgo"),
-    LEAVING_SERVERS((short)17, "leavingServers");
+    LEAVING_SERVERS((short)17, "leavingServers"),
+    STORE_VERSION_QUERY((short)18, "storeVersionQuery"),
+    STORE_VERSION_REPLY((short)19, "storeVersionReply");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -138,6 +144,10 @@
           return ANSWERED_MS_AGO;
         case 17: // LEAVING_SERVERS
           return LEAVING_SERVERS;
+        case 18: // STORE_VERSION_QUERY
+          return STORE_VERSION_QUERY;
+        case 19: // STORE_VERSION_REPLY
+          return STORE_VERSION_REPLY;
         default:
           return null;
       }
@@ -188,7 +198,7 @@
   private static final int __CUTOFF_ISSET_ID = 4;
   private static final int __ANSWEREDMSAGO_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS,_Fields.CUT_OFF,_Fields.ANSWERED_MS_AGO,_Fields.LEAVING_SERVERS};
+  private static final _Fields optionals[] = {_Fields.SERVER_SHARES,_Fields.SILENT_SERVERS,_Fields.CRASH_EVIDENCE,_Fields.SERVER_LIMITS,_Fields.REPLY_ADDRESS,_Fields.CUT_OFF,_Fields.ANSWERED_MS_AGO,_Fields.LEAVING_SERVERS,_Fields.STORE_VERSION_QUERY,_Fields.STORE_VERSION_REPLY};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -234,6 +244,10 @@
     tmpMap.put(_Fields.LEAVING_SERVERS, new org.apache.thrift.meta_data.FieldMetaData("leavingServers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LeavingServer.class))));
+    tmpMap.put(_Fields.STORE_VERSION_QUERY, new org.apache.thrift.meta_data.FieldMetaData("storeVersionQuery", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreVersionQuery.class)));
+    tmpMap.put(_Fields.STORE_VERSION_REPLY, new org.apache.thrift.meta_data.FieldMetaData("storeVersionReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreVersionReply.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Digest.class, metaDataMap);
   }
@@ -344,6 +358,12 @@
       }
       this.leavingServers = __this__leavingServers;
     }
+    if (other.isSetStoreVersionQuery()) {
+      this.storeVersionQuery = new StoreVersionQuery(other.storeVersionQuery);
+    }
+    if (other.isSetStoreVersionReply()) {
+      this.storeVersionReply = new StoreVersionReply(other.storeVersionReply);
+    }
   }
 
   @Override
@@ -376,6 +396,8 @@
     setAnsweredMsAgoIsSet(false);
     this.answeredMsAgo = 0;
     this.leavingServers = null;
+    this.storeVersionQuery = null;
+    this.storeVersionReply = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -937,6 +959,56 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public StoreVersionQuery getStoreVersionQuery() {
+    return this.storeVersionQuery;
+  }
+
+  public Digest setStoreVersionQuery(@org.apache.thrift.annotation.Nullable StoreVersionQuery storeVersionQuery) {
+    this.storeVersionQuery = storeVersionQuery;
+    return this;
+  }
+
+  public void unsetStoreVersionQuery() {
+    this.storeVersionQuery = null;
+  }
+
+  /** Returns true if field storeVersionQuery is set (has been assigned a value) and false otherwise */
+  public boolean isSetStoreVersionQuery() {
+    return this.storeVersionQuery != null;
+  }
+
+  public void setStoreVersionQueryIsSet(boolean value) {
+    if (!value) {
+      this.storeVersionQuery = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public StoreVersionReply getStoreVersionReply() {
+    return this.storeVersionReply;
+  }
+
+  public Digest setStoreVersionReply(@org.apache.thrift.annotation.Nullable StoreVersionReply storeVersionReply) {
+    this.storeVersionReply = storeVersionReply;
+    return this;
+  }
+
+  public void unsetStoreVersionReply() {
+    this.storeVersionReply = null;
+  }
+
+  /** Returns true if field storeVersionReply is set (has been assigned a value) and false otherwise */
+  public boolean isSetStoreVersionReply() {
+    return this.storeVersionReply != null;
+  }
+
+  public void setStoreVersionReplyIsSet(boolean value) {
+    if (!value) {
+      this.storeVersionReply = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1076,6 +1148,22 @@
       }
       break;
 
+    case STORE_VERSION_QUERY:
+      if (value == null) {
+        unsetStoreVersionQuery();
+      } else {
+        setStoreVersionQuery((StoreVersionQuery)value);
+      }
+      break;
+
+    case STORE_VERSION_REPLY:
+      if (value == null) {
+        unsetStoreVersionReply();
+      } else {
+        setStoreVersionReply((StoreVersionReply)value);
+      }
+      break;
+
     }
   }
 
@@ -1134,6 +1222,12 @@
     case LEAVING_SERVERS:
       return getLeavingServers();
 
+    case STORE_VERSION_QUERY:
+      return getStoreVersionQuery();
+
+    case STORE_VERSION_REPLY:
+      return getStoreVersionReply();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1180,6 +1274,10 @@
       return isSetAnsweredMsAgo();
     case LEAVING_SERVERS:
       return isSetLeavingServers();
+    case STORE_VERSION_QUERY:
+      return isSetStoreVersionQuery();
+    case STORE_VERSION_REPLY:
+      return isSetStoreVersionReply();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1350,6 +1448,24 @@
         return false;
     }
 
+    boolean this_present_storeVersionQuery = true && this.isSetStoreVersionQuery();
+    boolean that_present_storeVersionQuery = true && that.isSetStoreVersionQuery();
+    if (this_present_storeVersionQuery || that_present_storeVersionQuery) {
+      if (!(this_present_storeVersionQuery && that_present_storeVersionQuery))
+        return false;
+      if (!this.storeVersionQuery.equals(that.storeVersionQuery))
+        return false;
+    }
+
+    boolean this_present_storeVersionReply = true && this.isSetStoreVersionReply();
+    boolean that_present_storeVersionReply = true && that.isSetStoreVersionReply();
+    if (this_present_storeVersionReply || that_present_storeVersionReply) {
+      if (!(this_present_storeVersionReply && that_present_storeVersionReply))
+        return false;
+      if (!this.storeVersionReply.equals(that.storeVersionReply))
+        return false;
+    }
+
     return true;
   }
 
@@ -1417,6 +1533,14 @@
     if (isSetLeavingServers())
       hashCode = hashCode * 8191 + leavingServers.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetStoreVersionQuery()) ? 131071 : 524287);
+    if (isSetStoreVersionQuery())
+      hashCode = hashCode * 8191 + storeVersionQuery.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetStoreVersionReply()) ? 131071 : 524287);
+    if (isSetStoreVersionReply())
+      hashCode = hashCode * 8191 + storeVersionReply.hashCode();
+
     return hashCode;
   }
 
@@ -1598,6 +1722,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStoreVersionQuery(), other.isSetStoreVersionQuery());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStoreVersionQuery()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.storeVersionQuery, other.storeVersionQuery);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetStoreVersionReply(), other.isSetStoreVersionReply());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStoreVersionReply()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.storeVersionReply, other.storeVersionReply);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1749,6 +1893,26 @@
       }
       first = false;
     }
+    if (isSetStoreVersionQuery()) {
+      if (!first) sb.append(", ");
+      sb.append("storeVersionQuery:");
+      if (this.storeVersionQuery == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.storeVersionQuery);
+      }
+      first = false;
+    }
+    if (isSetStoreVersionReply()) {
+      if (!first) sb.append(", ");
+      sb.append("storeVersionReply:");
+      if (this.storeVersionReply == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.storeVersionReply);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1756,6 +1920,12 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (storeVersionQuery != null) {
+      storeVersionQuery.validate();
+    }
+    if (storeVersionReply != null) {
+      storeVersionReply.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -2020,6 +2190,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 18: // STORE_VERSION_QUERY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.storeVersionQuery = new StoreVersionQuery();
+              struct.storeVersionQuery.read(iprot);
+              struct.setStoreVersionQueryIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 19: // STORE_VERSION_REPLY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.storeVersionReply = new StoreVersionReply();
+              struct.storeVersionReply.read(iprot);
+              struct.setStoreVersionReplyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2181,6 +2369,20 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.storeVersionQuery != null) {
+        if (struct.isSetStoreVersionQuery()) {
+          oprot.writeFieldBegin(STORE_VERSION_QUERY_FIELD_DESC);
+          struct.storeVersionQuery.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.storeVersionReply != null) {
+        if (struct.isSetStoreVersionReply()) {
+          oprot.writeFieldBegin(STORE_VERSION_REPLY_FIELD_DESC);
+          struct.storeVersionReply.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2251,7 +2453,13 @@
       if (struct.isSetLeavingServers()) {
         optionals.set(16);
       }
-      oprot.writeBitSet(optionals, 17);
+      if (struct.isSetStoreVersionQuery()) {
+        optionals.set(17);
+      }
+      if (struct.isSetStoreVersionReply()) {
+        optionals.set(18);
+      }
+      oprot.writeBitSet(optionals, 19);
       if (struct.isSetHostId()) {
         oprot.writeString(struct.hostId);
       }
@@ -2351,12 +2559,18 @@
           }
         }
       }
+      if (struct.isSetStoreVersionQuery()) {
+        struct.storeVersionQuery.write(oprot);
+      }
+      if (struct.isSetStoreVersionReply()) {
+        struct.storeVersionReply.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Digest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(17);
+      java.util.BitSet incoming = iprot.readBitSet(19);
       if (incoming.get(0)) {
         struct.hostId = iprot.readString();
         struct.setHostIdIsSet(true);
@@ -2505,6 +2719,16 @@
         }
         struct.setLeavingServersIsSet(true);
       }
+      if (incoming.get(17)) {
+        struct.storeVersionQuery = new StoreVersionQuery();
+        struct.storeVersionQuery.read(iprot);
+        struct.setStoreVersionQueryIsSet(true);
+      }
+      if (incoming.get(18)) {
+        struct.storeVersionReply = new StoreVersionReply();
+        struct.storeVersionReply.read(iprot);
+        struct.setStoreVersionReplyIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -85,6 +85,21 @@
   2: i64 startedAtMs
 }
 
+/** Question for the newest version of the store. */
+struct StoreVersionQuery {
+  1: i64 id
+  2: string replyAddress
+}
+
+/** Answer to a question for the newest version of the store. */
+struct StoreVersionReply {
+  1: i64 id
+  2: i64 era
+  3: i64 revision
+  /** Time since the read, negative if the sender cannot tell. */
+  4: i64 ageMs
+}
+
 /** State that an entry host sends to another once a second. */
 struct Digest {
   1: string hostId
@@ -107,6 +122,8 @@
   /** Age of the last answer of a backend server to the sender, not set without one. */
   16: optional i64 answeredMsAgo
   17: optional list<LeavingServer> leavingServers
+  18: optional StoreVersionQuery storeVersionQuery
+  19: optional StoreVersionReply storeVersionReply
 }
 
 /** One accepted configuration change, as the JSON text that the store holds. */
