--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/WarmUp.java
@@ -0,0 +1,34 @@
+package org.medlardrum.decisions.routing;
+
+/**
+ * Decides how long a host that has started rehearses requests before it is ready. The
+ * first requests of a process run cold code and take many times as long as later ones, so
+ * after a rolling restart or on an added host their callers would wait. When all hosts
+ * have started together, nobody else serves them, and the rehearsal only takes processor
+ * time from them.
+ */
+public final class WarmUp {
+
+	/** Longest time from the start of the process to the end of the rehearsal. */
+	public static final long MAX_MS = 3_000;
+
+	/**
+	 * Callers' requests from which on the host is needed: it gets requests although it is
+	 * not ready.
+	 */
+	static final int NEEDED_REQUESTS = 2;
+
+	private WarmUp() {
+	}
+
+	/**
+	 * Returns whether the rehearsal goes on.
+	 * @param sinceStartMs time since the start of the process, in milliseconds
+	 * @param received requests that callers have sent to this host
+	 * @return {@code false} if its time is over, or callers need the host
+	 */
+	public static boolean goesOn(long sinceStartMs, long received) {
+		return sinceStartMs < MAX_MS && received < NEEDED_REQUESTS;
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -1,9 +1,12 @@
 package org.medlardrum.gateway;
 
+import java.io.OutputStream;
+import java.io.PrintStream;
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import io.servicetalk.transport.api.IoExecutor;
@@ -187,6 +190,35 @@
 		return gateway;
 	}
 
+	/**
+	 * Starts a gateway that logs nothing.
+	 * @param settings the settings
+	 * @param dialect names and formats of headers and documents
+	 * @param clock the clocks
+	 * @return the running gateway
+	 * @throws Exception if an address cannot be used
+	 */
+	public static Gateway startSilent(GatewaySettings settings, RequestDialect dialect, GatewayClock clock)
+			throws Exception {
+		return new Gateway(settings, dialect, clock, new DecisionLog(new PrintStream(OutputStream.nullOutputStream())));
+	}
+
+	/**
+	 * Lets the readiness probe fail while a condition holds.
+	 * @param warming returns whether the host is being warmed up
+	 */
+	public void notReadyWhile(BooleanSupplier warming) {
+		this.state.notReadyWhile(warming);
+	}
+
+	/**
+	 * Returns how many requests callers have sent.
+	 * @return the number since the start
+	 */
+	public long receivedRequests() {
+		return this.handler.received();
+	}
+
 	/**
 	 * Returns the port for callers.
 	 * @return the port
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -71,6 +71,8 @@
 
 	private volatile boolean refusing;
 
+	private volatile long received;
+
 	/**
 	 * Creates a handler.
 	 * @param dependencies settings, state and shared objects
@@ -91,6 +93,14 @@
 		return this.openRequests.size();
 	}
 
+	/**
+	 * Returns how many requests have arrived.
+	 * @return the number since the start
+	 */
+	public long received() {
+		return this.received;
+	}
+
 	/**
 	 * Describes the requests in progress for the log.
 	 * @return the oldest requests
@@ -116,6 +126,8 @@
 	@Override
 	public Single<StreamingHttpResponse> handle(HttpServiceContext context, StreamingHttpRequest request,
 			StreamingHttpResponseFactory responses) {
+		// Incremented on the event loop only.
+		this.received++;
 		long arrivedAtMs = this.dependencies.nowMs();
 		CallerExchange exchange = new CallerExchange(context, request, responses);
 		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ReadinessHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/ReadinessHandler.java
@@ -79,7 +79,10 @@
 		if (this.state.table() == null) {
 			return "no configuration";
 		}
-		return (this.state.isFresh()) ? "" : "configuration not confirmed";
+		if (!this.state.isFresh()) {
+			return "configuration not confirmed";
+		}
+		return (this.state.isWarming()) ? "warming up" : "";
 	}
 
 	private static void respond(CallerExchange exchange, int status, String text) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.medlardrum.decisions.routing.BackendLinks;
 import org.medlardrum.decisions.routing.ConfigFreshness;
@@ -61,6 +62,8 @@
 
 	private volatile boolean cutOff;
 
+	private volatile BooleanSupplier warming = () -> false;
+
 	/** Runs when this host has lost its links to the servers. */
 	private volatile Runnable cutOffListener = () -> {
 	};
@@ -584,6 +587,22 @@
 		return this.fleet;
 	}
 
+	/**
+	 * Lets the readiness probe fail while a condition holds.
+	 * @param condition returns whether the host is being warmed up
+	 */
+	public void notReadyWhile(BooleanSupplier condition) {
+		this.warming = condition;
+	}
+
+	/**
+	 * Returns whether the host is being warmed up.
+	 * @return {@code true} while the readiness probe should fail
+	 */
+	public boolean isWarming() {
+		return this.warming.getAsBoolean();
+	}
+
 	/**
 	 * Marks the host as draining.
 	 */
