--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
@@ -1,10 +1,12 @@
 package org.medlardrum.decisions.pool;
 
 import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,6 +51,27 @@
 		}
 	}
 
+	/**
+	 * A pool of the size that the users plan for. Suspicions are looked up once for each
+	 * zone and engine, not at each layer.
+	 */
+	@Test
+	void eachEngineIsCheckedOnceForEachZone() {
+		List<PoolServer> many = new ArrayList<>();
+		for (int copy = 0; copy < 10; copy++) {
+			for (PoolServer server : this.servers) {
+				many.add(new PoolServer(server.id() + '-' + copy, server.address(), server.availabilityZone(),
+						server.acceleratorKind(), server.layers(), server.slots()));
+			}
+		}
+		AtomicInteger checks = new AtomicInteger();
+		ChainSearch search = new ChainSearch(
+				new PoolSnapshot(Pools.POOL, many, Map.of(), (zone, server) -> checks.incrementAndGet() < 0));
+		search.find(new ChainRequest(772, 167, 0, "b")).orElseThrow();
+		long zones = many.stream().map(PoolServer::availabilityZone).distinct().count();
+		assertThat((long) checks.get()).isAtMost(zones * many.size());
+	}
+
 	@Test
 	void overlappingRangesAreSplitWhereTheNextEngineStarts() {
 		PoolServer slow = new PoolServer("slow", "10.0.0.1:1", "a", Pools.L4, new LayerRange(0, 60), 10);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -1,8 +1,6 @@
 package org.medlardrum.gateway.internal.stream;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -142,11 +140,9 @@
 			.stream()
 			.filter((server) -> !excluded.contains(server.id()) && this.dependencies.permits().mayBePart(server.id()))
 			.toList();
-		Map<String, Boolean> suspects = new HashMap<>();
 		return new PoolSnapshot(service.pool().orElseThrow(), servers,
 				this.dependencies.loads().total(this.dependencies.nowMs()),
-				(zone, server) -> suspects.computeIfAbsent(zone + '|' + server.id(),
-						(key) -> state.isSuspect(zone, server.id(), server.availabilityZone())),
+				(zone, server) -> state.isSuspect(zone, server.id(), server.availabilityZone()),
 				(server) -> !this.dependencies.permits().mayReceive(server.id()));
 	}
 
