--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/WarmUp.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/WarmUp.java
@@ -9,8 +9,11 @@
  */
 public final class WarmUp {
 
-	/** Longest time from the start of the process to the end of the rehearsal. */
-	public static final long MAX_MS = 3_000;
+	/** Longest rehearsal after a restart of a host while others serve. */
+	static final long MAX_RESTART_MS = 4_000;
+
+	/** Longest rehearsal when the whole system starts for the first time. */
+	static final long MAX_FIRST_START_MS = 9_000;
 
 	/**
 	 * Callers' requests from which on the host is needed: it gets requests although it is
@@ -23,12 +26,13 @@
 
 	/**
 	 * Returns whether the rehearsal goes on.
-	 * @param sinceStartMs time since the start of the process, in milliseconds
+	 * @param firstStart whether the whole system starts for the first time
+	 * @param rehearsedMs time since the start of the rehearsal, in milliseconds
 	 * @param received requests that callers have sent to this host
 	 * @return {@code false} if its time is over, or callers need the host
 	 */
-	public static boolean goesOn(long sinceStartMs, long received) {
-		return sinceStartMs < MAX_MS && received < NEEDED_REQUESTS;
+	public static boolean goesOn(boolean firstStart, long rehearsedMs, long received) {
+		return rehearsedMs < ((firstStart) ? MAX_FIRST_START_MS : MAX_RESTART_MS) && received < NEEDED_REQUESTS;
 	}
 
 }
