--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
@@ -1,7 +1,7 @@
 package org.medlardrum.decisions.pool;
 
-import java.util.HashMap;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
