Ask an engine once for all its silent streams

Change: EngineReports shares one call among the streams of an engine, and a report answers for 100 ms, below the delay with which engines report. A read of the store's version answers other hosts for 900 ms instead of 400: with 4 hosts a zone, one read a host and interval was left. Freshness stays 4.7 s; an answer is then at most 2.7 s old when it is renewed.

Test: SharedReportTests, red before (more than 10 reports for 8 streams).

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.relay.RelayTargets;
+import org.medlardrum.gateway.internal.request.EngineReports;
 import org.medlardrum.gateway.internal.request.LinkProbe;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.request.RetryBudgets;
@@ -140,8 +141,9 @@
 		TimerLateness lateness = new TimerLateness(clock, log);
 		this.relayTargets = new RelayTargets(this.state, RandomGenerator.getDefault());
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, quarantine, limits, this.permits, lateness, this.relayTargets,
-				RandomGenerator.getDefault());
+				this.clients, dialect, log, metrics, quarantine, limits, this.permits,
+				new EngineReports(this.state, this.clients, this.executor, dialect, this.permits, lateness), lateness,
+				this.relayTargets, RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
 		this.relayHandler = new GatewayHandler(dependencies, true);
 		LinkProbe probe = new LinkProbe(dependencies);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/ConfirmationExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/ConfirmationExchange.java
@@ -37,7 +37,7 @@
 	static final long ANSWER_TIMEOUT_MS = 150;
 
 	/** Age up to which a read answers further questions. */
-	static final long MAX_READ_AGE_MS = 400;
+	static final long MAX_READ_AGE_MS = 900;
 
 	/** Unanswered questions after which a host is not asked for a while. */
 	private static final int MAX_MISSES = 2;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -30,14 +30,15 @@
  * @param quarantine requests that crash servers
  * @param limits limits of requests that servers name
  * @param permits servers that accept requests of this host
+ * @param reports status reports of engines
  * @param timerLateness lateness of the timers of requests
  * @param relayTargets hosts to which requests are passed on
  * @param random source of random numbers
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
-		RequestQuarantine quarantine, ServerLimits limits, ServerPermits permits, TimerLateness timerLateness,
-		RelayTargets relayTargets, RandomGenerator random) {
+		RequestQuarantine quarantine, ServerLimits limits, ServerPermits permits, EngineReports reports,
+		TimerLateness timerLateness, RelayTargets relayTargets, RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
