--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/RelayedResponseTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/RelayedResponseTests.java
@@ -126,6 +126,15 @@
 		assertThat(received).doesNotContain("\r\n0\r\n");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "/stream/1, 9", "/stream/1, 17", "/stream/1, 60", "/once/1, 0", "/once/1, 13", "/once/1, 45",
+			"/once/1, 96" })
+	void relayedResponseThatIsCutWithinItsHeadIsNoSuccess(String path, int length) throws Exception {
+		String sent = STREAM_HEAD.substring(0, length);
+		String received = callThroughRelay(path, (head, socket, out) -> FakeBackend.write(out, sent));
+		assertThat(received).doesNotContain("HTTP/1.1 200");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "", "medlardrum-relayed: other\r\n", "id: other\r\nnot-run: 1\r\n", "not-run: 1\r\n" })
 	void refusalThatDoesNotNameTheRequestIsNoPromise(String headers) throws Exception {
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ShutdownTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ShutdownTests.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +38,9 @@
 	/** Time of a request whose deadline is after the end of the shutdown. */
 	private static final long LATE_REQUEST_MS = 2_000;
 
+	/** A host admits requests for 2.9 s after the stop request. */
+	private static final long AFTER_ADMISSION_MS = 3_100;
+
 	private static final int KEPT_CONNECTIONS = 60;
 
 	/** Time of the first request shortly before the connections are closed. */
@@ -144,6 +148,30 @@
 		}
 	}
 
+	/**
+	 * In a calm stop, another request keeps the host from ending before its grace is
+	 * over.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "POST, /unsafe/2", "POST, /once/2", "GET, /safe/2" })
+	void requestLateInTheGraceIsRefusedAtOnceAndNotPassedOn(String method, String path) throws Exception {
+		try (FakeBackend silent = new FakeBackend((head, socket, out) -> TimeUnit.SECONDS.sleep(8))) {
+			this.fixture.register("ledger", "s1", silent);
+			this.fixture.register("pool", "e1", silent);
+			CompletableFuture<Long> end = shutDown();
+			TimeUnit.MILLISECONDS.sleep(LATE_REQUEST_MS);
+			Socket early = this.fixture.send("POST", "/unsafe/1", "key: k1\r\n");
+			this.sockets.add(early);
+			TimeUnit.MILLISECONDS.sleep(AFTER_ADMISSION_MS - LATE_REQUEST_MS);
+			String response = this.fixture.call(method, path);
+			assertThat(response).startsWith("HTTP/1.1 503");
+			assertThat(response.toLowerCase(Locale.ROOT)).contains("retry-after:");
+			assertThat(silent.requests().stream().filter((head) -> head.contains(path)).toList()).isEmpty();
+			assertThat(readHead(early)).startsWith("HTTP/1.1 502");
+			end.get();
+		}
+	}
+
 	@Test
 	void slowCallerReceivesItsWholeResponse() throws Exception {
 		String body = "x".repeat(LARGE_BODY_BYTES);
