--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
@@ -64,6 +64,20 @@
 		}
 	}
 
+	/** The server stops within the head of its response and closes the connection. */
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", "" })
+	void headThatEndsEarlyIsNoResponse(String framing) throws IOException {
+		String head = "HTTP/1.1 200 X\r\nX-Close: 1\r\n" + framing + "\r\n";
+		for (int length = head.indexOf(framing); length < head.length(); length++) {
+			String sent = head.substring(0, length);
+			try (ScriptedServer server = new ScriptedServer((n) -> sent);
+					ServiceClient client = new ServiceClient(CONNECT_TIMEOUT_MS, MAX_RESPONSE_BYTES)) {
+				assertThat(client.call(server.address(), BOOKING, 5000)).isInstanceOf(Outcome.MayHaveRun.class);
+			}
+		}
+	}
+
 	@Test
 	void everyRefusedConnectionIsReportedAsNotRun() throws IOException {
 		int freePort;
