--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/EarlierBuildTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/EarlierBuildTests.java
@@ -26,7 +26,7 @@
  */
 class EarlierBuildTests {
 
-	/** Recorded from build 5df1eee: every field that its hosts send. */
+	/** Encoded by the classes of build 5df1eee, with example values. */
 	private static final String RECORDED = "GAlmcm9udC1hLTEYAWEWIhEWAEEZHBgCZTEWgOgHFQYVBAAZHBgBYRgCZTIYAWIViA4AGRwYAm"
 			+ "MxFQIYCDVjMWUwN2EyFQIVAhZQABkcGAJlMxcAAAAAAAAEQBYUFwAAAAAAABBAABgOMTAuMS4wLjQwOjczNDARFvQDAA==";
 
