--- a/review/2/Uploads.java
+++ b/review/2/Uploads.java
@@ -172,7 +172,7 @@
 			OutputStream out = socket.getOutputStream();
 			InputStream in = Http.buffered(socket.getInputStream());
 			this.rig.record.line("client sends %s POST /file/x bytes=%d", id, body.length);
-			out.write(Http.bytes("POST /file/x HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: " + id
+			out.write(Http.bytes("POST /file/x HTTP/1.1\r\nHost: app.example\r\n${requestId}: " + id
 					+ "\r\nDeadline-Milliseconds: " + UPLOAD_TIMEOUT_MS
 					+ "\r\nAuthorization: Token k1\r\nContent-Length: " + body.length + "\r\n\r\n"));
 			for (int i = 0; i < PARTS; i++) {
--- a/review/5/ReusedAddress.java
+++ b/review/5/ReusedAddress.java
@@ -59,7 +59,7 @@
 
 	private static String config() {
 		return "{\"version\":7,\"routes\":[" + route("alpha") + "," + route("beta") + "],\"services\":[" + service("alpha")
-				+ "," + service("beta") + "],\"tenants\":[{\"name\":\"north\",\"apiKeys\":[\"k1\"]}],\"limits\":{"
+				+ "," + service("beta") + "],\"tenants\":[{\"name\":\"north\",\"${keys}\":[\"k1\"]}],\"limits\":{"
 				+ "\"headerBytes\":16384,\"bodyBytes\":4194304,\"headerTimeoutMs\":10000,\"idleTimeoutMs\":30000}}";
 	}
 
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -38,7 +38,7 @@
 		InputStream in = Http.buffered(socket.getInputStream());
 		record.line("client sends %s %s %s Host: %s to %s key=%s bytes=%d", id, method, path, hostHeader, host.name, key,
 				body.length);
-		out.write(Http.bytes(method + " " + path + " HTTP/1.1\r\nHost: " + hostHeader + "\r\nAttempt-Id: " + id
+		out.write(Http.bytes(method + " " + path + " HTTP/1.1\r\nHost: " + hostHeader + "\r\n${requestId}: " + id
 				+ "\r\nDeadline-Milliseconds: " + deadlineMs + "\r\nAuthorization: Token " + key + "\r\n"
 				+ ((method.equals("GET")) ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n"));
 		out.write(body);
@@ -57,7 +57,7 @@
 		return "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes)
 				+ "],\"services\":[{\"name\":\"ledger\",\"healthCheckPath\":\"/health\",\"connectionLimit\":248,"
 				+ "\"protocol\":\"h1\",\"tls\":false},{\"name\":\"archive\",\"healthCheckPath\":\"/health\","
-				+ "\"connectionLimit\":248,\"protocol\":\"h1\",\"tls\":false}],\"tenants\":[{\"name\":\"north\",\"apiKeys\":["
+				+ "\"connectionLimit\":248,\"protocol\":\"h1\",\"tls\":false}],\"tenants\":[{\"name\":\"north\",\"${keys}\":["
 				+ keys + "]}],\"limits\":{\"headerBytes\":16384,\"bodyBytes\":4194304,\"headerTimeoutMs\":10000,"
 				+ "\"idleTimeoutMs\":30000}}";
 	}
--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -88,7 +88,7 @@
 		if (!this.ended) {
 			this.store.put("servers/" + this.id,
 					("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":64,"
-							+ "\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m-%s\","
+							+ "\"state\":\"ready\",\"${cold}\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m-%s\","
 							+ "\"version\":1,\"adapters\":[]}],\"kind\":\"%s\",\"sequence\":%d,\"born\":%d%s}")
 						.formatted(this.service, address(), this.zone, this.service, this.kind, ++this.beats, this.born,
 								layersJson()));
--- a/review/standins/Host.java
+++ b/review/standins/Host.java
@@ -44,20 +44,20 @@
 		this.repository = repository;
 		this.settings = folder.resolve(this.name + ".json");
 		this.log = folder.resolve(this.name + ".log");
-		Files.writeString(this.settings, """
+		Files.writeString(this.settings, Wire.text("""
 				{"nodeName":"%s","role":"entry","machineClass":"front","serves":["front"],"ipAddress":"%s",
 				"zone":"%s","region":"r","zones":{"z-a":"r","z-b":"r","z-c":"r"},
-				"listenAddresses":{"front":"%s:%d","ready":"%s:%d","control":"%s:%d"},"internalPorts":[%d,%d],
+				"${listen}":{"front":"%s:%d","ready":"%s:%d","control":"%s:%d"},"internalPorts":[%d,%d],
 				"seedAddresses":[],"firstStart":true,"countedInTolerance":false,
 				"limits":{"cpuShare":0.51,"cpuCores":1,"memoryMb":352,"fileDescriptors":2069,"linkMbps":490,"diskMb":0},
 				"dataDirectory":null,"discovery":"platform","entry":"virtual_ip","heartbeatMs":1200,
 				"contracts":["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","layers"],
 				"faultTolerance":{"machines":2,"zones":1,"regions":0},
 				"bounds":{%s},
-				"platformSettings":{"address":"%s","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,"valueBytes":1048576,"ttlMinMs":1000}}
+				"${store}":{"address":"%s","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,"valueBytes":1048576,"ttlMinMs":1000}}
 				"""
 			.formatted(this.name, this.ip, zone, this.ip, this.front, this.ip, this.ready, this.ip, control, internal,
-					internal + 15, bounds, store));
+					internal + 15, bounds, store)));
 	}
 
 	static final String BOUNDS = "\"seedLagS\":3,\"addressReuseS\":2,\"touchMs\":3000,\"ackMs\":4000,\"catchUpS\":4,"
--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -99,7 +99,7 @@
 	}
 
 	static byte[] bytes(String text) {
-		return text.getBytes(StandardCharsets.ISO_8859_1);
+		return Wire.text(text).getBytes(StandardCharsets.ISO_8859_1);
 	}
 
 }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -17,6 +17,8 @@
 /** Stand-in of the platform's store: linearizable keys with revisions, watches and leases. */
 final class Store {
 
+	private static final String CALL = Wire.text("/v1/${call}");
+
 	private record Item(String key, String value, long revision, long created, long lease) {
 
 		String json() {
@@ -107,8 +109,9 @@
 		return "127.0.0.1:" + this.server.getLocalPort();
 	}
 
+	/** Writes a key; names of the protocol in the value stand as ${key}. */
 	synchronized long put(String key, String value) {
-		return put(key, value, 0);
+		return put(key, Wire.text(value), 0);
 	}
 
 	private synchronized long put(String key, String value, long lease) {
@@ -198,14 +201,14 @@
 
 	private String[] answer(String method, String path, Map<String, String> query, Http.Message call, Socket socket)
 			throws Exception {
-		if (path.equals("/v1/kv-key")) {
+		if (path.equals(CALL + "key")) {
 			synchronized (this) {
 				Item item = this.items.get(query.get("key"));
 				return (item == null) ? new String[] { "404", "{\"currentRev\":" + this.revision + "}" }
 						: new String[] { "200", item.json().replaceFirst("}$", ",\"currentRev\":" + this.revision + "}") };
 			}
 		}
-		if (path.equals("/v1/kv-range")) {
+		if (path.equals(CALL + "range")) {
 			synchronized (this) {
 				List<String> found = new ArrayList<>();
 				boolean truncated = false;
@@ -222,10 +225,10 @@
 						+ ",\"currentRev\":" + this.revision + "}" };
 			}
 		}
-		if (path.equals("/v1/kv-watch")) {
+		if (path.equals(CALL + "watch")) {
 			return watch(query, socket);
 		}
-		if (path.equals("/v1/kv-lease")) {
+		if (path.equals(CALL + "lease")) {
 			long ttl = Math.max(1000, (Long) Json.object(call.text()).get("ttlMs"));
 			synchronized (this) {
 				long lease = ++this.nextLease;
@@ -233,7 +236,7 @@
 				return new String[] { "200", "{\"lease\":" + lease + ",\"ttlMs\":" + ttl + "}" };
 			}
 		}
-		if (path.startsWith("/v1/kv-keep/")) {
+		if (path.startsWith(CALL + "keep/")) {
 			synchronized (this) {
 				long[] lease = this.leases.get(Long.parseLong(path.substring(path.lastIndexOf('/') + 1)));
 				if (lease == null) {
@@ -243,11 +246,11 @@
 				return new String[] { "200", "{\"ttlMs\":" + lease[1] + "}" };
 			}
 		}
-		if (path.startsWith("/v1/kv-lease-end/")) {
+		if (path.startsWith(CALL + "lease-end/")) {
 			endLease(Long.parseLong(path.substring(path.lastIndexOf('/') + 1)));
 			return new String[] { "200", "{}" };
 		}
-		if (path.equals("/v1/kv-txn")) {
+		if (path.equals(CALL + "txn")) {
 			return transaction(Json.object(call.text()));
 		}
 		return new String[] { "404", "{}" };
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -69,7 +69,7 @@
 		if (this.registered) {
 			this.store.put("servers/" + this.id,
 					("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
-							+ "\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%d,\"born\":%d}")
+							+ "\"state\":\"%s\",\"${cold}\":0,\"sequence\":%d,\"born\":%d}")
 						.formatted(this.service, address(), this.zone, this.slots, "ready", ++this.sequence,
 								this.born));
 		}
@@ -138,7 +138,7 @@
 				}
 				String path = request.first().split(" ")[1];
 				String common = "Instance-Id: " + this.id + "\r\nServer-Load: " + this.running.get() + ",0," + this.slots
-						+ "\r\n" + ((this.leaving) ? "Server-Leaving: 1\r\nConnection: close\r\n" : "");
+						+ "\r\n" + ((this.leaving) ? "${leaving}: 1\r\nConnection: close\r\n" : "");
 				if (path.equals("/health")) {
 					out.write(Http.bytes("HTTP/1.1 200 OK\r\n" + common + "Content-Length: 0\r\n\r\n"));
 					out.flush();
@@ -148,8 +148,8 @@
 				String expected = request.header("expected-instance");
 				if (!expected.isEmpty() && !expected.equals(this.id)) {
 					this.record.line("worker %s 421 %s expected %s", this.id, attempt, expected);
-					out.write(Http.bytes("HTTP/1.1 421 x\r\n" + common + "Attempt-Id: " + attempt
-							+ "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+					out.write(Http.bytes("HTTP/1.1 421 x\r\n" + common + "${requestId}: " + attempt
+							+ "\r\n${notExecuted}: 1\r\nContent-Length: 0\r\n\r\n"));
 					out.flush();
 					continue;
 				}
@@ -169,8 +169,8 @@
 				}
 				byte[] body = (byte[]) answer[1];
 				String extra = (answer.length > 2) ? (String) answer[2] : "";
-				out.write(Http.bytes("HTTP/1.1 " + answer[0] + " x\r\n" + common + "Attempt-Id: " + attempt
-						+ "\r\nResponse-Stamp: " + this.id + "." + attempt + "\r\n" + extra + "Content-Length: "
+				out.write(Http.bytes("HTTP/1.1 " + answer[0] + " x\r\n" + common + "${requestId}: " + attempt
+						+ "\r\n${stamp}: " + this.id + "." + attempt + "\r\n" + extra + "Content-Length: "
 						+ body.length + "\r\n\r\n"));
 				out.write(body);
 				out.flush();
