--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -49,6 +49,9 @@
 
 	private long nextLease = 7000;
 
+	/** Time of the last range read that found no items, as a host's read of the revision alone. */
+	volatile long emptyReadNs;
+
 	/** Answer 503 to calls from these local addresses; "*" for all. */
 	final Set<String> busyFor = ConcurrentHashMap.newKeySet();
 
@@ -221,6 +224,9 @@
 						found.add(item.json());
 					}
 				}
+				if (found.isEmpty()) {
+					this.emptyReadNs = System.nanoTime();
+				}
 				return new String[] { "200", "{\"items\":[" + String.join(",", found) + "],\"truncated\":" + truncated
 						+ ",\"currentRev\":" + this.revision + "}" };
 			}
