Move the identity of a server's start beside the registry entry

Cause: ServerStart (identifier and start) was nested in LeavingServers, so that other tables that remember something of a server could use the identifier alone. Change: a type of its own in medlardrum-state; no behaviour changes.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/LeavingServers.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/LeavingServers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
 
 /**
@@ -90,23 +91,4 @@
 		return starts;
 	}
 
-	/**
-	 * One start of a server.
-	 *
-	 * @param server identifier of the server
-	 * @param startedAtMs its start, in milliseconds since the Unix epoch, 0 if unknown
-	 */
-	public record ServerStart(String server, long startedAtMs) {
-
-		/**
-		 * Returns the start that a report describes.
-		 * @param report the report
-		 * @return the start
-		 */
-		public static ServerStart of(ServiceInstance report) {
-			return new ServerStart(report.id(), report.startedAtMs());
-		}
-
-	}
-
 }
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/LeavingServersTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/LeavingServersTests.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
-import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -12,7 +12,6 @@
 import org.medlardrum.coordination.internal.BackgroundThread;
 import org.medlardrum.decisions.crash.Evidence;
 import org.medlardrum.decisions.pool.ServerLoad;
-import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.LimitReport;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
@@ -24,6 +23,7 @@
 import org.medlardrum.peer.gen.SilentServer;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * Sends the other entry hosts this host's outstanding load at the backend servers and its
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -17,7 +17,6 @@
 import io.servicetalk.transport.api.IoExecutor;
 import org.medlardrum.decisions.routing.AttemptLedger;
 import org.medlardrum.decisions.routing.AttemptLimits;
-import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
@@ -32,6 +31,7 @@
 import org.medlardrum.gateway.internal.relay.RelayHeader;
 import org.medlardrum.gateway.internal.relay.RelayTarget;
 import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * Execution of one request as a state machine on the event loop. It handles signals and a
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -11,13 +11,13 @@
 import org.medlardrum.decisions.routing.ConfigFreshness;
 import org.medlardrum.decisions.routing.InstanceReports;
 import org.medlardrum.decisions.routing.LeavingServers;
-import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.PeerConfigVersions;
 import org.medlardrum.decisions.routing.PeerPaths;
 import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.state.routing.RoutingTable;
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
 
 /**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/ServerPermits.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/ServerPermits.java
@@ -4,13 +4,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.decisions.routing.RequestedPause;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.decisions.routing.ServerPauses;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ServerNotice;
 import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
 
 /**
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -7,7 +7,6 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.medlardrum.decisions.routing.LeavingServers.ServerStart;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
@@ -16,6 +15,7 @@
 import org.medlardrum.peer.gen.LeavingServer;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
 
 import static com.google.common.truth.Truth.assertThat;
--- /dev/null
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/ServerStart.java
@@ -0,0 +1,21 @@
+package org.medlardrum.state.routing;
+
+/**
+ * One start of a server. A server that starts again may keep its identifier and its
+ * address, but nothing that was learned of an earlier start holds for it.
+ *
+ * @param server identifier of the server
+ * @param startedAtMs its start, in milliseconds since the Unix epoch, 0 if unknown
+ */
+public record ServerStart(String server, long startedAtMs) {
+
+	/**
+	 * Returns the start that a report describes.
+	 * @param report the report
+	 * @return the start
+	 */
+	public static ServerStart of(ServiceInstance report) {
+		return new ServerStart(report.id(), report.startedAtMs());
+	}
+
+}
