Let any answer of the store end an outage for both threads of a follower

Cause: a failed read of the store's version set confirmFailed, which only a successful read of one's own cleared. An answer to a call for changes that had waited through the refusal cleared storeUnavailable alone, so that the confirmer went on with confirmations of another host, and the follower waited for it without an end. Change: StoreState, one sealed state with one transition for an answer, a failed call and a failed read of the version, replaces both flags and the confirmer's retry delay (same delays as before).

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -86,19 +86,12 @@
 	/** Time of the next confirmation. */
 	private volatile long confirmDueMs = Long.MIN_VALUE;
 
-	private boolean storeUnavailable;
-
-	private long lastResponseAtMs;
+	private StoreState state;
 
 	private long holdRemovalsUntilMs = Long.MIN_VALUE;
 
 	private long followRetryMs = FIRST_RETRY_MS;
 
-	private long confirmRetryMs = FIRST_RETRY_MS;
-
-	/** Whether the last read of the newest version failed. */
-	private boolean confirmFailed;
-
 	/**
 	 * Creates a follower.
 	 * @param feed the store
@@ -114,7 +107,7 @@
 		this.monotonicMs = Objects.requireNonNull(monotonicMs, "monotonicMs");
 		this.wallMs = Objects.requireNonNull(wallMs, "wallMs");
 		this.options = Objects.requireNonNull(options, "options");
-		this.lastResponseAtMs = monotonicMs.getAsLong();
+		this.state = new StoreState.Available(monotonicMs.getAsLong());
 	}
 
 	/**
@@ -222,12 +215,12 @@
 	}
 
 	private synchronized boolean isStoreAvailable() {
-		return !this.storeUnavailable;
+		return this.state instanceof StoreState.Available;
 	}
 
 	// While the confirmer finds the store unavailable, only the confirmer calls it.
 	private synchronized boolean isWaitingForStore() {
-		return this.confirmFailed && this.version != null && !this.historyLost;
+		return this.state instanceof StoreState.Away && this.version != null && !this.historyLost;
 	}
 
 	// Returns false if this host has to read the store itself.
@@ -262,7 +255,6 @@
 			return recordConfirmFailure(EARLIER_ERA);
 		}
 		recordResponse();
-		resetConfirmRetry();
 		applyHeldBackRemovals();
 		catchUpWith(newest);
 		if (!isMissingChanges(newest)) {
@@ -410,20 +402,18 @@
 
 	private synchronized void recordResponse() {
 		long nowMs = this.monotonicMs.getAsLong();
-		if (this.storeUnavailable) {
-			this.storeUnavailable = false;
+		if (!(this.state instanceof StoreState.Available)) {
 			this.holdRemovalsUntilMs = nowMs + this.options.holdRemovalsMs();
-			long outageMs = nowMs - this.lastResponseAtMs;
+			long outageMs = nowMs - this.state.answeredAtMs();
 			notifyListener((listener) -> listener.storeAvailable(outageMs));
 		}
-		this.lastResponseAtMs = nowMs;
+		this.state = this.state.afterAnswer(nowMs);
 	}
 
 	// A failed call for changes leaves it to the confirmer to find out whether the store
-	// is
-	// available, so that an outage costs the calls of one thread only.
+	// is available, so that an outage costs the calls of one thread only.
 	private synchronized long recordFailure(String reason) {
-		markUnavailable(reason);
+		enter(this.state.afterFailedCall(), reason);
 		this.confirmDueMs = Long.MIN_VALUE;
 		this.confirmer.wake();
 		this.followRetryMs = Math.min(MAX_RETRY_MS, this.followRetryMs * 2);
@@ -431,28 +421,22 @@
 	}
 
 	private synchronized long recordConfirmFailure(String reason) {
-		markUnavailable(reason);
-		this.confirmFailed = true;
-		this.confirmRetryMs = Math.min(MAX_RETRY_MS, this.confirmRetryMs * 2);
-		return this.confirmRetryMs / 2;
+		StoreState.Away away = this.state.afterFailedVersion();
+		enter(away, reason);
+		return away.retryMs();
 	}
 
-	private void markUnavailable(String reason) {
-		if (!this.storeUnavailable) {
-			this.storeUnavailable = true;
+	private void enter(StoreState next, String reason) {
+		if (this.state instanceof StoreState.Available) {
 			notifyListener((listener) -> listener.storeUnavailable(reason));
 		}
+		this.state = next;
 	}
 
 	private synchronized long followRetryDelayMs() {
 		return this.followRetryMs;
 	}
 
-	private synchronized void resetConfirmRetry() {
-		this.confirmFailed = false;
-		this.confirmRetryMs = FIRST_RETRY_MS;
-	}
-
 	// The copy stays valid when the listener fails, and must not be read again for it.
 	private void notifyListener(Consumer<StoreListener> call) {
 		try {
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -36,6 +36,10 @@
 
 	private long confirmTookMs;
 
+	/** What the confirmer does while the next call for changes is in progress. */
+	private Runnable duringNextCall = () -> {
+	};
+
 	private final Recorder recorder = new Recorder();
 
 	private final StoreFollower follower = new StoreFollower(new ScriptedFeed(), this.recorder, this.nowMs::get,
@@ -153,6 +157,26 @@
 		assertThat(this.recorder.events).containsExactly("lost", "regained").inOrder();
 	}
 
+	/**
+	 * Guards against a follower that waits for a confirmation of its own while the other
+	 * host confirms the copy: it never asks for changes again.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "status 503", "time-out" })
+	void answerToACallThatWaitedThroughAnOutageLetsTheFollowerGoOn(String reason) {
+		follow(1, ok(5, put("a", "1")));
+		this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(6), 0)));
+		this.duringNextCall = () -> {
+			this.follower.requestRead();
+			confirm(1, new StoreResult.Unavailable<>(reason));
+		};
+		follow(2_000, ok(6, new StoreChange("a", "2", version(6))));
+		this.nowMs.addAndGet(2_000);
+		this.follower.confirmStep();
+		follow(1, ok(7, new StoreChange("a", "3", version(7))));
+		assertThat(this.recorder.values).containsExactly("a", "3");
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "5, 300, 11700", "4, 0, 12000" })
 	void versionThatAnotherHostHasReadConfirmsTheCopyAtItsAge(long revision, long ageMs, long confirmedMs) {
@@ -257,6 +281,10 @@
 
 		private StoreResult<StoreChanges> nextResponse() {
 			ScriptedResponse response = StoreFollowerTests.this.responses.remove();
+			Runnable action = StoreFollowerTests.this.duringNextCall;
+			StoreFollowerTests.this.duringNextCall = () -> {
+			};
+			action.run();
 			StoreFollowerTests.this.nowMs.addAndGet(response.tookMs());
 			return response.result();
 		}
