Take a failed call for changes for an outage only if the store cannot be read

Cause: a call for changes that failed marked the store as unavailable. The read that followed ended that outage within milliseconds, and removals were then held back for 2.2 s, as after an outage in which leases may expire. Change: such a call leads to the state Unconfirmed, which the confirmer's read resolves; only a read that fails is an outage. A line call-failed tells both apart. Changed test: removalOfEntriesThatExpireDuringAnOutageIsHeldBack had a single failed call as its outage, which was the fault. It now has a read that fails as well; its assertions stay. Two lists of events have "call failed" first.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -175,9 +175,9 @@
 				markHistoryLost();
 				yield 0;
 			}
-			case StoreResult.Conflict<StoreChanges> conflict -> recordFailure("unexpected conflict");
-			case StoreResult.Unavailable<StoreChanges> unavailable -> recordFailure(unavailable.reason());
-			case StoreResult.Unknown<StoreChanges> unknown -> recordFailure(unknown.reason());
+			case StoreResult.Conflict<StoreChanges> conflict -> recordFailedWait("unexpected conflict");
+			case StoreResult.Unavailable<StoreChanges> unavailable -> recordFailedWait(unavailable.reason());
+			case StoreResult.Unknown<StoreChanges> unknown -> recordFailedWait(unknown.reason());
 		};
 	}
 
@@ -207,10 +207,10 @@
 		this.readListener.run();
 		return switch (result) {
 			case StoreResult.Ok<StoreVersion> ok -> confirm(ok.value(), sentMs, sentWallMs);
-			case StoreResult.NotFound<StoreVersion> none -> recordConfirmFailure("the store returned no version");
-			case StoreResult.Conflict<StoreVersion> conflict -> recordConfirmFailure("unexpected conflict");
-			case StoreResult.Unavailable<StoreVersion> unavailable -> recordConfirmFailure(unavailable.reason());
-			case StoreResult.Unknown<StoreVersion> unknown -> recordConfirmFailure(unknown.reason());
+			case StoreResult.NotFound<StoreVersion> none -> recordFailedRead("the store returned no version");
+			case StoreResult.Conflict<StoreVersion> conflict -> recordFailedRead("unexpected conflict");
+			case StoreResult.Unavailable<StoreVersion> unavailable -> recordFailedRead(unavailable.reason());
+			case StoreResult.Unknown<StoreVersion> unknown -> recordFailedRead(unknown.reason());
 		};
 	}
 
@@ -252,7 +252,7 @@
 
 	private long confirm(StoreVersion newest, long sentMs, long sentWallMs) {
 		if (isEarlierEra(newest)) {
-			return recordConfirmFailure(EARLIER_ERA);
+			return recordFailedRead(EARLIER_ERA);
 		}
 		recordResponse();
 		applyHeldBackRemovals();
@@ -291,13 +291,13 @@
 		StoreResult<StoreChanges> result = this.feed.read("");
 		if (result instanceof StoreResult.Ok<StoreChanges> ok) {
 			if (!replaceCopy(ok.value())) {
-				recordFailure(EARLIER_ERA);
+				recordFailedReadAll(EARLIER_ERA);
 				return false;
 			}
 			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 			return true;
 		}
-		recordFailure(reason(result));
+		recordFailedReadAll(reason(result));
 		return false;
 	}
 
@@ -347,7 +347,7 @@
 
 	private synchronized long applyChanges(StoreChanges changes) {
 		if (isEarlierEra(changes.version())) {
-			return recordFailure(EARLIER_ERA);
+			return recordFailedWait(EARLIER_ERA);
 		}
 		recordResponse();
 		if (!changes.version().isSameEra(this.version)) {
@@ -402,35 +402,43 @@
 
 	private synchronized void recordResponse() {
 		long nowMs = this.monotonicMs.getAsLong();
-		if (!(this.state instanceof StoreState.Available)) {
+		if (this.state instanceof StoreState.Away away) {
 			this.holdRemovalsUntilMs = nowMs + this.options.holdRemovalsMs();
-			long outageMs = nowMs - this.state.answeredAtMs();
+			long outageMs = nowMs - away.answeredAtMs();
 			notifyListener((listener) -> listener.storeAvailable(outageMs));
 		}
 		this.state = this.state.afterAnswer(nowMs);
 	}
 
-	// A failed call for changes leaves it to the confirmer to find out whether the store
-	// is available, so that an outage costs the calls of one thread only.
-	private synchronized long recordFailure(String reason) {
-		enter(this.state.afterFailedCall(), reason);
-		this.confirmDueMs = Long.MIN_VALUE;
-		this.confirmer.wake();
-		this.followRetryMs = Math.min(MAX_RETRY_MS, this.followRetryMs * 2);
-		return this.followRetryMs / 2;
+	// Leaves it to the confirmer to find out whether the store is available, so that an
+	// outage costs the calls of one thread only.
+	private synchronized long recordFailedWait(String reason) {
+		if (this.state instanceof StoreState.Available) {
+			notifyListener((listener) -> listener.callFailed(reason));
+		}
+		this.state = this.state.afterFailedWait();
+		return retryAfterConfirmation();
 	}
 
-	private synchronized long recordConfirmFailure(String reason) {
-		StoreState.Away away = this.state.afterFailedVersion();
-		enter(away, reason);
-		return away.retryMs();
+	private synchronized void recordFailedReadAll(String reason) {
+		recordFailedRead(reason);
+		retryAfterConfirmation();
 	}
 
-	private void enter(StoreState next, String reason) {
-		if (this.state instanceof StoreState.Available) {
+	private synchronized long recordFailedRead(String reason) {
+		if (!(this.state instanceof StoreState.Away)) {
 			notifyListener((listener) -> listener.storeUnavailable(reason));
 		}
-		this.state = next;
+		StoreState.Away away = this.state.afterFailedRead();
+		this.state = away;
+		return away.retryMs();
+	}
+
+	private long retryAfterConfirmation() {
+		this.confirmDueMs = Long.MIN_VALUE;
+		this.confirmer.wake();
+		this.followRetryMs = Math.min(MAX_RETRY_MS, this.followRetryMs * 2);
+		return this.followRetryMs / 2;
 	}
 
 	private synchronized long followRetryDelayMs() {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
@@ -25,7 +25,14 @@
 	void confirmed(long monotonicMs, long wallMs);
 
 	/**
-	 * Called when the store becomes unavailable.
+	 * Called when a call for changes has failed after calls that were answered. Whether
+	 * the store is unavailable is not known yet.
+	 * @param reason short technical reason
+	 */
+	void callFailed(String reason);
+
+	/**
+	 * Called when the store becomes unavailable: its version or its keys cannot be read.
 	 * @param reason short technical reason
 	 */
 	void storeUnavailable(String reason);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreState.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreState.java
@@ -29,10 +29,11 @@
 	}
 
 	/**
-	 * Returns the state after a call for changes, or a read of all keys, that failed.
+	 * Returns the state after a call for changes that failed. The store may end a waiting
+	 * call at any time, so this alone is no outage.
 	 * @return the state
 	 */
-	default StoreState afterFailedCall() {
+	default StoreState afterFailedWait() {
 		return switch (this) {
 			case Available available -> new Unconfirmed(available.answeredAtMs());
 			case Unconfirmed unconfirmed -> unconfirmed;
@@ -41,10 +42,10 @@
 	}
 
 	/**
-	 * Returns the state after a read of the store's version that failed.
+	 * Returns the state after a read of the store's version, or of all keys, that failed.
 	 * @return the state, which says when to read the version again
 	 */
-	default Away afterFailedVersion() {
+	default Away afterFailedRead() {
 		return switch (this) {
 			case Away away -> new Away(away.answeredAtMs(), Math.min(MAX_RETRY_MS, away.retryMs() * 2));
 			case Available available -> new Away(available.answeredAtMs(), FIRST_RETRY_MS);
@@ -69,8 +70,8 @@
 	}
 
 	/**
-	 * The store's version cannot be read. Only that read is repeated, so that an outage
-	 * costs the calls of one thread.
+	 * The store cannot be read. With a valid copy only the version is read again, so that
+	 * an outage costs the calls of one thread.
 	 *
 	 * @param answeredAtMs time of the last answer on the monotonic clock
 	 * @param retryMs delay before the version is read again
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/RestoredStoreModelTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/RestoredStoreModelTests.java
@@ -194,6 +194,10 @@
 			this.removalsHeldUntilMs = this.nowMs + HOLD_REMOVALS_MS;
 		}
 
+		@Override
+		public void callFailed(String reason) {
+		}
+
 		@Override
 		public void storeUnavailable(String reason) {
 			// Losses of calls are random.
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -132,13 +132,34 @@
 	void removalOfEntriesThatExpireDuringAnOutageIsHeldBack() {
 		follow(1, ok(5, put("servers/a", "1"), put("servers/b", "1")));
 		follow(1, new StoreResult.Unavailable<>("down"));
+		confirm(900, new StoreResult.Unavailable<>("down"));
+		this.nowMs.addAndGet(2_000);
+		confirm(1, new StoreResult.Ok<>(version(5)));
 		follow(1, ok(7, removed("servers/a"), removed("servers/b")));
 		assertThat(this.recorder.values).hasSize(2);
 		follow(1_000, ok(8, new StoreChange("servers/a", "2", version(8))));
 		this.nowMs.addAndGet(2_000);
 		confirm(1, new StoreResult.Ok<>(version(8)));
 		assertThat(this.recorder.values).containsExactly("servers/a", "2");
-		assertThat(this.recorder.events).containsExactly("lost", "regained").inOrder();
+		assertThat(this.recorder.events).containsExactly("call failed", "lost", "regained").inOrder();
+	}
+
+	/**
+	 * Guards against taking a call for changes that was cut for an outage of the store: a
+	 * server that leaves soon after it would get requests until its removal is no longer
+	 * held back.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "true", "false" })
+	void removalSoonAfterACutCallTakesEffectAtOnce(boolean confirmedBefore) {
+		follow(1, ok(5, put("servers/a", "1")));
+		follow(500, new StoreResult.Unavailable<>("connection closed"));
+		if (confirmedBefore) {
+			confirm(4, new StoreResult.Ok<>(version(5)));
+		}
+		follow(500, ok(6, removed("servers/a")));
+		assertThat(this.recorder.values).isEmpty();
+		assertThat(this.recorder.events).containsExactly("call failed");
 	}
 
 	/** An outage must not cost the calls of both threads. */
@@ -154,7 +175,7 @@
 		confirm(1, new StoreResult.Ok<>(version(5)));
 		follow(1, ok(6, new StoreChange("a", "2", version(6))));
 		assertThat(this.recorder.values).containsExactly("a", "2");
-		assertThat(this.recorder.events).containsExactly("lost", "regained").inOrder();
+		assertThat(this.recorder.events).containsExactly("call failed", "lost", "regained").inOrder();
 	}
 
 	/**
@@ -322,6 +343,11 @@
 			this.confirmedMs = monotonicMs;
 		}
 
+		@Override
+		public void callFailed(String reason) {
+			this.events.add("call failed");
+		}
+
 		@Override
 		public void storeUnavailable(String reason) {
 			this.events.add("lost");
