Apply removals when the time for which they are held back ends

Callers saw: after an outage of the store, requests to servers that had left, for up to 1.8 s longer than their removal needed to be held back. Cause: removals that are held back took effect with confirmations only, which come every 1.8 s. Change: a confirmation is due when that time ends. The removals take effect after the copy has caught up with it, so that an entry that was written again is not removed for a moment. HeldBackRemovals keeps the keys and the time.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -72,8 +72,7 @@
 
 	private final Map<String, String> values = new HashMap<>();
 
-	/** Keys whose removal is held back. */
-	private final Set<String> heldBackRemovals = new HashSet<>();
+	private final HeldBackRemovals heldBackRemovals = new HeldBackRemovals();
 
 	/** Version of the copy, {@code null} before the first read. */
 	private StoreVersion version;
@@ -88,8 +87,6 @@
 
 	private StoreState state;
 
-	private long holdRemovalsUntilMs = Long.MIN_VALUE;
-
 	private long followRetryMs = FIRST_RETRY_MS;
 
 	/**
@@ -191,13 +188,13 @@
 			return FIRST_RETRY_MS;
 		}
 		long sentMs = this.monotonicMs.getAsLong();
-		if (sentMs < this.confirmDueMs && !this.readAsked) {
-			return this.confirmDueMs - sentMs;
+		long dueMs = nextConfirmationMs();
+		if (sentMs < dueMs && !this.readAsked) {
+			return dueMs - sentMs;
 		}
 		long sentWallMs = this.wallMs.getAsLong();
 		if (!this.readAsked && isStoreAvailable() && confirmThroughPeer(sentMs, sentWallMs)) {
-			this.confirmDueMs = sentMs + this.options.confirmMs();
-			return this.options.confirmMs();
+			return confirmAgainAfter(sentMs);
 		}
 		this.readAsked = false;
 		StoreResult<StoreVersion> result = this.feed.version();
@@ -255,16 +252,20 @@
 			return recordFailedRead(EARLIER_ERA);
 		}
 		recordResponse();
-		applyHeldBackRemovals();
 		catchUpWith(newest);
 		if (!isMissingChanges(newest)) {
+			applyHeldBackRemovals();
 			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 		}
 		else if (!readAll()) {
 			return MAX_RETRY_MS;
 		}
+		return confirmAgainAfter(sentMs);
+	}
+
+	private long confirmAgainAfter(long sentMs) {
 		this.confirmDueMs = sentMs + this.options.confirmMs();
-		return this.options.confirmMs();
+		return Math.max(0, nextConfirmationMs() - sentMs);
 	}
 
 	private boolean isMissingChanges(StoreVersion newest) {
@@ -325,7 +326,7 @@
 		recordResponse();
 		if (this.version == null || !this.version.isSameEra(all.version())) {
 			if (this.version != null) {
-				this.holdRemovalsUntilMs = this.monotonicMs.getAsLong() + this.options.holdRemovalsMs();
+				holdRemovals();
 			}
 			StoreVersion before = this.version;
 			notifyListener((listener) -> listener.eraChanged(before, all.version()));
@@ -378,32 +379,42 @@
 
 	private void put(StoreChange change) {
 		this.values.put(change.key(), change.value());
-		this.heldBackRemovals.remove(change.key());
+		this.heldBackRemovals.cancel(change.key());
 	}
 
 	private void remove(String key) {
-		if (this.monotonicMs.getAsLong() < this.holdRemovalsUntilMs && this.values.containsKey(key)) {
-			this.heldBackRemovals.add(key);
+		if (this.values.containsKey(key) && this.heldBackRemovals.hold(key, this.monotonicMs.getAsLong())) {
+			this.confirmer.wake();
 		}
 		else {
 			this.values.remove(key);
+			this.heldBackRemovals.cancel(key);
 		}
 	}
 
+	private void holdRemovals() {
+		this.heldBackRemovals.holdUntil(this.monotonicMs.getAsLong() + this.options.holdRemovalsMs());
+	}
+
+	// A confirmation is due when removals are to take effect, because the copy may lack
+	// that their keys were written again.
+	private synchronized long nextConfirmationMs() {
+		return Math.min(this.confirmDueMs, this.heldBackRemovals.dueMs());
+	}
+
 	private synchronized void applyHeldBackRemovals() {
-		if (this.heldBackRemovals.isEmpty() || this.monotonicMs.getAsLong() < this.holdRemovalsUntilMs) {
-			return;
+		Set<String> released = this.heldBackRemovals.release(this.monotonicMs.getAsLong());
+		if (!released.isEmpty()) {
+			released.forEach(this.values::remove);
+			Map<String, String> copy = Map.copyOf(this.values);
+			notifyListener((listener) -> listener.changed(copy));
 		}
-		this.heldBackRemovals.forEach(this.values::remove);
-		this.heldBackRemovals.clear();
-		Map<String, String> copy = Map.copyOf(this.values);
-		notifyListener((listener) -> listener.changed(copy));
 	}
 
 	private synchronized void recordResponse() {
 		long nowMs = this.monotonicMs.getAsLong();
 		if (this.state instanceof StoreState.Away away) {
-			this.holdRemovalsUntilMs = nowMs + this.options.holdRemovalsMs();
+			holdRemovals();
 			long outageMs = nowMs - away.answeredAtMs();
 			notifyListener((listener) -> listener.storeAvailable(outageMs));
 		}
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -144,6 +144,28 @@
 		assertThat(this.recorder.events).containsExactly("call failed", "lost", "regained").inOrder();
 	}
 
+	/**
+	 * Guards against a removal that is held back until the next confirmation after its
+	 * time.
+	 */
+	@Test
+	void removalThatIsHeldBackTakesEffectWhenItsTimeIsOver() {
+		follow(1, ok(5, put("servers/a", "1")));
+		confirm(1, new StoreResult.Unavailable<>("down"));
+		this.nowMs.addAndGet(3_000);
+		confirm(0, new StoreResult.Ok<>(version(5)));
+		long regainedAtMs = this.nowMs.get();
+		follow(1, ok(6, removed("servers/a")));
+		this.nowMs.set(regainedAtMs + 1_800);
+		this.versions.add(new StoreResult.Ok<>(version(6)));
+		assertThat(this.follower.confirmStep()).isEqualTo(400);
+		assertThat(this.recorder.values).hasSize(1);
+		this.nowMs.set(regainedAtMs + 2_200);
+		confirm(0, new StoreResult.Ok<>(version(6)));
+		assertThat(this.recorder.values).isEmpty();
+		assertThat(this.follower.confirmStep()).isEqualTo(1_800);
+	}
+
 	/**
 	 * Guards against taking a call for changes that was cut for an outage of the store: a
 	 * server that leaves soon after it would get requests until its removal is no longer
