Count crashes by the start of a server, not by its identifier

Cause: CrashEvidence kept the crashes by the identifier of the server. All crashes of a server that keeps it were one entry, and a conviction needs two or three. A crashed first engine counted as crashed for 60 s after it was back, for the same reason. Change: the start (ServerStart) is the key, in the evidence, in the digests (optional field startedAtMs) and in the log. A crash told by an earlier build has no start; it does not count beside one of the same server with a start. RequestExecution takes the receiver of a call from its attempt, so that one table of servers remains.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/CrashEvidence.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/crash/CrashEvidence.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.medlardrum.decisions.crash.Evidence.State;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * Evidence of what crashes servers, merged from all entry hosts, and the verdicts that
@@ -21,7 +22,7 @@
  * thread-safe.
  *
  * <pre>
- * evidence.recordCrash("server-1", Set.of(Subject.promptPart("5c1e")), nowMs);
+ * evidence.recordCrash(new ServerStart("server-1", startedAtMs), Set.of(Subject.promptPart("5c1e")), nowMs);
  * Verdict verdict = evidence.verdict(Set.of(Subject.promptPart("5c1e")), nowMs);
  * </pre>
  */
@@ -44,7 +45,7 @@
 
 	private final long retentionMs;
 
-	private final Map<String, Crash> crashes = new LinkedHashMap<>();
+	private final Map<ServerStart, Crash> crashes = new LinkedHashMap<>();
 
 	private final Map<Subject, Boolean> begun = new LinkedHashMap<>(16, 0.75F, true) {
 
@@ -73,12 +74,12 @@
 	/**
 	 * Records the subjects of a request that a server had not begun to answer when it
 	 * crashed.
-	 * @param crash identifier of the crash
+	 * @param crash the start that ended with the crash
 	 * @param subjects the subjects, parts of the prompt in their order
 	 * @param nowMs current time
 	 * @return the evidence that is new, for other hosts
 	 */
-	public List<Evidence> recordCrash(String crash, Collection<Subject> subjects, long nowMs) {
+	public List<Evidence> recordCrash(ServerStart crash, Collection<Subject> subjects, long nowMs) {
 		List<Evidence> changed = new ArrayList<>();
 		int position = 0;
 		for (Subject subject : subjects) {
@@ -100,10 +101,10 @@
 		List<Evidence> changed = new ArrayList<>();
 		for (Subject subject : subjects) {
 			this.begun.put(subject, Boolean.TRUE);
-			this.crashes.forEach((id, crash) -> {
+			this.crashes.forEach((start, crash) -> {
 				if (crash.isAccused(subject)) {
 					crash.states.put(subject, State.CLEARED);
-					changed.add(crash.evidence(id, subject, nowMs));
+					changed.add(crash.evidence(start, subject, nowMs));
 				}
 			});
 		}
@@ -196,9 +197,9 @@
 	public List<Evidence> evidenceOfConvictions(long nowMs) {
 		expire(nowMs);
 		List<Evidence> result = new ArrayList<>();
-		this.crashes.forEach((id, crash) -> crash.states.forEach((subject, state) -> {
+		this.crashes.forEach((start, crash) -> crash.states.forEach((subject, state) -> {
 			if (state != State.CLEARED && judgement().convicted.contains(subject)) {
-				result.add(crash.evidence(id, subject, nowMs));
+				result.add(crash.evidence(start, subject, nowMs));
 			}
 		}));
 		return result;
@@ -206,10 +207,10 @@
 
 	/**
 	 * Returns whether there is evidence of a crash.
-	 * @param crash identifier of the crash
+	 * @param crash the start that ended with the crash
 	 * @return {@code true} if the crash is known and its evidence has not expired
 	 */
-	public boolean hasCrash(String crash) {
+	public boolean hasCrash(ServerStart crash) {
 		return this.crashes.containsKey(crash);
 	}
 
@@ -239,8 +240,8 @@
 			this.recordedAtMs = recordedAtMs;
 		}
 
-		Evidence evidence(String id, Subject subject, long nowMs) {
-			return new Evidence(id, subject, this.positions.getOrDefault(subject, 0), this.states.get(subject),
+		Evidence evidence(ServerStart start, Subject subject, long nowMs) {
+			return new Evidence(start, subject, this.positions.getOrDefault(subject, 0), this.states.get(subject),
 					nowMs - this.recordedAtMs);
 		}
 
@@ -276,8 +277,8 @@
 	private record Judgement(Set<Subject> convicted, Set<Subject> suspected) {
 
 		// Requests are judged by the crashes that no part of a prompt explains.
-		static Judgement of(Map<String, Crash> crashes) {
-			List<Crash> unexplained = new ArrayList<>(crashes.values());
+		static Judgement of(Map<ServerStart, Crash> crashes) {
+			List<Crash> unexplained = distinct(crashes);
 			Set<Subject> convicted = new HashSet<>(convict(Subject.Kind.PROMPT_PART, unexplained));
 			Set<Subject> suspected = new HashSet<>();
 			for (Crash crash : unexplained) {
@@ -289,6 +290,19 @@
 			return new Judgement(convicted, suspected);
 		}
 
+		// A crash whose start is unknown may be one of the same server that is known.
+		private static List<Crash> distinct(Map<ServerStart, Crash> crashes) {
+			Set<String> known = new HashSet<>();
+			crashes.keySet().stream().filter(ServerStart::isKnown).map(ServerStart::server).forEach(known::add);
+			List<Crash> distinct = new ArrayList<>();
+			crashes.forEach((start, crash) -> {
+				if (start.isKnown() || !known.contains(start.server())) {
+					distinct.add(crash);
+				}
+			});
+			return distinct;
+		}
+
 		// Removes the crashes that a convicted subject explains. Each conviction may
 		// leave
 		// another subject alone to blame for a crash.
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/crash/CrashEvidenceTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/crash/CrashEvidenceTests.java
@@ -10,8 +10,10 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.medlardrum.decisions.crash.Evidence.State;
+import org.medlardrum.state.routing.ServerStart;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -32,6 +34,10 @@
 
 	private final CrashEvidence evidence = new CrashEvidence(RETENTION_MS);
 
+	private static ServerStart start(String server) {
+		return new ServerStart(server, 1);
+	}
+
 	private static List<Subject> request(String fingerprint, Subject... parts) {
 		List<Subject> subjects = new ArrayList<>(List.of(parts));
 		subjects.add(Subject.request(fingerprint));
@@ -49,10 +55,10 @@
 	@Test
 	void partIsConvictedAtItsSecondCrashWhateverElseTheRequestsHold() {
 		this.evidence.recordBegun(List.of(COMMON), 0);
-		this.evidence.recordCrash("e1", request("r1", COMMON, DEADLY), 100);
+		this.evidence.recordCrash(start("e1"), request("r1", COMMON, DEADLY), 100);
 		assertThat(isSuspected(DEADLY)).isTrue();
 		assertThat(isSuspected(COMMON)).isFalse();
-		this.evidence.recordCrash("e2", request("r2", COMMON, DEADLY), 200);
+		this.evidence.recordCrash(start("e2"), request("r2", COMMON, DEADLY), 200);
 		assertThat(isConvicted(DEADLY)).isTrue();
 		assertThat(isConvicted(COMMON)).isFalse();
 		assertThat(isSuspected(COMMON)).isFalse();
@@ -63,9 +69,9 @@
 	 */
 	@Test
 	void partThatAllRequestsShareIsNotConvictedBesideOneThatFewShare() {
-		this.evidence.recordCrash("e1", request("r1", COMMON, DEADLY), 100);
-		this.evidence.recordCrash("e2", request("r2", COMMON, DEADLY), 200);
-		this.evidence.recordCrash("e3", request("r3", COMMON, DEADLY), 300);
+		this.evidence.recordCrash(start("e1"), request("r1", COMMON, DEADLY), 100);
+		this.evidence.recordCrash(start("e2"), request("r2", COMMON, DEADLY), 200);
+		this.evidence.recordCrash(start("e3"), request("r3", COMMON, DEADLY), 300);
 		assertThat(isConvicted(DEADLY)).isTrue();
 		assertThat(isConvicted(COMMON)).isFalse();
 	}
@@ -73,7 +79,8 @@
 	@Test
 	void deadlyPartIsFoundBeforeLaterPartsThatDiffer() {
 		for (int i = 1; i <= 3; i++) {
-			this.evidence.recordCrash("e" + i, request("r" + i, DEADLY, Subject.promptPart("other-" + i)), 100 * i);
+			this.evidence.recordCrash(start("e" + i), request("r" + i, DEADLY, Subject.promptPart("other-" + i)),
+					100 * i);
 			assertThat(isSuspected(DEADLY)).isEqualTo(i < 3);
 		}
 		assertThat(isConvicted(DEADLY)).isTrue();
@@ -87,8 +94,8 @@
 	@Test
 	void soundPartOfACrashedBatchIsClearedByAnAnswerAndLeavesTheDeadlyOneAlone() {
 		for (int i = 1; i <= 2; i++) {
-			this.evidence.recordCrash("e" + i, request("r1", DEADLY), 100 * i);
-			this.evidence.recordCrash("e" + i, request("r2", SOUND), 100 * i);
+			this.evidence.recordCrash(start("e" + i), request("r1", DEADLY), 100 * i);
+			this.evidence.recordCrash(start("e" + i), request("r2", SOUND), 100 * i);
 		}
 		assertThat(isConvicted(DEADLY)).isFalse();
 		assertThat(isConvicted(SOUND)).isFalse();
@@ -100,10 +107,10 @@
 
 	@Test
 	void requestsAreNotBlamedForCrashesThatAPartExplains() {
-		this.evidence.recordCrash("e1", request("r1", DEADLY), 100);
-		this.evidence.recordCrash("e1", request("r2"), 100);
-		this.evidence.recordCrash("e2", request("r1", DEADLY), 200);
-		this.evidence.recordCrash("e2", request("r2"), 200);
+		this.evidence.recordCrash(start("e1"), request("r1", DEADLY), 100);
+		this.evidence.recordCrash(start("e1"), request("r2"), 100);
+		this.evidence.recordCrash(start("e2"), request("r1", DEADLY), 200);
+		this.evidence.recordCrash(start("e2"), request("r2"), 200);
 		assertThat(isConvicted(DEADLY)).isTrue();
 		assertThat(isConvicted(Subject.request("r2"))).isFalse();
 	}
@@ -111,10 +118,10 @@
 	@Test
 	void partThatTurnsDeadlyAfterItWasAnsweredIsConvicted() {
 		this.evidence.recordBegun(List.of(COMMON, DEADLY), 0);
-		this.evidence.recordCrash("e1", request("r1", COMMON, DEADLY), 100);
+		this.evidence.recordCrash(start("e1"), request("r1", COMMON, DEADLY), 100);
 		assertThat(isSuspected(DEADLY)).isFalse();
 		this.evidence.recordBegun(List.of(COMMON), 150);
-		this.evidence.recordCrash("e2", request("r2", COMMON, DEADLY), 200);
+		this.evidence.recordCrash(start("e2"), request("r2", COMMON, DEADLY), 200);
 		assertThat(isConvicted(DEADLY)).isTrue();
 		assertThat(isConvicted(COMMON)).isFalse();
 	}
@@ -122,16 +129,30 @@
 	@Test
 	void oneCrashCountsOnceHoweverManyHostsReportIt() {
 		for (int i = 0; i < 5; i++) {
-			this.evidence.merge(new Evidence("e1", DEADLY, 1, State.SUSPECT, 0), 100 + i);
-			this.evidence.recordCrash("e1", request("r" + i, COMMON, DEADLY), 100 + i);
+			this.evidence.merge(new Evidence(start("e1"), DEADLY, 1, State.SUSPECT, 0), 100 + i);
+			this.evidence.recordCrash(start("e1"), request("r" + i, COMMON, DEADLY), 100 + i);
 		}
 		assertThat(isConvicted(DEADLY)).isFalse();
 	}
 
+	/**
+	 * Guards against taking the crashes of a server that starts again under its
+	 * identifier for one, and against counting one crash twice because a host of an
+	 * earlier build names no start.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 2, true", "1, 1, false", "0, 1, false", "1, 0, false", "0, 0, false" })
+	void crashesOfAServerAreToldApartByItsStarts(long firstStart, long secondStart, boolean convicted) {
+		this.evidence.recordCrash(new ServerStart("e1", firstStart), request("r1", DEADLY), 100);
+		this.evidence.recordCrash(new ServerStart("e1", secondStart), request("r2", DEADLY), 200);
+		assertThat(isConvicted(DEADLY)).isEqualTo(convicted);
+		assertThat(isSuspected(DEADLY)).isEqualTo(!convicted);
+	}
+
 	@Test
 	void evidenceExpiresAtTheSameTimeOnAllHosts() {
-		this.evidence.merge(new Evidence("e1", DEADLY, 1, State.SUSPECT, RETENTION_MS - 500), 0);
-		this.evidence.merge(new Evidence("e2", DEADLY, 1, State.SUSPECT, RETENTION_MS - 400), 0);
+		this.evidence.merge(new Evidence(start("e1"), DEADLY, 1, State.SUSPECT, RETENTION_MS - 500), 0);
+		this.evidence.merge(new Evidence(start("e2"), DEADLY, 1, State.SUSPECT, RETENTION_MS - 400), 0);
 		assertThat(this.evidence.verdict(Set.of(DEADLY), 300)).isEqualTo(new Verdict.Convicted(DEADLY, 500));
 		assertThat(this.evidence.verdict(Set.of(DEADLY), 450)).isInstanceOf(Verdict.Suspected.class);
 		assertThat(this.evidence.verdict(Set.of(DEADLY), 500)).isEqualTo(new Verdict.Clear());
@@ -157,8 +178,8 @@
 		List<Evidence> told = new ArrayList<>();
 		for (int i = 0; i < 24; i++) {
 			int part = random.nextInt(4);
-			told.add(new Evidence("e" + random.nextInt(4), Subject.promptPart("p" + part), part,
-					State.values()[random.nextInt(3)], 0));
+			told.add(new Evidence(new ServerStart("e" + random.nextInt(2), random.nextInt(3)),
+					Subject.promptPart("p" + part), part, State.values()[random.nextInt(3)], 0));
 		}
 		CrashEvidence one = new CrashEvidence(RETENTION_MS);
 		CrashEvidence other = new CrashEvidence(RETENTION_MS);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/EvidenceCodec.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/EvidenceCodec.java
@@ -7,6 +7,7 @@
 import org.medlardrum.peer.gen.CrashEvidence;
 import org.medlardrum.peer.gen.CrashSubjectKind;
 import org.medlardrum.peer.gen.CrashSubjectState;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * Converts evidence about crashes to the form that it has in digests, and back.
@@ -26,8 +27,10 @@
 			case KNOWN_BEFORE -> CrashSubjectState.KNOWN_BEFORE;
 			case CLEARED -> CrashSubjectState.CLEARED;
 		};
-		return new CrashEvidence(evidence.crash(), kind, evidence.subject().id(), evidence.position(), state,
-				evidence.ageMs());
+		CrashEvidence encoded = new CrashEvidence(evidence.crash().server(), kind, evidence.subject().id(),
+				evidence.position(), state, evidence.ageMs());
+		encoded.setStartedAtMs(evidence.crash().startedAtMs());
+		return encoded;
 	}
 
 	/**
@@ -49,7 +52,8 @@
 			case KNOWN_BEFORE -> Evidence.State.KNOWN_BEFORE;
 			case CLEARED -> Evidence.State.CLEARED;
 		};
-		return Optional.of(new Evidence(encoded.getCrash(), subject, encoded.getPosition(), state, encoded.getAgeMs()));
+		return Optional.of(new Evidence(new ServerStart(encoded.getCrash(), encoded.getStartedAtMs()), subject,
+				encoded.getPosition(), state, encoded.getAgeMs()));
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantine.java
@@ -20,6 +20,7 @@
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * Requests that run at each server, and the parts of prompts and requests that are
@@ -104,20 +105,20 @@
 
 	/**
 	 * Records that a request is sent to a server.
-	 * @param serverId identifier of the server instance
+	 * @param server start of the server
 	 * @param address address of the server
 	 * @param request the request
 	 * @param begunBefore whether another server has begun to answer the request
 	 * @return the attempt, to be ended with {@link #recordEnd}
 	 */
-	public synchronized RunningAttempt recordStart(String serverId, String address, GatewayRequest request,
+	public synchronized RunningAttempt recordStart(ServerStart server, String address, GatewayRequest request,
 			boolean begunBefore) {
-		RunningAttempt attempt = new RunningAttempt(serverId, address, request, begunBefore, this.clock.monotonicMs());
+		RunningAttempt attempt = new RunningAttempt(server, address, request, begunBefore, this.clock.monotonicMs());
 		this.runningByAddress.computeIfAbsent(address, (key) -> new LinkedHashSet<>()).add(attempt);
 		if (!this.empty && verdict(request) instanceof Verdict.Suspected suspected) {
 			this.trials.add(attempt);
 			this.log.event("quarantine", "trial", "id", request.id(), "subject", suspected.subject().id(), "server",
-					serverId, "crashMsAgo", this.clock.monotonicMs() - suspected.sinceMs());
+					server.server(), "crashMsAgo", this.clock.monotonicMs() - suspected.sinceMs());
 		}
 		return attempt;
 	}
@@ -216,7 +217,8 @@
 				if (attempt.mayHaveCrashedServer()) {
 					Set<Subject> subjects = subjects(attempt.request());
 					this.witnessed.addAll(subjects);
-					changed.addAll(this.evidence.recordCrash(attempt.serverId(), subjects, this.clock.monotonicMs()));
+					changed
+						.addAll(this.evidence.recordCrash(attempt.serverStart(), subjects, this.clock.monotonicMs()));
 				}
 			}
 			this.empty = this.evidence.isEmpty();
@@ -255,12 +257,12 @@
 	}
 
 	/**
-	 * Returns whether a server is known to have crashed.
-	 * @param serverId identifier of the server instance
+	 * Returns whether a start of a server is known to have ended with a crash.
+	 * @param server the start
 	 * @return {@code true} if there is evidence of its crash
 	 */
-	public synchronized boolean hasCrashed(String serverId) {
-		return this.evidence.hasCrash(serverId);
+	public synchronized boolean hasCrashed(ServerStart server) {
+		return this.evidence.hasCrash(server);
 	}
 
 	private Verdict verdict(GatewayRequest request) {
@@ -369,21 +371,23 @@
 
 	private void logEvidence(String event, Evidence entry, String reason) {
 		this.log.event("quarantine", event, "kind", entry.subject().kind(), "subject", entry.subject().id(), "crash",
-				entry.crash(), "ageMs", entry.ageMs(), "reason", reason);
+				entry.crash().server(), "startedAtMs", entry.crash().startedAtMs(), "ageMs", entry.ageMs(), "reason",
+				reason);
 	}
 
 	private void logCrash(String address, List<RunningAttempt> attempts) {
 		List<RunningAttempt> notBegun = attempts.stream().filter(RunningAttempt::mayHaveCrashedServer).toList();
 		this.log.event("quarantine", "crash", "address", address, "server",
-				attempts.isEmpty() ? "none" : attempts.getFirst().serverId(), "attempts", attempts.size(), "notBegun",
-				notBegun.stream().limit(MAX_LOGGED_ATTEMPTS).map(RequestQuarantine::describe).toList());
+				attempts.isEmpty() ? "none" : attempts.getFirst().serverStart().server(), "startedAtMs",
+				attempts.isEmpty() ? 0 : attempts.getFirst().serverStart().startedAtMs(), "attempts", attempts.size(),
+				"notBegun", notBegun.stream().limit(MAX_LOGGED_ATTEMPTS).map(RequestQuarantine::describe).toList());
 	}
 
 	private static String describe(RunningAttempt attempt) {
 		return attempt.request().id() + attempt.request().attributes().promptParts();
 	}
 
-	private record EvidenceKey(String crash, Subject subject) {
+	private record EvidenceKey(ServerStart crash, Subject subject) {
 	}
 
 	private record ToldEvidence(Evidence evidence, long changedAtMs) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/quarantine/RunningAttempt.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.quarantine;
 
 import org.medlardrum.gateway.internal.request.GatewayRequest;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * One attempt of a request at a server, as far as it says something about a crash of the
@@ -8,7 +9,7 @@
  */
 public final class RunningAttempt {
 
-	private final String serverId;
+	private final ServerStart serverStart;
 
 	private final String address;
 
@@ -22,8 +23,9 @@
 
 	private boolean begun;
 
-	RunningAttempt(String serverId, String address, GatewayRequest request, boolean begunBefore, long startedAtMs) {
-		this.serverId = serverId;
+	RunningAttempt(ServerStart serverStart, String address, GatewayRequest request, boolean begunBefore,
+			long startedAtMs) {
+		this.serverStart = serverStart;
 		this.address = address;
 		this.request = request;
 		this.begunBefore = begunBefore;
@@ -32,10 +34,10 @@
 
 	/**
 	 * Returns the server of the attempt.
-	 * @return identifier of the server instance
+	 * @return the start to which the request was sent, as far as the registry told
 	 */
-	public String serverId() {
-		return this.serverId;
+	public ServerStart serverStart() {
+		return this.serverStart;
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -71,9 +71,6 @@
 
 	private final Map<BackendCall, RunningAttempt> attempts = new IdentityHashMap<>();
 
-	/** Servers to which the request was sent. */
-	private final Map<BackendCall, ServerStart> receivers = new IdentityHashMap<>();
-
 	/** Hosts to which the request was passed on. */
 	private final Map<BackendCall, RelayTarget> relayTargets = new IdentityHashMap<>();
 
@@ -144,17 +141,17 @@
 	private void recordSignal(Signal signal) {
 		if (signal instanceof Signal.Writing writing && this.attempts.containsKey(writing.call())) {
 			this.attempts.get(writing.call()).recordWriting();
-			this.dependencies.state().recordReached(this.attempts.get(writing.call()).serverId());
+			this.dependencies.state().recordReached(this.attempts.get(writing.call()).serverStart().server());
 		}
 		if (signal instanceof Signal.Header header && this.attempts.containsKey(header.call())) {
 			this.dependencies.limits()
-				.recordAnswer(this.attempts.get(header.call()).serverId(),
+				.recordAnswer(this.attempts.get(header.call()).serverStart().server(),
 						this.dependencies.dialect().requestLimitPerS(HeaderList.lookup(header.headers())));
 			recordNotice(header);
 		}
 		if (signal instanceof Signal.Failed failed && failed.requestNotSent()
 				&& this.attempts.containsKey(failed.call())) {
-			this.dependencies.state().recordUnreachable(this.attempts.get(failed.call()).serverId());
+			this.dependencies.state().recordUnreachable(this.attempts.get(failed.call()).serverStart().server());
 		}
 		if (signal instanceof Signal.Failed failed && this.relayTargets.containsKey(failed.call())) {
 			this.dependencies.relayTargets().recordRefusal(this.relayTargets.get(failed.call()));
@@ -170,7 +167,7 @@
 		RequestDialect dialect = this.dependencies.dialect();
 		HeaderLookup headers = HeaderList.lookup(header.headers());
 		this.dependencies.permits()
-			.recordResponse(this.receivers.get(header.call()), this.request.id(), header.status(),
+			.recordResponse(this.attempts.get(header.call()).serverStart(), this.request.id(), header.status(),
 					dialect.checkResponse(this.request.id(), header.status(), headers),
 					dialect.serverNotice(header.status(), headers));
 	}
@@ -288,25 +285,24 @@
 			return Optional.empty();
 		}
 		RequestQuarantine quarantine = this.dependencies.quarantine();
-		RunningAttempt attempt = quarantine.recordStart(plan.instanceId(), address, this.request, this.begun);
+		ServerStart receiver = this.dependencies.state()
+			.fleet()
+			.instance(plan.instanceId())
+			.map(ServerStart::of)
+			.orElseGet(() -> new ServerStart(plan.instanceId(), 0));
+		RunningAttempt attempt = quarantine.recordStart(receiver, address, this.request, this.begun);
 		long decidedAtMs = this.dependencies.nowMs();
 		// On a late host, the caller's close may be in the socket when the connection is
 		// ready.
 		BackendRequest toSend = new BackendRequest(address, this.request.method(), this.request.target(),
 				() -> this.dependencies.nowMs() - decidedAtMs >= TimerLateness.LATE_MS, () -> headersToWrite(plan),
 				this.request.body());
-		ServerStart receiver = this.dependencies.state()
-			.fleet()
-			.instance(plan.instanceId())
-			.map(ServerStart::of)
-			.orElseGet(() -> new ServerStart(plan.instanceId(), 0));
 		Runnable endSend = this.dependencies.permits().recordSend(plan.instanceId());
 		BackendCall call = BackendCall.send(this.dependencies.clients(), toSend, this::onSignal, () -> {
 			quarantine.recordEnd(attempt);
 			endSend.run();
 		});
 		this.attempts.put(call, attempt);
-		this.receivers.put(call, receiver);
 		return Optional.of(call);
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -16,6 +16,7 @@
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.routing.RoutedService;
+import org.medlardrum.state.routing.ServerStart;
 
 /**
  * Chooses engine chains from the servers, loads and suspicions recorded at this host.
@@ -100,12 +101,20 @@
 			.filter((server) -> server.layers().fromLayer() == 0)
 			.toList();
 		long usable = first.stream()
-			.filter((server) -> !state.isSuspect(zone, server.id(), server.availabilityZone())
-					&& !this.dependencies.quarantine().hasCrashed(server.id()))
+			.filter((server) -> !state.isSuspect(zone, server.id(), server.availabilityZone()) && !hasCrashed(server))
 			.count();
 		return usable > 1 || first.size() <= 1;
 	}
 
+	private boolean hasCrashed(PoolServer server) {
+		return this.dependencies.state()
+			.fleet()
+			.instance(server.id())
+			.map(ServerStart::of)
+			.filter(this.dependencies.quarantine()::hasCrashed)
+			.isPresent();
+	}
+
 	/**
 	 * Returns the engines with which chains begin.
 	 * @param service the service
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/CrashingRequestTests.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -68,6 +70,35 @@
 		}
 	}
 
+	/**
+	 * Guards against taking all crashes of a server that keeps its identifier for one.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "pool, POST /stream/1", "ledger, POST /safe/1", "ledger, POST /unsafe/1" })
+	void requestThatCrashesEachStartOfAServerIsNotSentWithoutEnd(String service, String request) throws Exception {
+		List<FakeBackend> starts = new ArrayList<>();
+		try {
+			for (int i = 0; i < CALLS; i++) {
+				FakeBackend server = crashingServer();
+				starts.add(server);
+				if (i == 0) {
+					this.fixture.register(service, "s1", server);
+				}
+				else {
+					this.fixture.restart("s1", server);
+				}
+				this.fixture.call(request.split(" ")[0], request.split(" ")[1]);
+			}
+			int sends = starts.stream().mapToInt((server) -> server.requests().size()).sum();
+			assertThat(sends).isAtMost(CRASHES + TOLERATED_SENDS);
+		}
+		finally {
+			for (FakeBackend server : starts) {
+				server.close();
+			}
+		}
+	}
+
 	/**
 	 * A server that refuses a request has not begun to answer it.
 	 */
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -179,6 +179,17 @@
 		register(service, id, backend);
 	}
 
+	/**
+	 * Registers the next start of a server, at another address.
+	 */
+	void restart(String id, FakeBackend backend) {
+		this.instances.replaceAll((instance) -> (!instance.id().equals(id)) ? instance
+				: new ServiceInstance(id, instance.service(), backend.address(), instance.availabilityZone(),
+						instance.slots(), false, instance.startedAtMs() + 1, instance.acceleratorKind(),
+						instance.layers()));
+		registerAgain();
+	}
+
 	/**
 	 * Sends a request on a persistent connection and returns the open socket.
 	 */
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantineTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/quarantine/RequestQuarantineTests.java
@@ -12,6 +12,7 @@
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.state.routing.RoutedService;
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceRoute;
 import org.medlardrum.state.routing.ServiceShare;
 import org.medlardrum.state.routing.TrafficKind;
@@ -44,7 +45,7 @@
 	}
 
 	private static RunningAttempt running(RequestQuarantine host, String address, GatewayRequest request) {
-		RunningAttempt attempt = host.recordStart("id-" + address, address, request, false);
+		RunningAttempt attempt = host.recordStart(new ServerStart("id-" + address, 1), address, request, false);
 		attempt.recordWriting();
 		return attempt;
 	}
--- a/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/CrashEvidence.java
+++ b/medlardrum-peer-gen/src/main/java/org/medlardrum/peer/gen/CrashEvidence.java
@@ -19,10 +19,14 @@
   private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField STATE_FIELD_DESC = new org.apache.thrift.protocol.TField("state", org.apache.thrift.protocol.TType.I32, (short)5);
   private static final org.apache.thrift.protocol.TField AGE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMs", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField STARTED_AT_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedAtMs", org.apache.thrift.protocol.TType.I64, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CrashEvidenceStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CrashEvidenceTupleSchemeFactory();
 
+  /**
+   * The server that crashed.
+   */
   public @org.apache.thrift.annotation.Nullable java.lang.String crash; // required
   /**
    * 
@@ -37,9 +41,16 @@
    */
   public @org.apache.thrift.annotation.Nullable CrashSubjectState state; // required
   public long ageMs; // required
+  /**
+   * The start of the server that crashed, not set by earlier builds.
+   */
+  public long startedAtMs; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    /**
+     * The server that crashed.
+     */
     CRASH((short)1, "crash"),
     /**
      * 
@@ -53,7 +64,11 @@
      * @see CrashSubjectState
      */
     STATE((short)5, "state"),
-    AGE_MS((short)6, "ageMs");
+    AGE_MS((short)6, "ageMs"),
+    /**
+     * The start of the server that crashed, not set by earlier builds.
+     */
+    STARTED_AT_MS((short)7, "startedAtMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -81,6 +96,8 @@
           return STATE;
         case 6: // AGE_MS
           return AGE_MS;
+        case 7: // STARTED_AT_MS
+          return STARTED_AT_MS;
         default:
           return null;
       }
@@ -126,7 +143,9 @@
   // isset id assignments
   private static final int __POSITION_ISSET_ID = 0;
   private static final int __AGEMS_ISSET_ID = 1;
+  private static final int __STARTEDATMS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.STARTED_AT_MS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -142,6 +161,8 @@
         new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, CrashSubjectState.class)));
     tmpMap.put(_Fields.AGE_MS, new org.apache.thrift.meta_data.FieldMetaData("ageMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.STARTED_AT_MS, new org.apache.thrift.meta_data.FieldMetaData("startedAtMs", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashEvidence.class, metaDataMap);
   }
@@ -187,6 +208,7 @@
       this.state = other.state;
     }
     this.ageMs = other.ageMs;
+    this.startedAtMs = other.startedAtMs;
   }
 
   @Override
@@ -204,13 +226,21 @@
     this.state = null;
     setAgeMsIsSet(false);
     this.ageMs = 0;
+    setStartedAtMsIsSet(false);
+    this.startedAtMs = 0;
   }
 
+  /**
+   * The server that crashed.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getCrash() {
     return this.crash;
   }
 
+  /**
+   * The server that crashed.
+   */
   public CrashEvidence setCrash(@org.apache.thrift.annotation.Nullable java.lang.String crash) {
     this.crash = crash;
     return this;
@@ -368,6 +398,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMS_ISSET_ID, value);
   }
 
+  /**
+   * The start of the server that crashed, not set by earlier builds.
+   */
+  public long getStartedAtMs() {
+    return this.startedAtMs;
+  }
+
+  /**
+   * The start of the server that crashed, not set by earlier builds.
+   */
+  public CrashEvidence setStartedAtMs(long startedAtMs) {
+    this.startedAtMs = startedAtMs;
+    setStartedAtMsIsSet(true);
+    return this;
+  }
+
+  public void unsetStartedAtMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTEDATMS_ISSET_ID);
+  }
+
+  /** Returns true if field startedAtMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetStartedAtMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTEDATMS_ISSET_ID);
+  }
+
+  public void setStartedAtMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTEDATMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -419,6 +478,14 @@
       }
       break;
 
+    case STARTED_AT_MS:
+      if (value == null) {
+        unsetStartedAtMs();
+      } else {
+        setStartedAtMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -444,6 +511,9 @@
     case AGE_MS:
       return getAgeMs();
 
+    case STARTED_AT_MS:
+      return getStartedAtMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -468,6 +538,8 @@
       return isSetState();
     case AGE_MS:
       return isSetAgeMs();
+    case STARTED_AT_MS:
+      return isSetStartedAtMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -539,6 +611,15 @@
         return false;
     }
 
+    boolean this_present_startedAtMs = true && this.isSetStartedAtMs();
+    boolean that_present_startedAtMs = true && that.isSetStartedAtMs();
+    if (this_present_startedAtMs || that_present_startedAtMs) {
+      if (!(this_present_startedAtMs && that_present_startedAtMs))
+        return false;
+      if (this.startedAtMs != that.startedAtMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -566,6 +647,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMs);
 
+    hashCode = hashCode * 8191 + ((isSetStartedAtMs()) ? 131071 : 524287);
+    if (isSetStartedAtMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startedAtMs);
+
     return hashCode;
   }
 
@@ -637,6 +722,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStartedAtMs(), other.isSetStartedAtMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStartedAtMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.startedAtMs, other.startedAtMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -700,6 +795,12 @@
     sb.append("ageMs:");
     sb.append(this.ageMs);
     first = false;
+    if (isSetStartedAtMs()) {
+      if (!first) sb.append(", ");
+      sb.append("startedAtMs:");
+      sb.append(this.startedAtMs);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -795,6 +896,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // STARTED_AT_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.startedAtMs = iprot.readI64();
+              struct.setStartedAtMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -837,6 +946,11 @@
       oprot.writeFieldBegin(AGE_MS_FIELD_DESC);
       oprot.writeI64(struct.ageMs);
       oprot.writeFieldEnd();
+      if (struct.isSetStartedAtMs()) {
+        oprot.writeFieldBegin(STARTED_AT_MS_FIELD_DESC);
+        oprot.writeI64(struct.startedAtMs);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -874,7 +988,10 @@
       if (struct.isSetAgeMs()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetStartedAtMs()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetCrash()) {
         oprot.writeString(struct.crash);
       }
@@ -893,12 +1010,15 @@
       if (struct.isSetAgeMs()) {
         oprot.writeI64(struct.ageMs);
       }
+      if (struct.isSetStartedAtMs()) {
+        oprot.writeI64(struct.startedAtMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, CrashEvidence struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.crash = iprot.readString();
         struct.setCrashIsSet(true);
@@ -923,6 +1043,10 @@
         struct.ageMs = iprot.readI64();
         struct.setAgeMsIsSet(true);
       }
+      if (incoming.get(6)) {
+        struct.startedAtMs = iprot.readI64();
+        struct.setStartedAtMsIsSet(true);
+      }
     }
   }
 
--- a/medlardrum-peer-gen/src/main/thrift/peer.thrift
+++ b/medlardrum-peer-gen/src/main/thrift/peer.thrift
@@ -62,12 +62,15 @@
 
 /** One subject of a request that a server had not begun to answer when it crashed. */
 struct CrashEvidence {
+  /** The server that crashed. */
   1: string crash
   2: CrashSubjectKind kind
   3: string subject
   4: i32 position
   5: CrashSubjectState state
   6: i64 ageMs
+  /** The start of the server that crashed, not set by earlier builds. */
+  7: optional i64 startedAtMs
 }
 
 /** Limit of requests that a server has named for all hosts together, 0 for none any more. */
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/ServerStart.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/ServerStart.java
@@ -18,4 +18,12 @@
 		return new ServerStart(report.id(), report.startedAtMs());
 	}
 
+	/**
+	 * Returns whether it is known when the server started.
+	 * @return {@code false} if this may be any start of the server
+	 */
+	public boolean isKnown() {
+		return this.startedAtMs > 0;
+	}
+
 }
