Limit the lines of a head or a trailer section of a response

Callers saw: with a faulty server that sent header fields or trailers without end to 200 callers, a host answered nothing any more (report of other operators). Cause: only bytes were limited, to 256 KB for each connection. A field of four bytes takes about forty times its length as objects. Change: more than 1,000 lines without a part of a response close the connection. Lines are counted after the bytes were decoded, so that those of bodies are not searched for.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/UndecodedBytesLimit.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/UndecodedBytesLimit.java
@@ -18,8 +18,18 @@
 	/** Well above the header of any response and the framing of its chunks. */
 	static final int MAX_UNDECODED_BYTES = 256 * 1024;
 
+	/**
+	 * Well above the number of header fields of any response. A short field takes forty
+	 * times its length in memory.
+	 */
+	static final int MAX_UNDECODED_LINES = 1_000;
+
+	private static final byte LINE_FEED = '\n';
+
 	private int undecodedBytes;
 
+	private int undecodedLines;
+
 	/**
 	 * Installs a limit on a connection that serves a single request.
 	 * @param context context of the connection
@@ -37,21 +47,57 @@
 	 */
 	void recordDecoded() {
 		this.undecodedBytes = 0;
+		this.undecodedLines = 0;
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (message instanceof ByteBuf bytes) {
-			this.undecodedBytes += bytes.readableBytes();
-			if (this.undecodedBytes > MAX_UNDECODED_BYTES) {
-				Logger.warn("client: {} sent {} bytes without a part of a response, the connection is closed",
-						context.channel().remoteAddress(), this.undecodedBytes);
-				bytes.release();
-				context.close();
-				return;
+			read(context, bytes);
+		}
+		else {
+			context.fireChannelRead(message);
+		}
+	}
+
+	// Lines are counted after the bytes were decoded, so that those of a body, which are
+	// a part of a response, need not be searched for.
+	private void read(ChannelHandlerContext context, ByteBuf bytes) {
+		this.undecodedBytes += bytes.readableBytes();
+		if (this.undecodedBytes > MAX_UNDECODED_BYTES) {
+			bytes.release();
+			close(context);
+			return;
+		}
+		ByteBuf copy = bytes.retainedDuplicate();
+		try {
+			context.fireChannelRead(bytes);
+			if (this.undecodedBytes > 0) {
+				this.undecodedLines += lines(copy);
 			}
 		}
-		context.fireChannelRead(message);
+		finally {
+			copy.release();
+		}
+		if (this.undecodedLines > MAX_UNDECODED_LINES) {
+			close(context);
+		}
+	}
+
+	private static int lines(ByteBuf bytes) {
+		int lines = 0;
+		int end = bytes.writerIndex();
+		for (int at = bytes.indexOf(bytes.readerIndex(), end, LINE_FEED); at >= 0; at = bytes.indexOf(at + 1, end,
+				LINE_FEED)) {
+			lines++;
+		}
+		return lines;
+	}
+
+	private void close(ChannelHandlerContext context) {
+		Logger.warn("client: {} sent {} bytes, {} lines, without a part of a response, the connection is closed",
+				context.channel().remoteAddress(), this.undecodedBytes, this.undecodedLines);
+		context.close();
 	}
 
 }
