Hold the responses of all requests within one budget of bytes

Cause: each response was limited, to 8 MiB, but not their sum; 64 parts of each were read in advance, and bodies were copied twice. A response without room is not read on until another one ends; the oldest always goes on. Small responses do not count. Bodies stay in the parts in which they came and count until they are written. Reports of engines end at 256 KiB, streams whose callers leave more unread than there is room for are broken off. Metrics and log lines for both.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import org.medlardrum.coordination.follow.PeerConfirmations;
 import org.medlardrum.coordination.follow.StoreReads;
+import org.medlardrum.decisions.memory.ByteBudget;
 import org.medlardrum.gateway.internal.http.EventLoopServer;
 import org.medlardrum.gateway.internal.http.GatewayHandler;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
@@ -99,6 +100,8 @@
 
 	private final ServerPermits permits;
 
+	private final ByteBudget budget;
+
 	private final HttpClientPool clients;
 
 	private final GatewayHandler handler;
@@ -140,10 +143,11 @@
 		RetryBudgets retries = new RetryBudgets(settings, this.exchange::peerCount);
 		TimerLateness lateness = new TimerLateness(clock, log);
 		this.relayTargets = new RelayTargets(this.state, RandomGenerator.getDefault());
+		this.budget = new ByteBudget(settings.heldBytes(), this.executor::execute);
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
 				this.clients, dialect, log, metrics, quarantine, limits, this.permits,
 				new EngineReports(this.state, this.clients, this.executor, dialect, this.permits, lateness), lateness,
-				this.relayTargets, RandomGenerator.getDefault());
+				this.relayTargets, this.budget, RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
 		this.relayHandler = new GatewayHandler(dependencies, true);
 		LinkProbe probe = new LinkProbe(dependencies);
@@ -162,6 +166,13 @@
 		metrics.gauge("medlardrum_gateway_dropped_log_lines", "Log lines that found the ring full", log::dropped);
 		metrics.gauge("medlardrum_gateway_timer_late_ms", "Lateness of the last timer of a request",
 				lateness::latestMs);
+		metrics.gauge("medlardrum_gateway_held_bytes",
+				"Bytes of requests and responses that are held, without " + ByteBudget.FREE_BYTES + " bytes of each",
+				this.budget::usedBytes);
+		metrics.gauge("medlardrum_gateway_held_bytes_peak", "Highest value of held bytes since the start",
+				this.budget::peakBytes);
+		metrics.gauge("medlardrum_gateway_waiting_responses", "Responses that wait for room among the held bytes",
+				this.budget::waiting);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
 		this.servers = List.of(
 				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
@@ -242,6 +253,14 @@
 		return ((table != null) ? table.limits() : RequestLimits.DEFAULT).idleTimeoutMs();
 	}
 
+	long heldBytes() {
+		return this.budget.usedBytes();
+	}
+
+	long peakHeldBytes() {
+		return this.budget.peakBytes();
+	}
+
 	int inProgress() {
 		return this.handler.inProgress() + this.relayHandler.inProgress();
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -29,11 +29,6 @@
  */
 public final class BackendCall implements AutoCloseable {
 
-	/**
-	 * Number of body parts requested in advance; {@link #requestMore} requests one more.
-	 */
-	private static final int INITIAL_DEMAND_PARTS = 64;
-
 	private final String address;
 
 	private final Executor executor;
@@ -146,7 +141,8 @@
 	}
 
 	/**
-	 * Requests one more part of the body after a {@link Signal.Data} was processed.
+	 * Requests the next part of the body after a {@link Signal.Data} was processed.
+	 * Nothing is read from the connection before.
 	 */
 	public void requestMore() {
 		PublisherSource.Subscription subscription;
@@ -231,7 +227,7 @@
 				subscription.cancel();
 				return;
 			}
-			subscription.request(INITIAL_DEMAND_PARTS);
+			subscription.request(1);
 		}
 
 		@Override
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -133,7 +133,10 @@
 		EventLoopServer.onPeerClosed(context, exchange::peerClosed);
 		OpenRequest open = this.openRequests.begin(arrivedAtMs);
 		EventLoopServer.keepOpenWhile(context, open::isAwaited);
-		exchange.onEnd(() -> EventLoopServer.afterWrites(context, open::recordWritten));
+		exchange.onEnd(() -> EventLoopServer.afterWrites(context, () -> {
+			open.recordWritten();
+			exchange.recordWritten();
+		}));
 		try {
 			receive(context, request, exchange, open);
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainAttempt.java
@@ -1,10 +1,10 @@
 package org.medlardrum.gateway.internal.plain;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.internal.call.BackendCall;
+import org.medlardrum.gateway.internal.call.ReceivedBody;
 import org.medlardrum.gateway.internal.load.Reservation;
 import org.medlardrum.state.routing.ServiceInstance;
 
@@ -20,21 +20,25 @@
 
 	private final Reservation reservation;
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-
 	private final BackendCall call;
 
+	private final ReceivedBody body;
+
 	private int status;
 
 	private List<String> headers = List.of();
 
 	private BackendVerdict verdict;
 
-	PlainAttempt(ServiceInstance server, boolean relayed, Reservation reservation, BackendCall call) {
+	private boolean waiting;
+
+	PlainAttempt(ServiceInstance server, boolean relayed, Reservation reservation, BackendCall call,
+			ReceivedBody body) {
 		this.server = server;
 		this.relayed = relayed;
 		this.reservation = reservation;
 		this.call = call;
+		this.body = body;
 	}
 
 	void setHeader(int headerStatus, List<String> headerFields, BackendVerdict headerVerdict) {
@@ -47,9 +51,30 @@
 		return this.verdict != null;
 	}
 
-	void addToBody(byte[] bytes) {
-		this.body.writeBytes(bytes);
-		this.call.requestMore();
+	/**
+	 * Reads on, at once or when the host has room for the bytes.
+	 * @return whether the response has to wait
+	 */
+	boolean readOn() {
+		this.waiting = !this.body.mayGrow();
+		if (this.waiting) {
+			this.body.whenMayGrow(() -> {
+				this.waiting = false;
+				this.call.requestMore();
+			});
+		}
+		else {
+			this.call.requestMore();
+		}
+		return this.waiting;
+	}
+
+	/**
+	 * Returns whether this host, not the server, delays the response.
+	 * @return {@code true} while there is no room for its bytes
+	 */
+	boolean isWaiting() {
+		return this.waiting;
 	}
 
 	/**
@@ -81,18 +106,22 @@
 		return this.verdict;
 	}
 
-	byte[] body() {
-		return this.body.toByteArray();
+	ReceivedBody body() {
+		return this.body;
 	}
 
-	int bodySizeBytes() {
-		return this.body.size();
+	/**
+	 * Ends the call, and keeps the response that was received.
+	 */
+	void closeCall() {
+		this.reservation.close();
+		this.call.close();
 	}
 
 	@Override
 	public void close() {
-		this.reservation.close();
-		this.call.close();
+		closeCall();
+		this.body.close();
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -15,6 +15,7 @@
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.call.BackendCall;
+import org.medlardrum.gateway.internal.call.ReceivedBody;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.relay.RelayTarget;
 import org.medlardrum.gateway.internal.request.CallerResponse;
@@ -113,6 +114,9 @@
 	@Override
 	protected void close() {
 		this.active.forEach(PlainAttempt::close);
+		if (this.failedResponse != null) {
+			this.failedResponse.close();
+		}
 	}
 
 	private String hedge() {
@@ -150,8 +154,8 @@
 			return false;
 		}
 		this.tried.add(server.id());
-		this.active
-			.add(new PlainAttempt(server, false, this.dependencies.loads().reserveSlot(server.id()), call.get()));
+		this.active.add(new PlainAttempt(server, false, this.dependencies.loads().reserveSlot(server.id()), call.get(),
+				new ReceivedBody(holdResponse(server.id()))));
 		this.dependencies.metrics().countAttempt(this.request.trafficKind(), reason);
 		this.dependencies.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "server", server.id(), "address",
@@ -173,7 +177,8 @@
 		ServiceInstance host = new ServiceInstance(target.get().id(), this.request.service().name(),
 				target.get().address(), "", 1, false, 0, "", Optional.empty());
 		this.tried.add(host.id());
-		this.active.add(new PlainAttempt(host, true, this.dependencies.loads().reserveNothing(), call.get()));
+		this.active.add(new PlainAttempt(host, true, this.dependencies.loads().reserveNothing(), call.get(),
+				new ReceivedBody(holdResponse(host.id()))));
 		this.dependencies.metrics().countAttempt(this.request.trafficKind(), RELAY_PREFIX + reason);
 		return true;
 	}
@@ -245,8 +250,20 @@
 		if (attempt == null) {
 			return null;
 		}
-		attempt.addToBody(data.bytes());
-		return (attempt.bodySizeBytes() > MAX_BODY_BYTES) ? onResponseLost(attempt, "the response is too large") : null;
+		attempt.body().add(data.bytes());
+		if (attempt.body().sizeBytes() > MAX_BODY_BYTES) {
+			return onResponseLost(attempt, "the response is too large");
+		}
+		if (attempt.readOn()) {
+			logWaiting(attempt);
+		}
+		return null;
+	}
+
+	private void logWaiting(PlainAttempt attempt) {
+		this.dependencies.log()
+			.event(PART, "waits-for-memory", "id", this.request.id(), "server", attempt.server().id(), "bodyBytes",
+					attempt.body().sizeBytes(), "heldBytes", this.dependencies.budget().usedBytes());
 	}
 
 	private String onEnd(BackendCall call) {
@@ -270,16 +287,27 @@
 
 	private String onServerError(PlainAttempt attempt) {
 		this.lastFailure = "status " + attempt.status() + " of " + attempt.server().id();
+		if (this.failedResponse != null) {
+			this.failedResponse.close();
+		}
 		this.failedResponse = attempt;
-		closeAttempt(attempt);
+		keepResponse(attempt);
 		if (send("server-error")) {
 			return null;
 		}
 		return (this.active.isEmpty()) ? deliver(attempt) : null;
 	}
 
+	private void keepResponse(PlainAttempt attempt) {
+		this.active.remove(attempt);
+		attempt.closeCall();
+	}
+
 	private String deliver(PlainAttempt attempt) {
-		closeAttempt(attempt);
+		keepResponse(attempt);
+		if (attempt == this.failedResponse) {
+			this.failedResponse = null;
+		}
 		long tookMs = this.dependencies.nowMs() - this.request.arrivedAtMs();
 		this.dependencies.metrics().recordCompleteResponse(this.request.trafficKind(), tookMs);
 		this.response.deliver(attempt.status(), this.dependencies.dialect().responseHeaders(attempt.headers()),
@@ -368,9 +396,7 @@
 		if (this.failedResponse != null) {
 			return deliver(this.failedResponse);
 		}
-		for (PlainAttempt attempt : this.active) {
-			suspect(attempt);
-		}
+		this.active.stream().filter((attempt) -> !attempt.isWaiting()).forEach(this::suspect);
 		this.response.fail(ProblemType.TIMED_OUT, "No answer within the time limit", this.request.rank());
 		return "timed-out";
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerExchange.java
@@ -6,6 +6,7 @@
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.buffer.api.CompositeBuffer;
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.SingleSource;
 import io.servicetalk.concurrent.api.Processors;
@@ -17,6 +18,8 @@
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import org.medlardrum.decisions.memory.HeldBytes;
+import org.medlardrum.gateway.internal.call.ReceivedBody;
 
 /**
  * A caller's HTTP request and the response to it. Confined to the event loop.
@@ -46,14 +49,24 @@
 	private Runnable endAction = () -> {
 	};
 
+	private Runnable closeAction = () -> {
+	};
+
 	private List<String> problemHeaders = List.of();
 
+	/** Bytes of a streamed response that the server has not taken over. */
+	private long backlogBytes;
+
+	private HeldBytes backlog;
+
 	private boolean started;
 
 	private boolean disconnected;
 
 	private boolean ended;
 
+	private boolean written;
+
 	/**
 	 * Creates an exchange.
 	 * @param context context of the request
@@ -196,14 +209,68 @@
 		send(response);
 	}
 
+	/**
+	 * Sends a complete response.
+	 * @param status status of the response
+	 * @param headers alternating names and values
+	 * @param content the body, closed by {@link #recordWritten}
+	 */
+	public void respond(int status, List<String> headers, ReceivedBody content) {
+		closeWhenWritten(content::close);
+		StreamingHttpResponse response = head(status, headers);
+		response.setHeader("content-length", Integer.toString(content.sizeBytes()));
+		if (content.sizeBytes() > 0) {
+			CompositeBuffer whole = this.allocator.newCompositeBuffer(Integer.MAX_VALUE);
+			content.parts().forEach((part) -> whole.addBuffer(this.allocator.wrap(part)));
+			response.payloadBody(Publisher.from(whole));
+		}
+		send(response);
+	}
+
+	private void closeWhenWritten(Runnable action) {
+		this.closeAction = action;
+		if (this.written) {
+			action.run();
+		}
+	}
+
+	/**
+	 * Records that the response has been written, or that its connection is closed: its
+	 * bytes are not held any more.
+	 */
+	public void recordWritten() {
+		this.written = true;
+		this.closeAction.run();
+	}
+
 	/**
 	 * Sends the status and headers of a streamed response.
 	 * @param status status of the response
 	 * @param headers alternating names and values
+	 * @param unread counts the bytes that the caller has not read, closed by
+	 * {@link #recordWritten}
 	 */
-	public void startStream(int status, List<String> headers) {
+	public void startStream(int status, List<String> headers, HeldBytes unread) {
+		this.backlog = unread;
+		closeWhenWritten(unread::close);
 		this.body = Processors.newPublisherProcessor(MAX_BUFFERED_PARTS);
-		send(head(status, headers).payloadBody(SourceAdapters.fromSource(this.body).beforeCancel(this::peerClosed)));
+		send(head(status, headers).payloadBody(SourceAdapters.fromSource(this.body)
+			.beforeOnNext((part) -> countBacklog(-part.readableBytes()))
+			.beforeCancel(this::peerClosed)));
+	}
+
+	private void countBacklog(long bytes) {
+		this.backlogBytes += bytes;
+		this.backlog.set(this.backlogBytes);
+	}
+
+	/**
+	 * Returns whether the caller leaves more of a streamed response unread than the host
+	 * can hold.
+	 * @return {@code true} if the response has to end
+	 */
+	public boolean isBacklogTooLarge() {
+		return this.backlog != null && !this.backlog.mayGrow();
 	}
 
 	private void send(StreamingHttpResponse response) {
@@ -224,6 +291,7 @@
 	 * @param part the part
 	 */
 	public void write(byte[] part) {
+		countBacklog(part.length);
 		this.body.onNext(this.allocator.wrap(part));
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/CallerResponse.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Locale;
 
+import org.medlardrum.decisions.memory.HeldBytes;
+import org.medlardrum.gateway.internal.call.ReceivedBody;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.protocol.problem.Problem;
 import org.medlardrum.protocol.problem.ProblemType;
@@ -71,9 +73,9 @@
 	 * Passes on a complete response.
 	 * @param status status of the response
 	 * @param headers alternating names and values
-	 * @param body the body
+	 * @param body the body, closed once the caller has received it
 	 */
-	public void deliver(int status, List<String> headers, byte[] body) {
+	public void deliver(int status, List<String> headers, ReceivedBody body) {
 		this.exchange.respond(status, closingIfDraining(headers), body);
 	}
 
@@ -81,9 +83,10 @@
 	 * Passes on the status and headers of a streamed response.
 	 * @param status status of the response
 	 * @param headers alternating names and values
+	 * @param backlog counts the bytes that the caller has not read
 	 */
-	public void startStream(int status, List<String> headers) {
-		this.exchange.startStream(status, closingIfDraining(headers));
+	public void startStream(int status, List<String> headers, HeldBytes backlog) {
+		this.exchange.startStream(status, closingIfDraining(headers), backlog);
 	}
 
 	/**
@@ -94,6 +97,15 @@
 		this.exchange.write(bytes);
 	}
 
+	/**
+	 * Returns whether the caller leaves more of a streamed response unread than the host
+	 * can hold.
+	 * @return {@code true} if the response has to end
+	 */
+	public boolean isBacklogTooLarge() {
+		return this.exchange.isBacklogTooLarge();
+	}
+
 	/**
 	 * Completes a streamed response.
 	 */
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/EngineReports.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/EngineReports.java
@@ -35,6 +35,9 @@
 	 */
 	static final long MAX_AGE_MS = 100;
 
+	/** Size limit of a report; an engine's usual one has about 100 bytes a request. */
+	private static final int MAX_REPORT_BYTES = 256 * 1024;
+
 	/** Limit of extensions of the timeout on a host that is late. */
 	private static final int MAX_EXTENSIONS = 3;
 
@@ -156,7 +159,7 @@
 					EngineReports.this.permits.recordNotice(this.address, EngineReports.this.dialect
 						.serverNotice(header.status(), HeaderList.lookup(header.headers())));
 				}
-				case Signal.Data data -> this.body.writeBytes(data.bytes());
+				case Signal.Data data -> add(data.bytes());
 				case Signal.End end -> finish(new Reported((this.status == OK)
 						? EngineReports.this.dialect.parseStatus(this.body.toByteArray()) : Optional.empty()));
 				case Signal.Failed failed -> finish(new Unreachable());
@@ -171,6 +174,17 @@
 			}
 		}
 
+		private void add(byte[] bytes) {
+			this.body.writeBytes(bytes);
+			if (this.body.size() > MAX_REPORT_BYTES) {
+				this.call.close();
+				finish(new Reported(Optional.empty()));
+			}
+			else {
+				this.call.requestMore();
+			}
+		}
+
 		private void finish(Outcome result) {
 			if (this.outcome != null) {
 				return;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 
 import io.servicetalk.transport.api.IoExecutor;
+import org.medlardrum.decisions.memory.ByteBudget;
 import org.medlardrum.gateway.GatewaySettings;
 import org.medlardrum.gateway.RequestDialect;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
@@ -33,12 +34,13 @@
  * @param reports status reports of engines
  * @param timerLateness lateness of the timers of requests
  * @param relayTargets hosts to which requests are passed on
+ * @param budget bytes that the host holds for requests and responses
  * @param random source of random numbers
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
 		RequestQuarantine quarantine, ServerLimits limits, ServerPermits permits, EngineReports reports,
-		TimerLateness timerLateness, RelayTargets relayTargets, RandomGenerator random) {
+		TimerLateness timerLateness, RelayTargets relayTargets, ByteBudget budget, RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -15,6 +15,8 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.transport.api.IoExecutor;
+import org.medlardrum.decisions.memory.BytesOwner;
+import org.medlardrum.decisions.memory.HeldBytes;
 import org.medlardrum.decisions.routing.AttemptLedger;
 import org.medlardrum.decisions.routing.AttemptLimits;
 import org.medlardrum.decisions.routing.RetryAfter;
@@ -415,6 +417,18 @@
 		return new BackendVerdict(named, false, refused && named, Optional.empty());
 	}
 
+	/**
+	 * Begins to count the bytes of a response.
+	 * @param serverId identifier of the server, or of the host to which the request is
+	 * passed on
+	 * @return the bytes, to be closed
+	 */
+	protected final HeldBytes holdResponse(String serverId) {
+		return this.dependencies.budget()
+			.open(List.of(new BytesOwner(BytesOwner.Kind.SERVER, serverId),
+					new BytesOwner(BytesOwner.Kind.SERVICE, this.request.service().name())));
+	}
+
 	/**
 	 * Records that a server has begun to answer, which proves that the request has not
 	 * crashed it.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainAttempt.java
@@ -1,14 +1,15 @@
 package org.medlardrum.gateway.internal.stream;
 
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
+import org.medlardrum.decisions.memory.HeldBytes;
 import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.StreamStallDetector;
 import org.medlardrum.gateway.internal.call.BackendCall;
+import org.medlardrum.gateway.internal.call.ReceivedBody;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.request.HeaderList;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -40,6 +41,8 @@
 
 	private final StreamStallDetector eventGaps;
 
+	private final HeldBytes held;
+
 	private final EventParser parser = new EventParser();
 
 	private int status;
@@ -50,7 +53,9 @@
 	private String contentType = "";
 
 	/** Body of a response that is not a stream, {@code null} for a stream. */
-	private ByteArrayOutputStream errorBody;
+	private ReceivedBody errorBody;
+
+	private boolean bodyTaken;
 
 	private long stallCheckAtMs;
 
@@ -87,10 +92,11 @@
 	 * @param reason reason of the attempt, as logged
 	 * @param excluded identifiers of engines that are excluded from the attempt's chain
 	 * @param eventGaps the gaps between the attempt's events
+	 * @param held counts the bytes that are kept of the response
 	 * @param nowMs current time on the monotonic clock
 	 */
 	ChainAttempt(ChainChooser.ReservedChain chain, List<ServiceInstance> engines, String firstEngine, BackendCall call,
-			String reason, Set<String> excluded, StreamStallDetector eventGaps, long nowMs) {
+			String reason, Set<String> excluded, StreamStallDetector eventGaps, HeldBytes held, long nowMs) {
 		this.chain = chain;
 		this.engines = engines;
 		this.firstEngine = firstEngine;
@@ -98,6 +104,7 @@
 		this.reason = reason;
 		this.excluded = Set.copyOf(excluded);
 		this.eventGaps = eventGaps;
+		this.held = held;
 		this.stallCheckAtMs = nowMs + eventGaps.suspectStallThresholdMs();
 	}
 
@@ -158,7 +165,7 @@
 		this.headers = responseHeaders;
 		this.contentType = mediaType(HeaderList.lookup(header.headers()).first("content-type").orElse(""));
 		if (header.status() != OK || !(this.contentType.isEmpty() || this.contentType.equals(EVENT_STREAM))) {
-			this.errorBody = new ByteArrayOutputStream();
+			this.errorBody = new ReceivedBody(this.held);
 		}
 	}
 
@@ -192,12 +199,25 @@
 	 * @return the length of the body so far
 	 */
 	int addToBody(byte[] bytes) {
-		this.errorBody.writeBytes(bytes);
-		return this.errorBody.size();
+		this.errorBody.add(bytes);
+		return this.errorBody.sizeBytes();
 	}
 
-	byte[] body() {
-		return this.errorBody.toByteArray();
+	/**
+	 * Takes the body of a response that is not a stream.
+	 * @return the body, to be closed by the caller
+	 */
+	ReceivedBody takeBody() {
+		this.bodyTaken = true;
+		return this.errorBody;
+	}
+
+	/**
+	 * Returns whether the host has no room for more bytes of the response.
+	 * @return {@code true} if the attempt has to end
+	 */
+	boolean isOverBudget() {
+		return !this.held.mayGrow();
 	}
 
 	/**
@@ -206,7 +226,9 @@
 	 * @return the events that are complete now
 	 */
 	List<StreamedEvent> addToStream(byte[] bytes) {
-		return this.parser.add(bytes);
+		List<StreamedEvent> events = this.parser.add(bytes);
+		this.held.set(this.parser.partialBytes());
+		return events;
 	}
 
 	boolean hasTooLargeEvent() {
@@ -386,6 +408,9 @@
 	public void close() {
 		this.call.close();
 		this.chain.reservation().close();
+		if (!this.bodyTaken) {
+			this.held.close();
+		}
 	}
 
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/EventParser.java
@@ -72,7 +72,15 @@
 	 * @return {@code true} if bytes are buffered
 	 */
 	boolean hasPartialEvent() {
-		return this.partial.size() > 0;
+		return partialBytes() > 0;
+	}
+
+	/**
+	 * Returns the length of the incomplete event.
+	 * @return the length in bytes
+	 */
+	int partialBytes() {
+		return this.partial.size();
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -444,7 +444,7 @@
 			.flatMap((id) -> fleet.instance(id).stream())
 			.toList();
 		return new ChainAttempt(chosen, engines, chosen.engineIds().getFirst(), call.get(), reason, excludedEngines,
-				gaps, nowMs);
+				gaps, holdResponse(chosen.engineIds().getFirst()), nowMs);
 	}
 
 	// Passes the request on to another host; null if none is left or allowed.
@@ -460,7 +460,8 @@
 				this.request.route().gapTargetMs());
 		ChainChooser.ReservedChain noEngines = new ChainChooser.ReservedChain(List.of(), 0,
 				this.dependencies.loads().reserveNothing());
-		return new ChainAttempt(noEngines, List.of(), target.get().id(), call.get(), reason, excludedIds, gaps, nowMs);
+		return new ChainAttempt(noEngines, List.of(), target.get().id(), call.get(), reason, excludedIds, gaps,
+				holdResponse(target.get().id()), nowMs);
 	}
 
 	private void logSend(ChainChooser.ReservedChain chosen, String reason, long remainingMs) {
@@ -537,8 +538,8 @@
 		}
 		attempt.call().requestMore();
 		if (!attempt.isStream()) {
-			return (attempt.addToBody(data.bytes()) > MAX_BODY_BYTES)
-					? continueAfterFailure(attempt, "too-large", "the response is too large") : null;
+			boolean tooLarge = attempt.addToBody(data.bytes()) > MAX_BODY_BYTES || attempt.isOverBudget();
+			return (tooLarge) ? continueAfterFailure(attempt, "too-large", "the response is too large") : null;
 		}
 		if (!mayDeliver(attempt)) {
 			return failNoStream(attempt);
@@ -568,9 +569,14 @@
 			this.excluded.add(attempt.firstEngine());
 			return continueAfterFailure(attempt, "malformed", "the server sent lines that are not an event");
 		}
-		if (attempt.hasTooLargeEvent()) {
+		if (attempt.hasTooLargeEvent() || attempt.isOverBudget()) {
 			return continueAfterFailure(attempt, "too-large",
-					"an event exceeds " + EventParser.MAX_EVENT_BYTES + " bytes");
+					"an event exceeds " + EventParser.MAX_EVENT_BYTES + " bytes, or the room that the host has");
+		}
+		if (this.response.isBacklogTooLarge()) {
+			this.response.abort();
+			logAttempt("caller-too-slow", "the host has no room for what the caller has not read");
+			return "broken-off";
 		}
 		tryOtherChainForLeaving(this.dependencies.nowMs());
 		return null;
@@ -643,7 +649,8 @@
 		if (!this.responseStarted) {
 			this.responseStarted = true;
 			this.contentType = this.current.contentType();
-			this.response.startStream(this.current.status(), this.current.headers());
+			this.response.startStream(this.current.status(), this.current.headers(),
+					holdResponse(this.current.firstEngine()));
 			this.firstEventMs = nowMs - this.request.arrivedAtMs();
 			this.dependencies.metrics().recordFirstByte(this.request.trafficKind(), this.firstEventMs);
 		}
@@ -678,7 +685,7 @@
 			return continueAfterFailure(attempt, "empty", "the response has no event");
 		}
 		if (!this.responseStarted) {
-			this.response.startStream(attempt.status(), attempt.headers());
+			this.response.startStream(attempt.status(), attempt.headers(), holdResponse(attempt.firstEngine()));
 		}
 		this.response.finish();
 		this.dependencies.log()
@@ -699,7 +706,7 @@
 			this.excluded.add(attempt.firstEngine());
 			return continueAfterFailure(attempt, "server-error", "status " + attempt.status());
 		}
-		this.response.deliver(attempt.status(), attempt.headers(), attempt.body());
+		this.response.deliver(attempt.status(), attempt.headers(), attempt.takeBody());
 		return (success) ? ANSWERED : "server-error";
 	}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -39,11 +39,14 @@
 
 	private static final long SHUTDOWN_MS = 4_000;
 
-	private static final double RETRY_RATIO = 0.2;
+	/** Enough for all requests of a test. */
+	private static final long HELD_BYTES = 256L * 1024 * 1024;
+
+	static final double RETRY_RATIO = 0.2;
 
 	private static final long RETRY_WINDOW_MS = 10_000;
 
-	private static final double RETRY_ALLOWANCE = 450;
+	static final double RETRY_ALLOWANCE = 450;
 
 	private static final long ROUTE_TIMEOUT_MS = 3_000;
 
@@ -88,9 +91,13 @@
 	}
 
 	GatewayFixture(double retryRatio, double retryAllowance) throws Exception {
+		this(retryRatio, retryAllowance, HELD_BYTES);
+	}
+
+	GatewayFixture(double retryRatio, double retryAllowance, long heldBytes) throws Exception {
 		this.gateway = Gateway.start(
 				new GatewaySettings("host", "a", ANY_PORT, ANY_PORT, "/ready", ANY_PORT, ANY_PORT, ANY_PORT,
-						KEY_FRESHNESS_MS, SHUTDOWN_MS, retryRatio, RETRY_WINDOW_MS, retryAllowance),
+						KEY_FRESHNESS_MS, SHUTDOWN_MS, retryRatio, RETRY_WINDOW_MS, retryAllowance, heldBytes),
 				new TestDialect(() -> this.responseHook.get().run()), this.clock);
 	}
 
