--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/WriteCheckFilter.java
@@ -48,11 +48,8 @@
 	}
 
 	private Single<StreamingHttpResponse> limitedRequest(StreamingHttpRequest request) {
-		UndecodedBytesLimit limit = UndecodedBytesLimit.install(connectionContext());
-		return delegate().request(request).map((response) -> {
-			limit.recordDecoded();
-			return response.transformPayloadBody((body) -> body.beforeOnNext((part) -> limit.recordDecoded()));
-		});
+		UndecodedBytesLimit.install(connectionContext());
+		return delegate().request(request);
 	}
 
 }
