--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/memory/ByteBudgetTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/memory/ByteBudgetTests.java
@@ -54,7 +54,9 @@
 		assertThat(body("b", bytes).mayGrow()).isTrue();
 	}
 
-	/** A quarter of the budget is the share of one server, and half of it of a service. */
+	/**
+	 * A quarter of the budget is the share of one server, and half of it of a service.
+	 */
 	@ParameterizedTest
 	@CsvSource({ "a, a, 5, true", "a, a, 6, false", "a, b, 9, true", "a, b, 11, false" })
 	void ownerHasAShare(String firstServer, String secondServer, long parts, boolean mayGrow) {
