--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/EarlierBuildTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/EarlierBuildTests.java
@@ -16,6 +16,7 @@
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
+import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -46,8 +47,9 @@
 		GatewayState state = new GatewayState(clock, log, 4_700);
 		state.updateInstances(List.of(instance("e1"), instance("e2")));
 		LoadTable loads = new LoadTable();
-		LoadExchange exchange = new LoadExchange(state, loads, new RequestQuarantine(clock, log, "host"),
-				new ServerLimits(clock, log, "host"), (peer, reply) -> {
+		RequestQuarantine quarantine = new RequestQuarantine(clock, log, "host");
+		LoadExchange exchange = new LoadExchange(state, loads, quarantine, new ServerLimits(clock, log, "host"),
+				(peer, reply) -> {
 				}, "host", "a", "127.0.0.1:4");
 		exchange.updatePeers(List.of(new Host("front-a-1", "a", "", "10.1.0.40:7340", "", HostState.LIVE)));
 		digest.setCutOff(false);
@@ -55,6 +57,7 @@
 		assertThat(state.highestPeerVersion()).isEqualTo(17);
 		assertThat(loads.total(this.nowMs.get()).get("e1").sequences()).isEqualTo(3);
 		assertThat(state.isSuspect("a", "e2", "b")).isTrue();
+		assertThat(quarantine.hasCrashed(new ServerStart("c1", 0))).isTrue();
 		assertThat(digest.isSetLeavingServers()).isFalse();
 		assertThat(state.fleet().instance("e1").orElseThrow().draining()).isFalse();
 	}
