Name only the owners that the budget of bytes has, and end a closed head

Cause: reading the change as a newcomer: two kinds of owners were there for uploads, which are not charged yet, and the texts spoke of requests. A connection whose head exceeded the limit went on decoding what had been read already.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/memory/ByteBudget.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/memory/ByteBudget.java
@@ -9,10 +9,9 @@
 import java.util.concurrent.Executor;
 
 /**
- * Budget of the bytes that a host holds for requests and responses. A body counts with
- * what it has beyond {@link #FREE_BYTES}, so that small ones never wait for large ones.
- * Each owner has a share, so that what one server sends without end leaves room for the
- * others.
+ * Budget of the bytes that a host holds for responses. A body counts with what it has
+ * beyond {@link #FREE_BYTES}, so that small ones never wait for large ones. Each owner
+ * has a share, so that what one server sends without end leaves room for the others.
  *
  * <p>
  * The oldest body of an owner may always grow. So the bodies that wait become complete
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/memory/BytesOwner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/memory/BytesOwner.java
@@ -18,13 +18,7 @@
 		SERVER(0.25),
 
 		/** A service whose servers send responses. */
-		SERVICE(0.5),
-
-		/** An organisation whose callers send requests. */
-		ORGANISATION(0.4),
-
-		/** All callers that send requests. */
-		CALLERS(0.6);
+		SERVICE(0.5);
 
 		private final double share;
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/memory/package-info.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/memory/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Decides how many bytes of requests and responses a host holds at the same time.
+ * Decides how many bytes of responses a host holds at the same time.
  */
 package org.medlardrum.decisions.memory;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -167,7 +167,7 @@
 		metrics.gauge("medlardrum_gateway_timer_late_ms", "Lateness of the last timer of a request",
 				lateness::latestMs);
 		metrics.gauge("medlardrum_gateway_held_bytes",
-				"Bytes of requests and responses that are held, without " + ByteBudget.FREE_BYTES + " bytes of each",
+				"Bytes of responses that are held, without " + ByteBudget.FREE_BYTES + " bytes of each",
 				this.budget::usedBytes);
 		metrics.gauge("medlardrum_gateway_held_bytes_peak", "Highest value of held bytes since the start",
 				this.budget::peakBytes);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/GatewaySettings.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/GatewaySettings.java
@@ -19,15 +19,15 @@
  * @param retryWindowMs window of the retry budget in milliseconds
  * @param retryAllowance retries of all hosts together allowed per window in addition to
  * the ratio
- * @param heldBytes bytes of requests and responses that the host holds at the same time
+ * @param heldBytes bytes of responses that the host holds at the same time
  */
 public record GatewaySettings(String hostId, String availabilityZone, String callerAddress, String readinessAddress,
 		String readinessPath, String metricsAddress, String peerAddress, String relayAddress, long keyFreshnessMs,
 		long shutdownMs, double retryRatio, long retryWindowMs, double retryAllowance, long heldBytes) {
 
 	/**
-	 * Part of the heap for requests and responses. Classes, connections and the bytes of
-	 * small bodies, which do not count, need the rest.
+	 * Part of the heap for responses. Classes, connections and the bytes of small bodies,
+	 * which do not count, need the rest.
 	 */
 	private static final double HELD_PART_OF_HEAP = 0.3;
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -34,7 +34,7 @@
  * @param reports status reports of engines
  * @param timerLateness lateness of the timers of requests
  * @param relayTargets hosts to which requests are passed on
- * @param budget bytes that the host holds for requests and responses
+ * @param budget bytes that the host holds for responses
  * @param random source of random numbers
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/UndecodedBytesLimit.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/UndecodedBytesLimit.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.HttpResponseMetaData;
 import io.servicetalk.http.api.HttpResponseStatus.StatusClass;
@@ -70,7 +71,10 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		if (message instanceof ByteBuf bytes) {
+		if (this.closed) {
+			ReferenceCountUtil.release(message);
+		}
+		else if (message instanceof ByteBuf bytes) {
 			read(context, bytes);
 		}
 		else {
