Move the search for a stream's first chain into a class

FirstChainSearch now holds the requirements, the reasons and times of the search, and the refusal; StreamExecution starts and ends the attempts. The behaviour is unchanged.

StreamRequestTests, CrashingRequestTests and ErrorTextInStreamTests pass.

--- /dev/null
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
@@ -0,0 +1,250 @@
+package org.medlardrum.gateway.internal.stream;
+
+import java.util.Optional;
+
+import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.pool.StreamLimits;
+import org.medlardrum.decisions.routing.AttemptLedger;
+import org.medlardrum.decisions.routing.RetryAfter;
+import org.medlardrum.decisions.routing.SendDenial;
+import org.medlardrum.gateway.CallerAttributes;
+import org.medlardrum.gateway.internal.request.CallerResponse;
+import org.medlardrum.gateway.internal.request.GatewayRequest;
+import org.medlardrum.gateway.internal.request.RequestDependencies;
+import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.routing.ModelPool;
+
+/**
+ * Search for a chain while a stream has none: for its first chain, and for another one
+ * after its only chain has failed. Decides when to search again and when to give up.
+ */
+final class FirstChainSearch {
+
+	/**
+	 * Longest wait of a request with a suspected part of its prompt; the trial of another
+	 * request usually ends within it.
+	 */
+	private static final long MAX_HOLD_MS = 1_000;
+
+	/**
+	 * Interval at which a request that waits for a trial checks whether it may be sent.
+	 */
+	private static final long HOLD_CHECK_INTERVAL_MS = 20;
+
+	private static final String PART = "stream";
+
+	private static final String FIRST = "first";
+
+	private static final String REFUSED = "refused";
+
+	private final RequestDependencies dependencies;
+
+	private final GatewayRequest request;
+
+	private final CallerResponse response;
+
+	private final AttemptLedger ledger;
+
+	private final Stream stream;
+
+	private String lastFailure = "none";
+
+	/** Reason of the search, {@code null} while an attempt is in progress. */
+	private String reason;
+
+	private long searchAtMs;
+
+	private long searchUntilMs;
+
+	/**
+	 * Creates a search.
+	 * @param dependencies settings, state and shared objects
+	 * @param request the request
+	 * @param response the response
+	 * @param ledger counts the servers to which the request is sent
+	 * @param stream the stream that searches
+	 */
+	FirstChainSearch(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
+			AttemptLedger ledger, Stream stream) {
+		this.dependencies = dependencies;
+		this.request = request;
+		this.response = response;
+		this.ledger = ledger;
+		this.stream = stream;
+	}
+
+	/**
+	 * Returns what the request requires of a chain.
+	 * @return the requirements
+	 */
+	ChainRequest chainRequest() {
+		ModelPool pool = this.request.service().pool().orElseThrow();
+		CallerAttributes attributes = this.request.attributes();
+		int generatedTokens = pool.meanGeneratedTokens();
+		if (attributes.estimatedGeneratedTokens() > 0) {
+			generatedTokens = attributes.estimatedGeneratedTokens();
+		}
+		if (attributes.maxGeneratedTokens() > 0) {
+			generatedTokens = Math.min(generatedTokens, attributes.maxGeneratedTokens());
+		}
+		int promptTokens = (attributes.promptTokens() > 0) ? attributes.promptTokens() : pool.meanPromptTokens();
+		return new ChainRequest(promptTokens, Math.max(1, generatedTokens), this.request.rank(),
+				this.dependencies.settings().availabilityZone());
+	}
+
+	/**
+	 * Returns whether the stream has no chain.
+	 * @return {@code true} while searching
+	 */
+	boolean isSearching() {
+		return this.reason != null;
+	}
+
+	/**
+	 * Returns when to search next.
+	 * @return time on the monotonic clock, {@link Long#MAX_VALUE} while not searching
+	 */
+	long dueAtMs() {
+		return (this.reason != null) ? this.searchAtMs : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Searches for the stream's first chain.
+	 * @return the outcome, {@code null} while the request is in progress
+	 */
+	String begin() {
+		if (isSuspected(this.stream.denial())) {
+			return hold(FIRST);
+		}
+		return (this.stream.send(FIRST)) ? null : this.stream.abandon("no chain has room");
+	}
+
+	/**
+	 * Searches for another chain after the only one has failed.
+	 * @param event the failure, as logged
+	 * @param failure description of the failure
+	 * @param durationMs time after which a search without success ends
+	 * @return the outcome, {@code null} while the request is in progress
+	 */
+	String beginAgain(String event, String failure, long durationMs) {
+		this.lastFailure = failure;
+		Optional<SendDenial> denial = this.stream.denial();
+		if (isSuspected(denial)) {
+			return hold(event);
+		}
+		if (denial.isPresent()) {
+			this.stream.logDenial(denial.get());
+			return this.stream.abandon(failure);
+		}
+		long nowMs = this.dependencies.nowMs();
+		this.reason = event;
+		this.searchUntilMs = nowMs + durationMs;
+		return search(nowMs);
+	}
+
+	/**
+	 * Records a failure after which the stream goes on with a concurrent attempt.
+	 * @param failure description of the failure
+	 */
+	void recordFailure(String failure) {
+		this.lastFailure = failure;
+	}
+
+	// Waits until the suspected part of the prompt is cleared or this request may try it.
+	private String hold(String event) {
+		long nowMs = this.dependencies.nowMs();
+		this.stream.logDenial(SendDenial.SUSPECTED);
+		this.lastFailure = "a part of the prompt may have crashed a server";
+		this.reason = event;
+		this.searchUntilMs = nowMs + MAX_HOLD_MS;
+		this.searchAtMs = nowMs + HOLD_CHECK_INTERVAL_MS;
+		return null;
+	}
+
+	/**
+	 * Searches until a chain has room, the search has lasted too long, or the request
+	 * must not be sent any more.
+	 * @param nowMs current time on the monotonic clock
+	 * @return the outcome, {@code null} while the request is in progress
+	 */
+	String search(long nowMs) {
+		boolean held = isSuspected(this.stream.denial());
+		if (!held && this.stream.send(this.reason)) {
+			this.reason = null;
+			return null;
+		}
+		this.searchAtMs = nowMs + ((held) ? HOLD_CHECK_INTERVAL_MS : StreamLimits.SEARCH_RETRY_INTERVAL_MS);
+		if (held && nowMs < this.searchUntilMs) {
+			return null;
+		}
+		if (held && this.ledger.possibleExecutions() == 0) {
+			return refuseSuspected();
+		}
+		return (nowMs >= this.searchUntilMs || this.stream.denial().isPresent()) ? this.stream.abandon(this.lastFailure)
+				: null;
+	}
+
+	private static boolean isSuspected(Optional<SendDenial> denial) {
+		return denial.equals(Optional.of(SendDenial.SUSPECTED));
+	}
+
+	private String refuseSuspected() {
+		long retryAfterMs = RetryAfter.overloadedMs(this.request.rank(),
+				this.request.deadlineAtMs() - this.dependencies.nowMs(), this.dependencies.random());
+		this.dependencies.log()
+			.event(PART, "refuse", "id", this.request.id(), "reason", SendDenial.SUSPECTED.label(), "rank",
+					this.request.rank(), "retryAfterMs", retryAfterMs);
+		this.response.refuse(ProblemType.QUARANTINED, "A part of the prompt may have crashed a server",
+				this.request.rank(), retryAfterMs);
+		return REFUSED;
+	}
+
+	/**
+	 * Refuses the request, which no server has executed.
+	 * @param detail explanation for the caller
+	 * @param retryAfterMs time after which the caller should come back
+	 * @return the outcome
+	 */
+	String refuse(String detail, long retryAfterMs) {
+		this.dependencies.log()
+			.event(PART, "refuse", "id", this.request.id(), "reason", detail, "lastFailure", this.lastFailure, "rank",
+					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.dependencies.loads().peerCount());
+		this.response.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, detail,
+				this.request.rank(), retryAfterMs);
+		return REFUSED;
+	}
+
+	/**
+	 * The stream for which a chain is searched.
+	 */
+	interface Stream {
+
+		/**
+		 * Decides whether the request may be sent to another server.
+		 * @return the reason if it must not be sent, otherwise empty
+		 */
+		Optional<SendDenial> denial();
+
+		/**
+		 * Logs why the request is not sent.
+		 * @param denial the reason
+		 */
+		void logDenial(SendDenial denial);
+
+		/**
+		 * Sends the request to the best chain.
+		 * @param reason reason of the attempt, as logged
+		 * @return {@code false} if no chain has room
+		 */
+		boolean send(String reason);
+
+		/**
+		 * Gives up the request.
+		 * @param reason explanation for the caller
+		 * @return the outcome
+		 */
+		String abandon(String reason);
+
+	}
+
+}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -15,10 +15,8 @@
 import org.medlardrum.decisions.pool.SilentAttempt;
 import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamStallDetector;
-import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
-import org.medlardrum.gateway.CallerAttributes;
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -30,7 +28,6 @@
 import org.medlardrum.gateway.internal.state.FleetView;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.protocol.problem.ProblemType;
-import org.medlardrum.state.routing.ModelPool;
 import org.medlardrum.state.routing.ServiceInstance;
 
 /**
@@ -54,17 +51,6 @@
 	 */
 	private static final long LEAVING_RETRY_INTERVAL_MS = 200;
 
-	/**
-	 * Longest wait of a request with a suspected part of its prompt; the trial of another
-	 * request usually ends within it.
-	 */
-	private static final long MAX_HOLD_MS = 1_000;
-
-	/**
-	 * Interval at which a request that waits for a trial checks whether it may be sent.
-	 */
-	private static final long HOLD_CHECK_INTERVAL_MS = 20;
-
 	/** Size limit of the body of a response that is not a stream. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
@@ -87,6 +73,8 @@
 
 	private final StallProbe probe;
 
+	private final FirstChainSearch search;
+
 	private final Set<String> excluded = new HashSet<>();
 
 	/**
@@ -118,18 +106,6 @@
 
 	private long longestGapMs;
 
-	private String lastFailure = "none";
-
-	/**
-	 * Reason of the search for another chain, {@code null} while an attempt is in
-	 * progress.
-	 */
-	private String searchReason;
-
-	private long searchAtMs;
-
-	private long searchUntilMs;
-
 	private long leavingCheckAtMs = Long.MIN_VALUE;
 
 	/**
@@ -144,16 +120,14 @@
 		super(dependencies, request, response, outcomeListener, PART, StreamLimits.MAX_ATTEMPTS);
 		this.chooser = new ChainChooser(dependencies, request.id());
 		this.probe = new StallProbe(dependencies, this::onSignal);
+		this.search = new FirstChainSearch(dependencies, request, response, this.ledger, new SearchedStream());
 		this.lastEventId = request.attributes().lastEventId();
 	}
 
 	@Override
 	protected String firstStep() {
 		recordFirstAttempt();
-		if (sendDenial().equals(Optional.of(SendDenial.SUSPECTED))) {
-			return hold("first", this.dependencies.nowMs());
-		}
-		return (send("first")) ? null : abandon("no chain has room");
+		return this.search.begin();
 	}
 
 	@Override
@@ -172,10 +146,7 @@
 
 	@Override
 	protected long dueAtMs() {
-		long dueMs = this.request.deadlineAtMs();
-		if (this.searchReason != null) {
-			dueMs = Math.min(dueMs, this.searchAtMs);
-		}
+		long dueMs = Math.min(this.request.deadlineAtMs(), this.search.dueAtMs());
 		if (this.current != null) {
 			dueMs = Math.min(dueMs, this.current.stallCheckAtMs());
 		}
@@ -190,8 +161,8 @@
 		if (nowMs >= this.request.deadlineAtMs()) {
 			return onTimeout();
 		}
-		if (this.searchReason != null) {
-			return search(nowMs);
+		if (this.search.isSearching()) {
+			return this.search.search(nowMs);
 		}
 		boolean late = this.dependencies.timerLateness().isLate();
 		for (ChainAttempt attempt : this.successors.listWith(this.current)) {
@@ -277,7 +248,7 @@
 				return;
 			}
 		}
-		ChainRequest requirements = chainRequest()
+		ChainRequest requirements = this.search.chainRequest()
 			.preferring(this.chooser.chooseRandomZone(this.request.service(), excludedEngines));
 		if (this.chooser.hasSpareCapacity(this.request.service(), requirements, excludedEngines)) {
 			startSuccessor(REASON_STALLED, "no event for " + silent.eventGaps().currentGapMs(nowMs) + " ms",
@@ -306,8 +277,10 @@
 	}
 
 	private Optional<ChainChooser.ReservedChain> chooseForStall(Set<String> faulty) {
-		return this.chooser.choose(this.request.service(), chainRequest(), excludedWithAttempts(), this.responseStarted)
-			.or(() -> this.chooser.choose(this.request.service(), chainRequest(), faulty, this.responseStarted));
+		return this.chooser
+			.choose(this.request.service(), this.search.chainRequest(), excludedWithAttempts(), this.responseStarted)
+			.or(() -> this.chooser.choose(this.request.service(), this.search.chainRequest(), faulty,
+					this.responseStarted));
 	}
 
 	private void addSuccessor(ChainAttempt attempt) {
@@ -356,7 +329,8 @@
 			this.leavingCheckAtMs = nowMs + LEAVING_RETRY_INTERVAL_MS;
 			Set<String> excludedEngines = new HashSet<>(this.excluded);
 			excludedEngines.add(leaving.get());
-			startSuccessor(REASON_LEAVING, "server " + leaving.get() + " is leaving", excludedEngines, chainRequest());
+			startSuccessor(REASON_LEAVING, "server " + leaving.get() + " is leaving", excludedEngines,
+					this.search.chainRequest());
 		}
 	}
 
@@ -412,7 +386,7 @@
 		}
 		if (this.current == null) {
 			this.current = this.chooser
-				.choose(this.request.service(), chainRequest(), this.excluded, this.responseStarted)
+				.choose(this.request.service(), this.search.chainRequest(), this.excluded, this.responseStarted)
 				.map((chosen) -> startAttempt(chosen, reason, Set.of()))
 				.orElse(null);
 		}
@@ -481,21 +455,6 @@
 					this.ledger.possibleExecutions());
 	}
 
-	private ChainRequest chainRequest() {
-		ModelPool pool = this.request.service().pool().orElseThrow();
-		CallerAttributes attributes = this.request.attributes();
-		int generatedTokens = pool.meanGeneratedTokens();
-		if (attributes.estimatedGeneratedTokens() > 0) {
-			generatedTokens = attributes.estimatedGeneratedTokens();
-		}
-		if (attributes.maxGeneratedTokens() > 0) {
-			generatedTokens = Math.min(generatedTokens, attributes.maxGeneratedTokens());
-		}
-		int promptTokens = (attributes.promptTokens() > 0) ? attributes.promptTokens() : pool.meanPromptTokens();
-		return new ChainRequest(promptTokens, Math.max(1, generatedTokens), this.request.rank(),
-				this.dependencies.settings().availabilityZone());
-	}
-
 	private String onHeader(Signal.Header header) {
 		ChainAttempt attempt = attemptOf(header.call());
 		if (attempt == null) {
@@ -790,24 +749,13 @@
 			onFailedSuccessor(failed);
 			return null;
 		}
-		this.lastFailure = reason;
+		this.search.recordFailure(reason);
 		if (!this.successors.isEmpty()) {
 			promoteSuccessor(this.successors.oldest(), reason);
 			return null;
 		}
 		endCurrent();
-		long nowMs = this.dependencies.nowMs();
-		Optional<SendDenial> denial = sendDenial();
-		if (denial.equals(Optional.of(SendDenial.SUSPECTED))) {
-			return hold(event, nowMs);
-		}
-		if (denial.isPresent()) {
-			logDenial(denial.get());
-			return abandon(reason);
-		}
-		this.searchReason = event;
-		this.searchUntilMs = nowMs + ((this.responseStarted) ? StreamLimits.MAX_RESUME_SEARCH_MS : 0);
-		return search(nowMs);
+		return this.search.beginAgain(event, reason, (this.responseStarted) ? StreamLimits.MAX_RESUME_SEARCH_MS : 0);
 	}
 
 	private void onFailedSuccessor(ChainAttempt failed) {
@@ -825,47 +773,6 @@
 		return this.chooser.hasSpareFirstEngine(this.request.service());
 	}
 
-	// Waits until the suspected part of the prompt is cleared or this request may try it.
-	private String hold(String reason, long nowMs) {
-		logDenial(SendDenial.SUSPECTED);
-		this.lastFailure = "a part of the prompt may have crashed a server";
-		this.searchReason = reason;
-		this.searchUntilMs = nowMs + MAX_HOLD_MS;
-		this.searchAtMs = nowMs + HOLD_CHECK_INTERVAL_MS;
-		return null;
-	}
-
-	// Searches until a chain has room, the search has lasted too long, or the request
-	// must
-	// not be sent any more.
-	private String search(long nowMs) {
-		Optional<SendDenial> denial = sendDenial();
-		boolean held = denial.equals(Optional.of(SendDenial.SUSPECTED));
-		if (!held && send(this.searchReason)) {
-			this.searchReason = null;
-			return null;
-		}
-		this.searchAtMs = nowMs + ((held) ? HOLD_CHECK_INTERVAL_MS : StreamLimits.SEARCH_RETRY_INTERVAL_MS);
-		if (held && nowMs < this.searchUntilMs) {
-			return null;
-		}
-		if (held && this.ledger.possibleExecutions() == 0) {
-			return refuseSuspected();
-		}
-		return (nowMs >= this.searchUntilMs || sendDenial().isPresent()) ? abandon(this.lastFailure) : null;
-	}
-
-	private String refuseSuspected() {
-		long retryAfterMs = RetryAfter.overloadedMs(this.request.rank(),
-				this.request.deadlineAtMs() - this.dependencies.nowMs(), this.dependencies.random());
-		this.dependencies.log()
-			.event(PART, "refuse", "id", this.request.id(), "reason", SendDenial.SUSPECTED.label(), "rank",
-					this.request.rank(), "retryAfterMs", retryAfterMs);
-		this.response.refuse(ProblemType.QUARANTINED, "A part of the prompt may have crashed a server",
-				this.request.rank(), retryAfterMs);
-		return "refused";
-	}
-
 	private String abandon(String reason) {
 		if (this.responseStarted) {
 			this.response.abort();
@@ -875,13 +782,7 @@
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
-		long retryAfterMs = comeBackAfterMs(this.chooser.firstEngines(this.request.service()));
-		this.dependencies.log()
-			.event(PART, "refuse", "id", this.request.id(), "reason", reason, "lastFailure", this.lastFailure, "rank",
-					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.dependencies.loads().peerCount());
-		this.response.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
-				this.request.rank(), retryAfterMs);
-		return "refused";
+		return this.search.refuse(reason, comeBackAfterMs(this.chooser.firstEngines(this.request.service())));
 	}
 
 	private String onTimeout() {
@@ -893,4 +794,31 @@
 		return "timed-out";
 	}
 
+	/**
+	 * Connects the search with the attempts of this stream.
+	 */
+	private final class SearchedStream implements FirstChainSearch.Stream {
+
+		@Override
+		public Optional<SendDenial> denial() {
+			return sendDenial();
+		}
+
+		@Override
+		public void logDenial(SendDenial denial) {
+			StreamExecution.this.logDenial(denial);
+		}
+
+		@Override
+		public boolean send(String reason) {
+			return StreamExecution.this.send(reason);
+		}
+
+		@Override
+		public String abandon(String reason) {
+			return StreamExecution.this.abandon(reason);
+		}
+
+	}
+
 }
