Let streams wait for capacity while their target can be met

A stream for which no chain had room was refused at once, even if another one ended 100 ms later. The least urgent ranks leave the share of the cache that ReservedRoom names. A stop signal and a configuration without the route or key end waiting requests. The demand of each rank is sent in the field "ranks" of the digests.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.medlardrum.coordination.follow.PeerConfirmations;
 import org.medlardrum.coordination.follow.StoreReads;
 import org.medlardrum.decisions.memory.ByteBudget;
+import org.medlardrum.gateway.internal.admission.ServiceAdmissions;
 import org.medlardrum.gateway.internal.http.EventLoopServer;
 import org.medlardrum.gateway.internal.http.GatewayHandler;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
@@ -34,6 +35,7 @@
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.gateway.internal.state.ServerPermits;
 import org.medlardrum.state.Host;
+import org.medlardrum.state.Rank;
 import org.medlardrum.state.routing.RequestLimits;
 import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -104,6 +106,8 @@
 
 	private final HttpClientPool clients;
 
+	private final ServiceAdmissions admissions;
+
 	private final GatewayHandler handler;
 
 	private final GatewayHandler relayHandler;
@@ -144,8 +148,12 @@
 		TimerLateness lateness = new TimerLateness(clock, log);
 		this.relayTargets = new RelayTargets(this.state, RandomGenerator.getDefault());
 		this.budget = new ByteBudget(settings.heldBytes(), this.executor::execute);
+		this.admissions = new ServiceAdmissions(this.state, this.executor, log, RandomGenerator.getDefault());
+		loads.onFreed(this.admissions::recordFreed);
+		this.state.onConfiguration(this.admissions::recheck);
+		this.exchange.exchangeDemand(this.admissions::ownDemand, this.admissions::updatePeer);
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, quarantine, limits, this.permits,
+				this.clients, dialect, log, metrics, this.admissions, quarantine, limits, this.permits,
 				new EngineReports(this.state, this.clients, this.executor, dialect, this.permits, lateness), lateness,
 				this.relayTargets, this.budget, RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
@@ -173,6 +181,16 @@
 				this.budget::peakBytes);
 		metrics.gauge("medlardrum_gateway_waiting_responses", "Responses that wait for room among the held bytes",
 				this.budget::waiting);
+		for (Rank rank : Rank.values()) {
+			metrics.gauge("medlardrum_gateway_waiting_requests_" + rank.wireName(),
+					"Requests of rank " + rank.ordinal() + " that wait for capacity",
+					() -> this.admissions.waiting(rank.ordinal()));
+			metrics.gauge("medlardrum_gateway_reserved_capacity_" + rank.wireName(),
+					"Share of a service's capacity that rank " + rank.ordinal() + " leaves to more urgent ranks",
+					() -> this.admissions.largestReservedShare(rank.ordinal()));
+		}
+		metrics.gauge("medlardrum_gateway_oldest_wait_ms", "Time for which the oldest waiting request has waited",
+				this.admissions::oldestWaitMs);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
 		this.servers = List.of(
 				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
@@ -392,6 +410,7 @@
 	public void shutDown(Runnable closeOthers) {
 		ShutdownSteps steps = new ShutdownSteps(this.state.clock(), this.log);
 		this.state.drain();
+		this.admissions.stop();
 		this.log.event("process", "draining", "inProgress", inProgress());
 		steps.run("requestsMs", this::awaitRequests);
 		this.log.event("process", "stop", "inProgress", inProgress(), "callers", this.handler.describeInProgress(),
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayHandler.java
@@ -322,11 +322,18 @@
 		RequestExecution execution = (request.service().pool().isPresent())
 				? new StreamExecution(this.dependencies, request, response, listener)
 				: new PlainExecution(this.dependencies, request, response, listener);
+		execution.readmitBy(() -> readmit(exchange, request, open));
 		exchange.onDisconnect(() -> execution.onSignal(new Signal.CallerDisconnected()));
 		open.onStop(execution::stop);
 		execution.start();
 	}
 
+	// Returns the outcome if a new request would be refused now.
+	private String readmit(CallerExchange exchange, GatewayRequest request, OpenRequest open) {
+		Admission admission = admit(exchange, request.attributes(), open.arrivedAtMs(), request.body());
+		return (admission.request() == null) ? admission.outcome() : null;
+	}
+
 	/**
 	 * Starts a request once its body is complete.
 	 */
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -8,16 +8,19 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 import org.medlardrum.coordination.internal.BackgroundThread;
 import org.medlardrum.decisions.crash.Evidence;
 import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.LimitReport;
 import org.medlardrum.decisions.routing.ServerSuspicions.Suspicion;
+import org.medlardrum.gateway.internal.admission.DemandReport;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.peer.gen.LeavingServer;
+import org.medlardrum.peer.gen.RankDemand;
 import org.medlardrum.peer.gen.ServerLimit;
 import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.peer.gen.SilentServer;
@@ -71,6 +74,12 @@
 	/** Limit of the limits of servers in a digest, about 40 bytes each. */
 	private static final int MAX_LIMIT_REPORTS = 24;
 
+	/**
+	 * Costs in digests are integers; a host may have less than one plain request per
+	 * second, each of which is one unit of work.
+	 */
+	private static final double DEMAND_UNITS_PER_WORK = 1_000;
+
 	private static final long MS_PER_S = 1_000;
 
 	private final GatewayState state;
@@ -100,6 +109,11 @@
 	/** Whether the other hosts are asked to reply with their configuration versions. */
 	private volatile boolean asksPeers;
 
+	private volatile Supplier<List<DemandReport>> ownDemand = List::of;
+
+	private volatile BiConsumer<String, List<DemandReport>> demandListener = (host, reports) -> {
+	};
+
 	private boolean wasIdle;
 
 	private long sentAtMs = Long.MIN_VALUE / 2;
@@ -133,6 +147,17 @@
 		limits.onChange(this::requestUrgentDigest);
 	}
 
+	/**
+	 * Sets the source of this host's demand and the receiver of that of other hosts.
+	 * @param own supplies the demand at this host
+	 * @param listener receives the identifier of another host and its demand; must not
+	 * block
+	 */
+	public void exchangeDemand(Supplier<List<DemandReport>> own, BiConsumer<String, List<DemandReport>> listener) {
+		this.ownDemand = own;
+		this.demandListener = listener;
+	}
+
 	private void askPeers() {
 		this.asksPeers = true;
 		requestUrgentDigest();
@@ -204,6 +229,14 @@
 			}
 			this.loads.updatePeer(digest.getHostId(), loadByServer, this.state.clock().monotonicMs());
 		}
+		if (digest.isSetRanks() && !digest.getRanks().isEmpty()) {
+			this.demandListener.accept(digest.getHostId(),
+					digest.getRanks()
+						.stream()
+						.filter((demand) -> demand.isSetPool() && demand.getRank() >= 0)
+						.map(LoadExchange::decode)
+						.toList());
+		}
 		if (digest.isSetCrashEvidence()) {
 			this.quarantine.merge(
 					digest.getCrashEvidence().stream().map(EvidenceCodec::decode).flatMap(Optional::stream).toList());
@@ -253,14 +286,18 @@
 		List<Suspicion> suspicions = this.state.ownSuspicions();
 		List<Evidence> evidence = this.quarantine.evidenceToTell();
 		List<LimitReport> reports = this.limits.takeReports();
-		boolean idle = !this.state.isCutOff() && own.isEmpty() && suspicions.isEmpty() && evidence.isEmpty()
-				&& reports.isEmpty() && this.state.leavingToTell().isEmpty();
+		List<DemandReport> demand = this.ownDemand.get();
+		boolean idle = !this.state.isCutOff() && own.isEmpty() && demand.isEmpty() && suspicions.isEmpty()
+				&& evidence.isEmpty() && reports.isEmpty() && this.state.leavingToTell().isEmpty();
 		if (idle && !this.asksPeers && this.wasIdle && nowMs - this.sentAtMs < IDLE_INTERVAL_MS) {
 			return busyIntervalMs;
 		}
 		this.wasIdle = idle;
 		this.sentAtMs = nowMs;
 		Digest digest = digest(own, suspicions);
+		if (!demand.isEmpty()) {
+			digest.setRanks(demand.stream().map(LoadExchange::encode).toList());
+		}
 		receivers.forEach((peer) -> this.sender.accept(peer, digest));
 		// Each in a datagram of its own, since the loads may fill one.
 		if (!evidence.isEmpty()) {
@@ -276,6 +313,18 @@
 		return (this.urgent) ? URGENT_INTERVAL_MS : busyIntervalMs;
 	}
 
+	private static RankDemand encode(DemandReport report) {
+		return new RankDemand(report.service(), (short) report.rank(),
+				Math.round(report.demandPerS() * DEMAND_UNITS_PER_WORK),
+				Math.round(report.servedPerS() * DEMAND_UNITS_PER_WORK));
+	}
+
+	private static DemandReport decode(RankDemand demand) {
+		return new DemandReport(demand.getPool(), demand.getRank(),
+				Math.max(0, demand.getDemandCostPerS()) / DEMAND_UNITS_PER_WORK,
+				Math.max(0, demand.getServedCostPerS()) / DEMAND_UNITS_PER_WORK);
+	}
+
 	private static ServerLimit encode(LimitReport report) {
 		return new ServerLimit(report.server(), report.limitPerS(), report.ageMs(), report.demandPerS());
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadTable.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadTable.java
@@ -26,6 +26,18 @@
 
 	private final Map<String, PeerLoad> peers = new ConcurrentHashMap<>();
 
+	private volatile Runnable freedListener = () -> {
+	};
+
+	/**
+	 * Sets the listener that runs when a reservation of this host ends or another host
+	 * reports less load.
+	 * @param listener must not block
+	 */
+	public void onFreed(Runnable listener) {
+		this.freedListener = listener;
+	}
+
 	/**
 	 * Reserves capacity on an engine chain for a request.
 	 * @param chain the chain
@@ -70,6 +82,7 @@
 			ServerLoad rest = sum.plus(new ServerLoad(-load.tokenLayers(), -load.sequences(), -load.headSequences()));
 			return (rest.sequences() <= 0) ? null : rest;
 		}));
+		this.freedListener.run();
 	}
 
 	/**
@@ -79,7 +92,16 @@
 	 * @param nowMs current time on the monotonic clock
 	 */
 	public void updatePeer(String host, Map<String, ServerLoad> loads, long nowMs) {
-		this.peers.put(host, new PeerLoad(Map.copyOf(loads), nowMs));
+		PeerLoad before = this.peers.put(host, new PeerLoad(Map.copyOf(loads), nowMs));
+		if (before != null && before.loads.entrySet()
+			.stream()
+			.anyMatch((entry) -> isLess(loads.getOrDefault(entry.getKey(), ServerLoad.NONE), entry.getValue()))) {
+			this.freedListener.run();
+		}
+	}
+
+	private static boolean isLess(ServerLoad now, ServerLoad before) {
+		return now.tokenLayers() < before.tokenLayers() || now.sequences() < before.sequences();
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -6,6 +6,7 @@
 import org.medlardrum.decisions.memory.ByteBudget;
 import org.medlardrum.gateway.GatewaySettings;
 import org.medlardrum.gateway.RequestDialect;
+import org.medlardrum.gateway.internal.admission.ServiceAdmissions;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
 import org.medlardrum.gateway.internal.load.LoadTable;
 import org.medlardrum.gateway.internal.load.ServerLimits;
@@ -28,6 +29,7 @@
  * @param dialect names and formats of headers and documents
  * @param log log of decisions
  * @param metrics the metrics
+ * @param admissions requests that wait for capacity
  * @param quarantine requests that crash servers
  * @param limits limits of requests that servers name
  * @param permits servers that accept requests of this host
@@ -39,8 +41,9 @@
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
-		RequestQuarantine quarantine, ServerLimits limits, ServerPermits permits, EngineReports reports,
-		TimerLateness timerLateness, RelayTargets relayTargets, ByteBudget budget, RandomGenerator random) {
+		ServiceAdmissions admissions, RequestQuarantine quarantine, ServerLimits limits, ServerPermits permits,
+		EngineReports reports, TimerLateness timerLateness, RelayTargets relayTargets, ByteBudget budget,
+		RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -15,6 +15,7 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.transport.api.IoExecutor;
+import org.medlardrum.decisions.admission.AdmissionRequest;
 import org.medlardrum.decisions.memory.BytesOwner;
 import org.medlardrum.decisions.memory.HeldBytes;
 import org.medlardrum.decisions.routing.AttemptLedger;
@@ -25,6 +26,7 @@
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.HeaderLookup;
 import org.medlardrum.gateway.RequestDialect;
+import org.medlardrum.gateway.internal.admission.RequestAdmission;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.BackendRequest;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -32,7 +34,9 @@
 import org.medlardrum.gateway.internal.quarantine.RunningAttempt;
 import org.medlardrum.gateway.internal.relay.RelayHeader;
 import org.medlardrum.gateway.internal.relay.RelayTarget;
+import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.protocol.problem.ProblemType;
+import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServerStart;
 
 /**
@@ -46,6 +50,14 @@
 	/** Limit of other hosts to which one request is passed on. */
 	private static final int MAX_RELAYS = 3;
 
+	/**
+	 * A request waits for at most this part of the time that its caller had left; the
+	 * rest is needed for its execution.
+	 */
+	private static final int WAIT_TIME_DIVISOR = 8;
+
+	private static final String NO_ORGANISATION = "none";
+
 	private static final int BAD_REQUEST = 400;
 
 	private static final int SERVER_ERROR = 500;
@@ -86,6 +98,12 @@
 
 	private final Consumer<String> outcomeListener;
 
+	/** Checks the request as if it arrived now. */
+	private Supplier<String> readmission = () -> null;
+
+	/** Configuration by which the request was admitted. */
+	private final RoutingTable admittedBy;
+
 	private Cancellable timer;
 
 	private long timerAtMs = Long.MAX_VALUE;
@@ -116,6 +134,68 @@
 		this.response = response;
 		this.executor = dependencies.executor();
 		this.outcomeListener = outcomeListener;
+		this.admittedBy = dependencies.state().table();
+	}
+
+	/**
+	 * Sets the check that a request passes again before it starts after a wait.
+	 * @param check responds and returns the outcome if a new request would not be
+	 * admitted, otherwise returns {@code null}
+	 */
+	public final void readmitBy(Supplier<String> check) {
+		this.readmission = check;
+	}
+
+	/**
+	 * Checks whether a request that waits would still be admitted, and responds if not.
+	 * @return the outcome, {@code null} if it would be
+	 */
+	protected final String recheckAdmission() {
+		GatewayState state = this.dependencies.state();
+		return (state.table() == this.admittedBy && state.isFresh()) ? null : this.readmission.get();
+	}
+
+	/**
+	 * Records the arrival of the request for the admission to its service. Another host
+	 * has decided on a request that it has passed on.
+	 * @param work work of the request, in the unit of its service
+	 * @param targetFraction fraction of the target latency for which the request may wait
+	 * @return the admission, empty if the request does not wait
+	 */
+	protected final Optional<RequestAdmission> recordArrival(double work, double targetFraction) {
+		if (this.request.source().isHost()) {
+			return Optional.empty();
+		}
+		long maxWaitMs = Math.min((long) (this.request.route().targetLatencyMs() * targetFraction),
+				(this.request.deadlineAtMs() - this.request.arrivedAtMs()) / WAIT_TIME_DIVISOR);
+		return this.dependencies.admissions()
+			.recordArrival(this.request.service(), this.request.route(),
+					new AdmissionRequest(this.request.id(), this.request.rank(),
+							this.request.organisation().orElse(NO_ORGANISATION), work, this.request.arrivedAtMs(),
+							this.request.arrivedAtMs() + maxWaitMs),
+					this.request.deadlineAtMs());
+	}
+
+	/**
+	 * Returns whether a request without a server may wait for capacity. Nothing waits for
+	 * servers to which there is no path, or at a host that stops.
+	 * @return {@code true} if no server can have executed it and it may still be sent
+	 */
+	protected final boolean mayWait() {
+		GatewayState state = this.dependencies.state();
+		return this.ledger.possibleExecutions() == 0 && !state.isCutOff() && !state.isDraining()
+				&& sendDenial().isEmpty();
+	}
+
+	/**
+	 * Executes a step that was caused by something else than a signal or the timer,
+	 * unless the request has ended.
+	 * @param step returns the outcome, {@code null} while the request is in progress
+	 */
+	protected final void runUnlessEnded(Supplier<String> step) {
+		if (!this.ended) {
+			runStep(step);
+		}
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -84,6 +84,10 @@
 	private volatile Runnable suspicionListener = () -> {
 	};
 
+	/** Runs when another configuration is in force. */
+	private volatile Runnable configurationListener = () -> {
+	};
+
 	/** Era of the store, negative before the first copy. */
 	private volatile long storeEra = -1;
 
@@ -123,6 +127,15 @@
 		this.fleet = new FleetView(this.fleet.all(), next);
 		this.log.event("config", "in-force", "version", next.version(), "before",
 				(active != null) ? active.version() : "none");
+		this.configurationListener.run();
+	}
+
+	/**
+	 * Sets the listener that runs when another configuration is in force.
+	 * @param listener must not block
+	 */
+	public void onConfiguration(Runnable listener) {
+		this.configurationListener = listener;
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -1,7 +1,9 @@
 package org.medlardrum.gateway.internal.stream;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.medlardrum.decisions.pool.ChainHop;
@@ -23,6 +25,12 @@
  */
 final class ChainChooser {
 
+	/**
+	 * Largest fraction of an engine's KV cache that the most urgent rank may reserve, the
+	 * same as in a search whose limit depends on the rank only.
+	 */
+	private static final double MAX_UTILISATION = 0.92;
+
 	private final RequestDependencies dependencies;
 
 	private final String requestId;
@@ -42,7 +50,7 @@
 	 */
 	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
 		PoolSnapshot snapshot = snapshot(service, excluded);
-		return findWithinLimits(snapshot, request, resumes).map((hops) -> {
+		return findWithinLimits(snapshot, request, maxUtilisation(service, request, resumes)).map((hops) -> {
 			double cacheUtilisation = hops.stream()
 				.mapToDouble((hop) -> snapshot.utilisation(hop.server(),
 						(long) request.tokensAtEnd() * hop.layers().length()))
@@ -54,9 +62,10 @@
 	}
 
 	// Only the first engine of a chain receives the request, so only its limit counts.
-	private Optional<List<ChainHop>> findWithinLimits(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
+	private Optional<List<ChainHop>> findWithinLimits(PoolSnapshot snapshot, ChainRequest request,
+			OptionalDouble maxUtilisation) {
 		ServerLimits limits = this.dependencies.limits();
-		Optional<List<ChainHop>> preferred = find(snapshot, request, resumes);
+		Optional<List<ChainHop>> preferred = find(snapshot, request, maxUtilisation);
 		Optional<String> first = preferred.map((hops) -> hops.getFirst().server().id());
 		first.ifPresent(limits::recordDemand);
 		if (first.isEmpty() || limits.isAllowed(first.get())) {
@@ -64,14 +73,40 @@
 		}
 		Optional<List<ChainHop>> other = find(
 				snapshot.withExcludedAsFirst(snapshot.excludedAsFirst().or((server) -> !limits.isAllowed(server.id()))),
-				request, resumes);
+				request, maxUtilisation);
 		limits.logMove(this.requestId, first.get(), other.map((hops) -> hops.getFirst().server().id()));
 		return other;
 	}
 
-	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
+	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request,
+			OptionalDouble maxUtilisation) {
 		ChainSearch search = new ChainSearch(snapshot);
-		return (resumes) ? search.find(request, StreamLimits.RESUME_MAX_UTILISATION) : search.find(request);
+		return (maxUtilisation.isPresent()) ? search.find(request, maxUtilisation.getAsDouble()) : search.find(request);
+	}
+
+	// Empty for the limit that depends on the rank only.
+	private OptionalDouble maxUtilisation(RoutedService service, ChainRequest request, boolean resumes) {
+		if (resumes) {
+			return OptionalDouble.of(StreamLimits.RESUME_MAX_UTILISATION);
+		}
+		OptionalDouble reserved = this.dependencies.admissions().reservedShare(service, request.rank());
+		return (reserved.isPresent()) ? OptionalDouble.of(MAX_UTILISATION - reserved.getAsDouble())
+				: OptionalDouble.empty();
+	}
+
+	/**
+	 * Returns whether a chain exists for a request if no engine has any load.
+	 * @param service the service
+	 * @param request requirements of the chain
+	 * @param excluded identifiers of engines that must not be used
+	 * @return {@code false} if free capacity alone does not make a chain
+	 */
+	boolean hasChain(RoutedService service, ChainRequest request, Set<String> excluded) {
+		PoolSnapshot snapshot = snapshot(service, excluded);
+		return new ChainSearch(new PoolSnapshot(snapshot.pool(), snapshot.servers(), Map.of(), snapshot.excluded(),
+				snapshot.excludedAsFirst()))
+			.find(request, 1)
+			.isPresent();
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.stream;
 
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.StreamLimits;
@@ -8,6 +9,8 @@
 import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.CallerAttributes;
+import org.medlardrum.gateway.internal.admission.RequestAdmission;
+import org.medlardrum.gateway.internal.admission.WaitingRequest;
 import org.medlardrum.gateway.internal.request.CallerResponse;
 import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
@@ -47,11 +50,16 @@
 
 	private final Stream stream;
 
+	private final WaitingStream waiting = new WaitingStream();
+
 	private String lastFailure = "none";
 
 	/** Reason of the search, {@code null} while an attempt is in progress. */
 	private String reason;
 
+	/** Empty if the request does not wait for capacity. */
+	private Optional<RequestAdmission> admission = Optional.empty();
+
 	private long searchAtMs;
 
 	private long searchUntilMs;
@@ -113,10 +121,42 @@
 	 * @return the outcome, {@code null} while the request is in progress
 	 */
 	String begin() {
+		ChainRequest requirements = chainRequest();
+		int layers = this.request.service().pool().orElseThrow().layers();
+		this.admission = this.stream.recordArrival((double) requirements.tokensAtEnd() * layers);
 		if (isSuspected(this.stream.denial())) {
 			return hold(FIRST);
 		}
-		return (this.stream.send(FIRST)) ? null : this.stream.abandon("no chain has room");
+		boolean next = this.admission.map(RequestAdmission::isNext).orElse(true);
+		return (next && send(FIRST)) ? null : waitOrAbandon(FIRST, "no chain has room");
+	}
+
+	private boolean send(String event) {
+		boolean sent = this.stream.send(event);
+		if (sent) {
+			this.reason = null;
+			this.admission.ifPresent((present) -> present.recordStart(estimateMs()));
+		}
+		return sent;
+	}
+
+	// The admission corrects the estimate by the durations that it has seen.
+	private long estimateMs() {
+		ModelPool pool = this.request.service().pool().orElseThrow();
+		ChainRequest requirements = chainRequest();
+		return (long) (requirements.promptTokens() / pool.prefillTokensPerMs()
+				+ requirements.generatedTokens() * pool.stepMs());
+	}
+
+	// Waits for capacity, unless that does not help: without load there is no chain
+	// either.
+	private String waitOrAbandon(String event, String failure) {
+		if (this.admission.isEmpty() || !this.stream.mayWait()) {
+			return this.stream.abandon(failure);
+		}
+		this.reason = event;
+		this.searchAtMs = Long.MAX_VALUE;
+		return this.admission.get().await(this.waiting);
 	}
 
 	/**
@@ -169,8 +209,7 @@
 	 */
 	String search(long nowMs) {
 		boolean held = isSuspected(this.stream.denial());
-		if (!held && this.stream.send(this.reason)) {
-			this.reason = null;
+		if (!held && send(this.reason)) {
 			return null;
 		}
 		this.searchAtMs = nowMs + ((held) ? HOLD_CHECK_INTERVAL_MS : StreamLimits.SEARCH_RETRY_INTERVAL_MS);
@@ -180,8 +219,22 @@
 		if (held && this.ledger.possibleExecutions() == 0) {
 			return refuseSuspected();
 		}
-		return (nowMs >= this.searchUntilMs || this.stream.denial().isPresent()) ? this.stream.abandon(this.lastFailure)
-				: null;
+		return (nowMs >= this.searchUntilMs || this.stream.denial().isPresent())
+				? waitOrAbandon(this.reason, this.lastFailure) : null;
+	}
+
+	/**
+	 * Records that the complete response was received.
+	 */
+	void recordComplete() {
+		this.admission.ifPresent(RequestAdmission::recordComplete);
+	}
+
+	/**
+	 * Ends the search with the request.
+	 */
+	void close() {
+		this.admission.ifPresent(RequestAdmission::close);
 	}
 
 	private static boolean isSuspected(Optional<SendDenial> denial) {
@@ -201,24 +254,81 @@
 
 	/**
 	 * Refuses the request, which no server has executed.
+	 * @param type type of the problem
 	 * @param detail explanation for the caller
 	 * @param retryAfterMs time after which the caller should come back
 	 * @return the outcome
 	 */
-	String refuse(String detail, long retryAfterMs) {
+	String refuse(ProblemType type, String detail, long retryAfterMs) {
 		this.dependencies.log()
 			.event(PART, "refuse", "id", this.request.id(), "reason", detail, "lastFailure", this.lastFailure, "rank",
 					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.dependencies.loads().peerCount());
-		this.response.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, detail,
-				this.request.rank(), retryAfterMs);
+		this.response.refuse(type, detail, this.request.rank(), retryAfterMs);
 		return REFUSED;
 	}
 
+	/**
+	 * The request as the waitlist uses it.
+	 */
+	private final class WaitingStream implements WaitingRequest {
+
+		@Override
+		public void run(Supplier<String> step) {
+			FirstChainSearch.this.stream.run(step);
+		}
+
+		@Override
+		public String recheck() {
+			return FirstChainSearch.this.stream.recheck();
+		}
+
+		@Override
+		public String tryStart() {
+			Optional<SendDenial> denial = FirstChainSearch.this.stream.denial();
+			if (denial.isEmpty()) {
+				send(FirstChainSearch.this.reason);
+			}
+			return (denial.isEmpty() || isSuspected(denial)) ? null
+					: FirstChainSearch.this.stream.abandon(FirstChainSearch.this.lastFailure);
+		}
+
+		@Override
+		public String refuse(ProblemType type, String detail, long retryAfterMs) {
+			return FirstChainSearch.this.refuse(type, detail, retryAfterMs);
+		}
+
+	}
+
 	/**
 	 * The stream for which a chain is searched.
 	 */
 	interface Stream {
 
+		/**
+		 * Records the arrival of the request.
+		 * @param work its work, in tokens times layers
+		 * @return the admission, empty if the request does not wait for capacity
+		 */
+		Optional<RequestAdmission> recordArrival(double work);
+
+		/**
+		 * Returns whether the request may wait for capacity.
+		 * @return {@code false} if the wait would be in vain
+		 */
+		boolean mayWait();
+
+		/**
+		 * Executes a step, unless the request has ended.
+		 * @param step returns the outcome, {@code null} while the request is in progress
+		 */
+		void run(Supplier<String> step);
+
+		/**
+		 * Checks whether the configuration still admits the request, and responds if not.
+		 * @return the outcome, {@code null} if it is still admitted
+		 */
+		String recheck();
+
 		/**
 		 * Decides whether the request may be sent to another server.
 		 * @return the reason if it must not be sent, otherwise empty
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
@@ -18,6 +19,7 @@
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.internal.admission.RequestAdmission;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.relay.RelayTarget;
@@ -58,6 +60,12 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/**
+	 * Fraction of the target for the first event for which a request may wait; the rest
+	 * is needed for the prefill.
+	 */
+	private static final double WAIT_FRACTION_OF_TARGET = 0.7;
+
 	private static final String PART = "stream";
 
 	/** Prefix of the reason of attempts through another host, in metrics. */
@@ -178,6 +186,7 @@
 	protected void close() {
 		this.successors.closeAll();
 		endCurrent();
+		this.search.close();
 	}
 
 	// Tries another chain after an unusually long gap between events, or sooner if an
@@ -647,6 +656,7 @@
 			this.response.startStream(attempt.status(), attempt.headers(), holdResponse(attempt.firstEngine()));
 		}
 		this.response.finish();
+		this.search.recordComplete();
 		this.dependencies.log()
 			.event(PART, "whole", "id", this.request.id(), "firstMs", this.firstEventMs, "longestGapMs",
 					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.ledger.sends());
@@ -782,7 +792,8 @@
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
-		return this.search.refuse(reason, comeBackAfterMs(this.chooser.firstEngines(this.request.service())));
+		return this.search.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
+				comeBackAfterMs(this.chooser.firstEngines(this.request.service())));
 	}
 
 	private String onTimeout() {
@@ -799,6 +810,28 @@
 	 */
 	private final class SearchedStream implements FirstChainSearch.Stream {
 
+		@Override
+		public Optional<RequestAdmission> recordArrival(double work) {
+			return StreamExecution.this.recordArrival(work, WAIT_FRACTION_OF_TARGET);
+		}
+
+		@Override
+		public boolean mayWait() {
+			return StreamExecution.this.mayWait()
+					&& StreamExecution.this.chooser.hasChain(StreamExecution.this.request.service(),
+							StreamExecution.this.search.chainRequest(), StreamExecution.this.excluded);
+		}
+
+		@Override
+		public void run(Supplier<String> step) {
+			runUnlessEnded(step);
+		}
+
+		@Override
+		public String recheck() {
+			return recheckAdmission();
+		}
+
 		@Override
 		public Optional<SendDenial> denial() {
 			return sendDenial();
