Let plain requests wait for a slot

A plain request was sent to the least loaded server even if all of its slots were taken in this host's view, and queued there without an order. Where streams wait for capacity, it is now sent only to a server with a free slot and otherwise waits, for at most half of its target latency.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/RequestAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/RequestAdmission.java
@@ -68,11 +68,10 @@
 	}
 
 	/**
-	 * Records that the request was sent to a server.
+	 * Records that the request was sent to a server, for the first time or again.
 	 * @param newEstimateMs estimate of the time until its end
 	 */
 	public void recordStart(long newEstimateMs) {
-		end(false);
 		this.estimateMs = Math.max(1, newEstimateMs);
 		this.startedAtMs = this.service.recordStart(this, this.estimateMs, !this.counted);
 		this.counted = true;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import org.medlardrum.decisions.pool.ServerLoad;
@@ -14,6 +16,8 @@
 import org.medlardrum.decisions.routing.ServerSelector;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.internal.admission.RequestAdmission;
+import org.medlardrum.gateway.internal.admission.WaitingRequest;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.ReceivedBody;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -47,6 +51,17 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/**
+	 * Fraction of the target latency for which a request may wait; the rest is needed for
+	 * its execution.
+	 */
+	private static final double WAIT_FRACTION_OF_TARGET = 0.5;
+
+	/**
+	 * Part of the target latency that a request is expected to take before any has ended.
+	 */
+	private static final int ESTIMATE_DIVISOR = 2;
+
 	private static final String PART = "plain";
 
 	/** Prefix of the reason of attempts through another host, in metrics. */
@@ -62,6 +77,11 @@
 
 	private long hedgeAtMs = Long.MAX_VALUE;
 
+	private final WaitingPlain waiting = new WaitingPlain();
+
+	/** Empty if the request does not wait for a slot. */
+	private Optional<RequestAdmission> admission = Optional.empty();
+
 	/**
 	 * Creates an execution.
 	 * @param dependencies settings, state and shared objects
@@ -77,14 +97,45 @@
 	@Override
 	protected String firstStep() {
 		recordFirstAttempt();
-		if (!send("first")) {
-			return refuseWithoutCapacity("no server of the service is registered or may be sent more requests");
+		this.admission = recordArrival(1, WAIT_FRACTION_OF_TARGET);
+		boolean next = this.admission.map(RequestAdmission::isNext).orElse(true);
+		return (next && sendFirst("first", this.request.arrivedAtMs())) ? null
+				: waitOrRefuse("no server of the service is registered or may be sent more requests");
+	}
+
+	private boolean sendFirst(String reason, long hedgeFromMs) {
+		boolean sent = send(reason);
+		if (sent) {
+			recordStart();
+			if (this.request.route().idempotent()) {
+				this.hedgeAtMs = hedgeFromMs
+						+ (long) (this.request.route().targetLatencyMs() * HEDGE_FRACTION_OF_TARGET);
+			}
 		}
-		if (this.request.route().idempotent()) {
-			this.hedgeAtMs = this.request.arrivedAtMs()
-					+ (long) (this.request.route().targetLatencyMs() * HEDGE_FRACTION_OF_TARGET);
+		return sent;
+	}
+
+	// The admission corrects the estimate by the durations that it has seen.
+	private void recordStart() {
+		this.admission
+			.ifPresent((present) -> present.recordStart(this.request.route().targetLatencyMs() / ESTIMATE_DIVISOR));
+	}
+
+	// Waits for a slot, unless there is no server that could have a free one.
+	private String waitOrRefuse(String detail) {
+		if (this.admission.isEmpty() || !mayWait() || !hasUntriedServer()) {
+			return refuseWithoutCapacity(detail);
 		}
-		return null;
+		return this.admission.get().await(this.waiting);
+	}
+
+	private boolean hasUntriedServer() {
+		return this.dependencies.state()
+			.fleet()
+			.instances(this.request.service().name())
+			.stream()
+			.anyMatch((server) -> !server.draining() && !this.tried.contains(server.id())
+					&& this.dependencies.permits().mayReceive(server.id()));
 	}
 
 	@Override
@@ -114,6 +165,7 @@
 	@Override
 	protected void close() {
 		this.active.forEach(PlainAttempt::close);
+		this.admission.ifPresent(RequestAdmission::close);
 		if (this.failedResponse != null) {
 			this.failedResponse.close();
 		}
@@ -186,6 +238,7 @@
 	private Optional<ServiceInstance> choose(long nowMs) {
 		Set<String> unavailable = new HashSet<>(this.tried);
 		serviceServers().filter((id) -> !this.dependencies.permits().mayReceive(id)).forEach(unavailable::add);
+		addFullServers(unavailable, nowMs);
 		Optional<ServiceInstance> preferred = choose(nowMs, unavailable);
 		preferred.ifPresent((server) -> this.dependencies.limits().recordDemand(server.id()));
 		if (preferred.isEmpty() || this.dependencies.limits().isAllowed(preferred.get().id())) {
@@ -198,6 +251,37 @@
 		return other;
 	}
 
+	// Where requests wait for capacity, a server gets no more than its slots. A request
+	// waits for a full server rather than go to one that may be dead.
+	private void addFullServers(Set<String> unavailable, long nowMs) {
+		OptionalDouble reserved = (this.admission.isPresent())
+				? this.dependencies.admissions().reservedShare(this.request.service(), this.request.rank())
+				: OptionalDouble.empty();
+		if (reserved.isEmpty()) {
+			return;
+		}
+		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
+		List<ServiceInstance> usable = this.dependencies.state()
+			.fleet()
+			.instances(this.request.service().name())
+			.stream()
+			.filter((server) -> !server.draining() && !unavailable.contains(server.id()))
+			.toList();
+		List<ServiceInstance> full = usable.stream()
+			.filter((server) -> loads.getOrDefault(server.id(), ServerLoad.NONE).sequences() >= Math.max(1,
+					Math.floor(server.slots() * (1 - reserved.getAsDouble()))))
+			.toList();
+		full.forEach((server) -> unavailable.add(server.id()));
+		if (!full.stream().allMatch(this::isSuspect)) {
+			usable.stream().filter(this::isSuspect).forEach((server) -> unavailable.add(server.id()));
+		}
+	}
+
+	private boolean isSuspect(ServiceInstance server) {
+		return this.dependencies.state()
+			.isSuspect(this.dependencies.settings().availabilityZone(), server.id(), server.availabilityZone());
+	}
+
 	private Stream<String> serviceServers() {
 		return this.dependencies.state()
 			.fleet()
@@ -210,10 +294,9 @@
 		String zone = this.dependencies.settings().availabilityZone();
 		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
 		return ServerSelector.choose(this.dependencies.state().fleet().instances(this.request.service().name()), zone,
-				excludedServers,
-				(server) -> (double) loads.getOrDefault(server.id(), ServerLoad.NONE).sequences()
+				excludedServers, (server) -> (double) loads.getOrDefault(server.id(), ServerLoad.NONE).sequences()
 						/ Math.max(1, server.slots()),
-				(server) -> this.dependencies.state().isSuspect(zone, server.id(), server.availabilityZone()));
+				this::isSuspect);
 	}
 
 	private PlainAttempt attemptOf(BackendCall call) {
@@ -312,6 +395,7 @@
 		this.dependencies.metrics().recordCompleteResponse(this.request.trafficKind(), tookMs);
 		this.response.deliver(attempt.status(), this.dependencies.dialect().responseHeaders(attempt.headers()),
 				attempt.body());
+		this.admission.ifPresent(RequestAdmission::recordComplete);
 		return (attempt.status() >= SERVER_ERROR) ? "server-error" : ANSWERED;
 	}
 
@@ -357,7 +441,11 @@
 		closeAttempt(attempt);
 		this.dependencies.log()
 			.event(PART, "not-executed", "id", this.request.id(), "server", attempt.server().id(), "reason", reason);
-		if (send("not-executed") || !this.active.isEmpty()) {
+		if (send("not-executed")) {
+			recordStart();
+			return null;
+		}
+		if (!this.active.isEmpty()) {
 			return null;
 		}
 		return abandon();
@@ -380,7 +468,7 @@
 			return deliver(this.failedResponse);
 		}
 		if (this.ledger.possibleExecutions() == 0) {
-			return refuseWithoutCapacity("no server ran the request: " + this.lastFailure);
+			return waitOrRefuse("no server ran the request: " + this.lastFailure);
 		}
 		this.response.fail(ProblemType.BACKEND_FAILED, "The answer was lost: " + this.lastFailure, this.request.rank());
 		return "answer-lost";
@@ -401,4 +489,39 @@
 		return "timed-out";
 	}
 
+	/**
+	 * The request as the waitlist uses it.
+	 */
+	private final class WaitingPlain implements WaitingRequest {
+
+		@Override
+		public void run(Supplier<String> step) {
+			runUnlessEnded(step);
+		}
+
+		@Override
+		public String recheck() {
+			return recheckAdmission();
+		}
+
+		@Override
+		public String tryStart() {
+			PlainExecution execution = PlainExecution.this;
+			Optional<SendDenial> denial = sendDenial();
+			if (denial.isEmpty()) {
+				execution.sendFirst("waited", execution.dependencies.nowMs());
+			}
+			return (denial.isEmpty() || denial.get() == SendDenial.SUSPECTED) ? null
+					: execution.refuseWithoutCapacity("the request may not be sent any more");
+		}
+
+		@Override
+		public String refuse(ProblemType type, String reason, long retryAfterMs) {
+			PlainExecution execution = PlainExecution.this;
+			execution.response.refuse(type, reason, execution.request.rank(), retryAfterMs);
+			return "refused";
+		}
+
+	}
+
 }
