Prefer chains within a zone where links between zones are scarce

Cause: the time on a link was one cost among others. A zone whose engines had free capacity was left for a chain across zones as its cache utilisation grew, and nothing limited what all hosts together sent into a link.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainCosts.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainCosts.java
@@ -9,12 +9,20 @@
  */
 final class ChainCosts {
 
+	/**
+	 * Cost of a crossing that exceeds all other costs of a chain together: the longest
+	 * streams of a full pool cost minutes.
+	 */
+	private static final double CROSSING_COST_MS = 1e9;
+
 	private final PoolSnapshot snapshot;
 
 	private final ModelPool pool;
 
 	private final ChainRequest request;
 
+	private final ZoneCrossings crossings;
+
 	/** By position of the engine in the list of the search, 0 until it is computed. */
 	private final double[] processingPerLayer;
 
@@ -22,8 +30,9 @@
 
 	private final double[] utilisationBefore;
 
-	ChainCosts(PoolSnapshot snapshot, ChainRequest request) {
+	ChainCosts(PoolSnapshot snapshot, ChainRequest request, ZoneCrossings crossings) {
 		this.snapshot = snapshot;
+		this.crossings = crossings;
 		this.pool = snapshot.pool();
 		this.request = request;
 		int servers = snapshot.servers().size();
@@ -47,11 +56,21 @@
 	 * Returns the cost of passing from one engine to the next.
 	 * @param from availability zone of the engine
 	 * @param to availability zone of the next one
-	 * @return the cost
+	 * @return the cost, {@link Double#POSITIVE_INFINITY} if the hop must not be made
 	 */
 	double nextHop(String from, String to) {
 		return this.pool.delayMs(from, to) * this.request.generatedTokens()
-				+ this.pool.transferMs(this.request.tokensAtEnd(), from, to) * ChainSearch.ZONE_LINK_COST;
+				+ this.pool.transferMs(this.request.tokensAtEnd(), from, to) * ChainSearch.ZONE_LINK_COST
+				+ crossing(from, to);
+	}
+
+	private double crossing(String from, String to) {
+		return switch (this.crossings) {
+			case ZoneCrossings.Weighed weighed -> 0;
+			case ZoneCrossings.Fewest fewest when from.equals(to) -> 0;
+			case ZoneCrossings.Fewest fewest -> (fewest.refusedLinks().contains(ModelPool.zonePairKey(from, to)))
+					? Double.POSITIVE_INFINITY : CROSSING_COST_MS;
+		};
 	}
 
 	/**
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -78,7 +78,17 @@
 	 * chain has enough free capacity
 	 */
 	public Optional<List<ChainHop>> find(ChainRequest request) {
-		return find(request, MAX_UTILISATION - request.rank() * UTILISATION_STEP_PER_RANK);
+		return find(request, maxUtilisation(request.rank()));
+	}
+
+	/**
+	 * Returns the largest fraction of an engine's KV cache that requests of a rank may
+	 * reserve.
+	 * @param rank the rank, 0 first
+	 * @return the fraction
+	 */
+	public static double maxUtilisation(int rank) {
+		return MAX_UTILISATION - rank * UTILISATION_STEP_PER_RANK;
 	}
 
 	/**
@@ -89,7 +99,26 @@
 	 * @return the engines, empty when there is no such chain
 	 */
 	public Optional<List<ChainHop>> find(ChainRequest request, double maxUtilisation) {
-		ChainTable table = new ChainTable(this.snapshot, request, new ChainCosts(this.snapshot, request));
+		return find(request, maxUtilisation, new ZoneCrossings.Weighed());
+	}
+
+	/**
+	 * Finds a chain whose engines stay within a given cache utilisation, with as few
+	 * crossings between availability zones as possible.
+	 * @param request the request
+	 * @param maxUtilisation largest fraction of the KV cache that may be reserved,
+	 * including this request
+	 * @param refusedLinks links that must not be crossed, by
+	 * {@link org.medlardrum.state.routing.ModelPool#zonePairKey}
+	 * @return the engines, empty when there is no such chain
+	 */
+	public Optional<List<ChainHop>> findWithFewestCrossings(ChainRequest request, double maxUtilisation,
+			Set<String> refusedLinks) {
+		return find(request, maxUtilisation, new ZoneCrossings.Fewest(refusedLinks));
+	}
+
+	private Optional<List<ChainHop>> find(ChainRequest request, double maxUtilisation, ZoneCrossings crossings) {
+		ChainTable table = new ChainTable(this.snapshot, request, new ChainCosts(this.snapshot, request, crossings));
 		Optional<List<ChainHop>> chain = table.find(maxUtilisation, true);
 		// A chain may visit an engine twice only if it runs part of the engine's layers.
 		// Such a chain is invalid, so the search is repeated with whole ranges.
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainTable.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainTable.java
@@ -176,8 +176,10 @@
 			if (!this.reached[layer][zone]) {
 				continue;
 			}
-			double cost = this.best[layer][zone] + hopCost(layer, zone, server);
-			if ((cheapest == NONE || cost < lowest) && !isExcluded(zone, server)) {
+			double hopCost = hopCost(layer, zone, server);
+			double cost = this.best[layer][zone] + hopCost;
+			if (hopCost < Double.POSITIVE_INFINITY && (cheapest == NONE || cost < lowest)
+					&& !isExcluded(zone, server)) {
 				lowest = cost;
 				cheapest = zone;
 			}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainZones.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainZones.java
@@ -2,10 +2,14 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiPredicate;
 import java.util.random.RandomGenerator;
 
+import org.medlardrum.state.routing.ModelPool;
+
 /**
  * Queries about the availability zones along a chain of engines. Whether an engine is
  * reachable depends on the availability zone of its predecessor: the engine before it in
@@ -53,6 +57,25 @@
 		return false;
 	}
 
+	/**
+	 * Counts how often a chain's activations cross each link between availability zones.
+	 * The call from the entry host to the first engine carries no activations.
+	 * @param chain the chain
+	 * @return number of crossings by {@link ModelPool#zonePairKey}, empty for a chain
+	 * within a zone
+	 */
+	public static Map<String, Integer> crossings(List<ChainHop> chain) {
+		Map<String, Integer> crossings = new TreeMap<>();
+		for (int i = 1; i < chain.size(); i++) {
+			String from = chain.get(i - 1).server().availabilityZone();
+			String to = chain.get(i).server().availabilityZone();
+			if (!from.equals(to)) {
+				crossings.merge(ModelPool.zonePairKey(from, to), 1, Integer::sum);
+			}
+		}
+		return crossings;
+	}
+
 	/**
 	 * Picks a random availability zone for a stream that fails over to another chain. All
 	 * streams of a failed chain fail over at the same moment; random zones spread them
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
@@ -27,9 +27,18 @@
 					ModelPool.zonePairKey("a", "c"), 0.62, ModelPool.zonePairKey("b", "c"), 0.62),
 			42_268, 13_000, 772, 167);
 
+	/** The parameters of a site whose links between zones are scarce. */
+	static final ModelPool SCARCE_LINKS_POOL = withLinks(POOL, 23_498, 4_300);
+
 	private Pools() {
 	}
 
+	static ModelPool withLinks(ModelPool pool, double activationBytes, double zoneLinkMbps) {
+		return new ModelPool(pool.model(), pool.layers(), pool.layerMb(), 469_970, pool.stepMs(), pool.perSequenceMs(),
+				pool.contextMsPerKiloToken(), pool.prefillTokensPerMs(), pool.loadMs(), pool.kinds(),
+				pool.zoneDelayMs(), activationBytes, zoneLinkMbps, 772, 138);
+	}
+
 	/**
 	 * Returns the 39 engines of the users' data sheets, without layers.
 	 * @return the engines
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/ModelPool.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/ModelPool.java
@@ -36,6 +36,15 @@
 
 	private static final double BITS_PER_MS_AT_1_MBPS = 1_000;
 
+	/**
+	 * Typical prompts per second below which a link between zones counts as scarce. The
+	 * links of the users' sites carry at most 29.7 and 21.4 prompts per second where
+	 * chains across zones saturated them, and at least 33.9 elsewhere.
+	 */
+	private static final double MIN_PROMPTS_PER_S = 33;
+
+	private static final double MS_PER_S = 1_000;
+
 	/** One-way delay within an availability zone, from the users' data sheet. */
 	private static final double SAME_ZONE_DELAY_MS = 0.2;
 
@@ -85,10 +94,30 @@
 	 * @return the time, in milliseconds, 0 within a zone
 	 */
 	public double transferMs(int tokens, String one, String other) {
-		if (one.equals(other) || this.zoneLinkMbps <= 0) {
-			return 0;
-		}
-		return tokens * this.activationBytes * BITS_PER_BYTE / (this.zoneLinkMbps * BITS_PER_MS_AT_1_MBPS);
+		return (one.equals(other)) ? 0 : linkMs(tokens);
+	}
+
+	/**
+	 * Returns whether the links between the availability zones carry so few prompts that
+	 * chains across zones saturate them.
+	 * @return {@code false} if the links have no limit
+	 */
+	public boolean hasScarceZoneLinks() {
+		return linkMs(this.meanPromptTokens) * MIN_PROMPTS_PER_S > MS_PER_S;
+	}
+
+	/**
+	 * Returns the number of tokens whose activations a link between two availability
+	 * zones carries.
+	 * @return the tokens per second, {@link Double#POSITIVE_INFINITY} without a limit
+	 */
+	public double zoneLinkTokensPerS() {
+		return MS_PER_S / linkMs(1);
+	}
+
+	private double linkMs(int tokens) {
+		return (this.zoneLinkMbps <= 0) ? 0
+				: tokens * this.activationBytes * BITS_PER_BYTE / (this.zoneLinkMbps * BITS_PER_MS_AT_1_MBPS);
 	}
 
 	/**
