--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/ServerSuspicions.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/ServerSuspicions.java
@@ -15,6 +15,11 @@
  * another zone, make the whole zone suspect from there.
  *
  * <p>
+ * Where {@link #setDiscountsJointLosses joint losses are discounted}, servers that are
+ * suspect from their own zone as well are no evidence of a partition, as they have failed
+ * for everyone, and a zone that has answered lately is not partitioned.
+ *
+ * <p>
  * An answer of a server to this host outweighs the suspicion that it is unresponsive,
  * whoever has it: the server may have been silent for a moment only, or the link of the
  * host that suspects it may be gone. Thread-safe.
@@ -51,6 +56,20 @@
 	/** Times of the last answers to this host, by server and zone of its predecessor. */
 	private final Map<Path, Long> answeredAtMs = new HashMap<>();
 
+	/** Times of the last answers to this host over a link between two zones. */
+	private final Map<ZonePair, Long> zoneAnsweredAtMs = new HashMap<>();
+
+	private boolean discountsJointLosses;
+
+	/**
+	 * Sets whether servers that have failed for everyone are told apart from a partition.
+	 * @param discounts {@code false} if any two suspects of another zone indicate a
+	 * partition
+	 */
+	public synchronized void setDiscountsJointLosses(boolean discounts) {
+		this.discountsJointLosses = discounts;
+	}
+
 	/**
 	 * Adds a suspicion of a server that no answer outweighs. If the server is already
 	 * suspect, the later end applies.
@@ -122,6 +141,19 @@
 		}
 	}
 
+	/**
+	 * Records an answer of a server to this host, which also shows that the link to its
+	 * zone works.
+	 * @param fromZone availability zone of the server's predecessor
+	 * @param server identifier of the server
+	 * @param serverZone availability zone of the server
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void recordAnswer(String fromZone, String server, String serverZone, long nowMs) {
+		recordAnswer(fromZone, server, nowMs);
+		this.zoneAnsweredAtMs.put(new ZonePair(fromZone, serverZone), nowMs);
+	}
+
 	/**
 	 * Ends this host's suspicion of a server that responded.
 	 * @param fromZone availability zone of the predecessor that waited for the server
@@ -146,16 +178,27 @@
 			return false;
 		}
 		this.entries.values().removeIf((entry) -> entry.endMs <= nowMs);
-		if (this.entries.keySet().stream().anyMatch((key) -> key.isPath(fromZone, server))) {
-			return true;
+		for (Map.Entry<Key, Entry> entry : this.entries.entrySet()) {
+			if (entry.getKey().isPath(fromZone, server) || isLostForAll(entry, server, serverZone)) {
+				return true;
+			}
 		}
-		if (this.entries.entrySet()
-			.stream()
-			.anyMatch((entry) -> entry.getKey().isPath(serverZone, server)
-					&& !hasAnsweredSince(server, entry.getValue().observedAtMs))) {
-			return true;
+		return !fromZone.equals(serverZone) && isPartitioned(fromZone, serverZone, nowMs);
+	}
+
+	// Whether an entry makes a server suspect from everywhere.
+	private boolean isLostForAll(Map.Entry<Key, Entry> entry, String server, String serverZone) {
+		return entry.getKey().isPath(serverZone, server) && !hasAnsweredSince(server, entry.getValue().observedAtMs);
+	}
+
+	private boolean isPartitioned(String fromZone, String serverZone, long nowMs) {
+		if (this.discountsJointLosses) {
+			Long answered = this.zoneAnsweredAtMs.get(new ZonePair(fromZone, serverZone));
+			if (answered != null && nowMs - answered <= FRESH_ANSWER_MS) {
+				return false;
+			}
 		}
-		return !fromZone.equals(serverZone) && countSuspects(fromZone, serverZone) >= MIN_SUSPECTS_FOR_PARTITION;
+		return countSuspects(fromZone, serverZone) >= MIN_SUSPECTS_FOR_PARTITION;
 	}
 
 	// Whether the server has answered to any predecessor, so that it is alive.
@@ -171,9 +214,14 @@
 			.filter((key) -> key.fromZone.equals(fromZone) && key.serverZone.equals(serverZone))
 			.map(Key::server)
 			.distinct()
+			.filter((server) -> !this.discountsJointLosses || !isLostForAll(server, serverZone))
 			.count();
 	}
 
+	private boolean isLostForAll(String server, String serverZone) {
+		return this.entries.entrySet().stream().anyMatch((entry) -> isLostForAll(entry, server, serverZone));
+	}
+
 	/**
 	 * Returns this host's suspicions, latest end first.
 	 * @param nowMs current time on the monotonic clock
@@ -211,6 +259,9 @@
 	private record Path(String fromZone, String server) {
 	}
 
+	private record ZonePair(String fromZone, String serverZone) {
+	}
+
 	private record Key(String teller, String fromZone, String server, String serverZone) {
 
 		boolean isPath(String zone, String serverId) {
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/ServerSuspicionsTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/routing/ServerSuspicionsTests.java
@@ -1,6 +1,11 @@
 package org.medlardrum.decisions.routing;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -92,4 +97,83 @@
 		assertThat(this.suspicions.isSuspect("a", "s1", "a", 2_000)).isFalse();
 	}
 
+	/**
+	 * Four engines of zone b are lost together. Hosts of zone a wait for two of them as
+	 * the first engines of chains; hosts of zone b tell that they are gone. The other
+	 * engines of zone b were unusable from zone a for 4 s.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void jointLossInAnotherZoneIsNoPartition(boolean discounted) {
+		this.suspicions.setDiscountsJointLosses(discounted);
+		this.suspicions.suspectUnresponsive("a", "b1", "b", 1_000);
+		this.suspicions.suspectUnresponsive("a", "b2", "b", 1_050);
+		for (String host : List.of("host-b1", "host-b2")) {
+			for (String lost : List.of("b1", "b2", "b3", "b4")) {
+				this.suspicions.suspectTold(host, new ServerSuspicions.Suspicion("b", lost, "b", 3_900), 1_100);
+			}
+		}
+		assertThat(this.suspicions.isSuspect("a", "b3", "b", 1_100)).isTrue();
+		int excluded = 0;
+		for (int sound = 5; sound <= 22; sound++) {
+			excluded += (this.suspicions.isSuspect("a", "b" + sound, "b", 1_200)) ? 1 : 0;
+		}
+		assertThat(excluded).isEqualTo((discounted) ? 0 : 18);
+	}
+
+	/** Servers that fail for the zone of their predecessor only are not heard of in b. */
+	@Test
+	void partitionIsRecognisedBesideAJointLoss() {
+		this.suspicions.setDiscountsJointLosses(true);
+		this.suspicions.suspectTold("host-b", new ServerSuspicions.Suspicion("b", "b1", "b", 3_900), 1_000);
+		this.suspicions.suspectUnresponsive("a", "b1", "b", 1_000);
+		this.suspicions.suspectUnresponsive("a", "b2", "b", 1_000);
+		assertThat(this.suspicions.isSuspect("a", "b9", "b", 1_000)).isFalse();
+		this.suspicions.suspectUnresponsive("a", "b3", "b", 1_000);
+		assertThat(this.suspicions.isSuspect("a", "b9", "b", 1_000)).isTrue();
+		assertThat(this.suspicions.isSuspect("c", "b9", "b", 1_000)).isFalse();
+	}
+
+	/**
+	 * The suspicions of the hosts of the other zone come a digest later than the loss.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "a, b, 1_300, false", "a, b, 1_301, true", "c, b, 1_100, true", "a, c, 1_100, true" })
+	void zoneThatHasAnsweredLatelyIsNotPartitioned(String fromZone, String answeringZone, String atMs,
+			boolean partitioned) {
+		this.suspicions.setDiscountsJointLosses(true);
+		this.suspicions.suspectUnresponsive("a", "b1", "b", 900);
+		this.suspicions.suspectUnresponsive("a", "b2", "b", 950);
+		this.suspicions.recordAnswer(fromZone, "sound", answeringZone, 1_000);
+		assertThat(this.suspicions.isSuspect("a", "b9", "b", Long.parseLong(atMs.replace("_", ""))))
+			.isEqualTo(partitioned);
+	}
+
+	/** A server that has answered since is not lost, so its silence is the link's. */
+	@Test
+	void serverThatAnswersAgainIsEvidenceOfAPartition() {
+		this.suspicions.setDiscountsJointLosses(true);
+		this.suspicions.suspectTold("host-b", new ServerSuspicions.Suspicion("b", "b1", "b", 3_900), 1_000);
+		this.suspicions.suspectUnresponsive("a", "b1", "b", 1_000);
+		this.suspicions.suspectUnresponsive("a", "b2", "b", 1_000);
+		assertThat(this.suspicions.isSuspect("a", "b9", "b", 1_000)).isFalse();
+		this.suspicions.recordAnswer("c", "b1", "b", 1_100);
+		assertThat(this.suspicions.isSuspect("a", "b9", "b", 1_100)).isTrue();
+	}
+
+	/** The corrected rule detects each partition that the other rule detects. */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void partitionIsDetectedFromBothSides(boolean discounted) {
+		this.suspicions.setDiscountsJointLosses(discounted);
+		this.suspicions.suspectUnresponsive("a", "b1", "b", 1_000);
+		this.suspicions.suspectUnresponsive("a", "b2", "b", 1_000);
+		this.suspicions.suspectTold("host-b", new ServerSuspicions.Suspicion("b", "a1", "a", 3_900), 1_000);
+		this.suspicions.suspectTold("host-b", new ServerSuspicions.Suspicion("b", "a2", "a", 3_900), 1_000);
+		assertThat(this.suspicions.isSuspect("a", "b3", "b", 1_500)).isTrue();
+		assertThat(this.suspicions.isSuspect("b", "a3", "a", 1_500)).isTrue();
+		assertThat(this.suspicions.isSuspect("a", "a1", "a", 1_500)).isFalse();
+		assertThat(this.suspicions.isSuspect("a", "c1", "c", 1_500)).isFalse();
+	}
+
 }
