Use link budgets and denials of lost layers where links are scarce

Cause: hosts sent chains across zones without limit, and asked an engine that had lost its layers once a second for as long as their registry was old. Change: ChainChooser searches with LinkLimitedSearch in pools with scarce links and takes the tokens of crossings from ZoneLinks; a started stream may overdraw once. A 421 that names an engine of the chain denies the report for which the chain was chosen (ServerPermits). Events link-limited and layers-denied, counter medlardrum_gateway_refused_crossings, gauge medlardrum_gateway_denied_engines.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.medlardrum.gateway.internal.load.LoadExchange;
 import org.medlardrum.gateway.internal.load.LoadTable;
 import org.medlardrum.gateway.internal.load.ServerLimits;
+import org.medlardrum.gateway.internal.load.ZoneLinks;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.relay.RelayTargets;
@@ -145,7 +146,8 @@
 		this.relayTargets = new RelayTargets(this.state, RandomGenerator.getDefault());
 		this.budget = new ByteBudget(settings.heldBytes(), this.executor::execute);
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, quarantine, limits, this.permits,
+				this.clients, dialect, log, metrics, quarantine, limits, new ZoneLinks(this.exchange::peerCount),
+				this.permits,
 				new EngineReports(this.state, this.clients, this.executor, dialect, this.permits, lateness), lateness,
 				this.relayTargets, this.budget, RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
@@ -173,6 +175,8 @@
 				this.budget::peakBytes);
 		metrics.gauge("medlardrum_gateway_waiting_responses", "Responses that wait for room among the held bytes",
 				this.budget::waiting);
+		metrics.gauge("medlardrum_gateway_denied_engines",
+				"Engines that lately did not hold the layers of their reports", this.permits::deniedEngines);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
 		this.servers = List.of(
 				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayMetrics.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayMetrics.java
@@ -35,6 +35,11 @@
 		.labelNames("kind", "reason")
 		.register(this.registry);
 
+	private final Counter refusedCrossings = Counter.builder()
+		.name("medlardrum_gateway_refused_crossings")
+		.help("Searches whose only chains crossed zones beyond the budget of the links")
+		.register(this.registry);
+
 	private final Histogram firstByte = histogram("medlardrum_gateway_first_byte_seconds",
 			"Time from arrival to the first byte of a response of a backend server");
 
@@ -83,6 +88,14 @@
 		this.attempts.labelValues(kind, reason).inc();
 	}
 
+	/**
+	 * Counts a search without a result because the budget of the links between zones is
+	 * exhausted.
+	 */
+	public void countRefusedCrossing() {
+		this.refusedCrossings.inc();
+	}
+
 	/**
 	 * Records the latency of the first byte of a response.
 	 * @param kind traffic kind of the route
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestDependencies.java
@@ -9,6 +9,7 @@
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
 import org.medlardrum.gateway.internal.load.LoadTable;
 import org.medlardrum.gateway.internal.load.ServerLimits;
+import org.medlardrum.gateway.internal.load.ZoneLinks;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.relay.RelayTargets;
@@ -30,6 +31,7 @@
  * @param metrics the metrics
  * @param quarantine requests that crash servers
  * @param limits limits of requests that servers name
+ * @param zoneLinks this host's shares of the links between zones
  * @param permits servers that accept requests of this host
  * @param reports status reports of engines
  * @param timerLateness lateness of the timers of requests
@@ -39,8 +41,9 @@
  */
 public record RequestDependencies(GatewaySettings settings, GatewayState state, LoadTable loads, RetryBudgets retries,
 		IoExecutor executor, HttpClientPool clients, RequestDialect dialect, DecisionLog log, GatewayMetrics metrics,
-		RequestQuarantine quarantine, ServerLimits limits, ServerPermits permits, EngineReports reports,
-		TimerLateness timerLateness, RelayTargets relayTargets, ByteBudget budget, RandomGenerator random) {
+		RequestQuarantine quarantine, ServerLimits limits, ZoneLinks zoneLinks, ServerPermits permits,
+		EngineReports reports, TimerLateness timerLateness, RelayTargets relayTargets, ByteBudget budget,
+		RandomGenerator random) {
 
 	/**
 	 * Returns the current time on the monotonic clock.
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -1,9 +1,7 @@
 package org.medlardrum.gateway.internal.state;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -16,6 +14,7 @@
 import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.state.routing.RoutedService;
 import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -27,12 +26,6 @@
  */
 public final class GatewayState {
 
-	/**
-	 * Time for which a removed server is still recorded as leaving; longer than any
-	 * stream lasts.
-	 */
-	private static final long LEAVING_RETENTION_MS = 30_000;
-
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
 	private final GatewayClock clock;
@@ -91,8 +84,7 @@
 
 	private volatile FleetView fleet = new FleetView(List.of(), null);
 
-	/** Times on the monotonic clock at which servers began to leave, by identifier. */
-	private volatile Map<String, Long> leavingSinceMs = Map.of();
+	private final LeavingTimes leavingTimes = new LeavingTimes();
 
 	/**
 	 * Creates a state without configuration and servers.
@@ -121,6 +113,7 @@
 		}
 		this.table = next;
 		this.fleet = new FleetView(this.fleet.all(), next);
+		this.suspicions.setDiscountsJointLosses(next.services().stream().anyMatch(RoutedService::hasScarceZoneLinks));
 		this.log.event("config", "in-force", "version", next.version(), "before",
 				(active != null) ? active.version() : "none");
 	}
@@ -136,12 +129,8 @@
 		FleetView before = this.fleet;
 		List<ServiceInstance> believed = instances.stream().map(this.leavingServers::correct).toList();
 		FleetView after = new FleetView(this.reports.update(believed, nowMs), this.table);
-		Map<String, Long> leaving = new HashMap<>();
 		for (ServiceInstance old : before.all()) {
 			Optional<ServiceInstance> now = after.instance(old.id());
-			if (now.isEmpty() || now.get().draining() || !now.get().isSameStart(old)) {
-				leaving.put(old.id(), this.leavingSinceMs.getOrDefault(old.id(), nowMs));
-			}
 			if (now.isEmpty()) {
 				this.log.event("fleet", "removed", "server", old.id(), "address", old.address(), "zone",
 						old.availabilityZone());
@@ -150,12 +139,6 @@
 				this.log.event("fleet", "draining", "server", old.id(), "address", old.address());
 			}
 		}
-		this.leavingSinceMs.forEach((id, since) -> {
-			if (nowMs - since < LEAVING_RETENTION_MS
-					&& after.instance(id).map(ServiceInstance::draining).orElse(true)) {
-				leaving.putIfAbsent(id, since);
-			}
-		});
 		for (ServiceInstance instance : after.all()) {
 			Optional<ServiceInstance> old = before.instance(instance.id());
 			if (old.isEmpty() || !old.get().layers().equals(instance.layers())) {
@@ -164,7 +147,7 @@
 						instance.layers().map((range) -> range.fromLayer() + "-" + range.toLayer()).orElse("none"));
 			}
 		}
-		this.leavingSinceMs = Map.copyOf(leaving);
+		this.leavingTimes.update(before, after, nowMs);
 		this.fleet = after;
 		this.suspicions.retainAnswers((id) -> after.instance(id).isPresent());
 	}
@@ -342,12 +325,7 @@
 	 * @return the identifier of the first such server, empty if there is none
 	 */
 	public Optional<String> findLeavingForAtLeast(Collection<String> ids, long ageMs) {
-		Map<String, Long> leaving = this.leavingSinceMs;
-		if (leaving.isEmpty()) {
-			return Optional.empty();
-		}
-		long nowMs = this.clock.monotonicMs();
-		return ids.stream().filter((id) -> leaving.containsKey(id) && nowMs - leaving.get(id) >= ageMs).findFirst();
+		return this.leavingTimes.findForAtLeast(ids, ageMs, this.clock.monotonicMs());
 	}
 
 	/**
@@ -482,7 +460,9 @@
 	public void recordAnswer(String fromZone, String server) {
 		long nowMs = this.clock.monotonicMs();
 		this.answeredAtMs = nowMs;
-		this.suspicions.recordAnswer(fromZone, server, nowMs);
+		this.fleet.instance(server)
+			.ifPresentOrElse((known) -> this.suspicions.recordAnswer(fromZone, server, known.availabilityZone(), nowMs),
+					() -> this.suspicions.recordAnswer(fromZone, server, nowMs));
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/ServerPermits.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/ServerPermits.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.medlardrum.decisions.routing.LayerDenials;
 import org.medlardrum.decisions.routing.RequestedPause;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.decisions.routing.ServerPauses;
@@ -38,6 +39,8 @@
 	/** Pauses of servers that caused the refusal of a chain's first server. */
 	private final ServerPauses partPauses = new ServerPauses();
 
+	private final LayerDenials layerDenials = new LayerDenials();
+
 	/**
 	 * Creates permits for all servers.
 	 * @param state state of the host
@@ -84,10 +87,38 @@
 	/**
 	 * Returns whether a server may be part of a chain after the first server.
 	 * @param server identifier of the server
-	 * @return {@code false} while it wants no requests
+	 * @return {@code false} while it wants no requests or does not hold the layers of its
+	 * report
 	 */
 	public boolean mayBePart(String server) {
-		return !this.partPauses.isPaused(server, nowMs());
+		long nowMs = nowMs();
+		return !this.partPauses.isPaused(server, nowMs) && this.state.fleet()
+			.instance(server)
+			.filter((report) -> this.layerDenials.isDenied(report, nowMs))
+			.isEmpty();
+	}
+
+	/**
+	 * Records that a chain was refused because of one of its engines. If the engine does
+	 * not hold its layers, it is not used until it writes a newer report.
+	 * @param report report of the engine for which the chain was chosen
+	 * @param requestId identifier of the request
+	 * @param status status of the response
+	 */
+	public void recordRefusedChain(ServiceInstance report, String requestId, int status) {
+		if (status == MISDIRECTED_REQUEST && this.layerDenials.record(report, nowMs())) {
+			this.log.event(PART, "layers-denied", "server", report.id(), "startedAtMs", report.startedAtMs(), "report",
+					report.reportNumber(), "forMs", LayerDenials.DENIAL_MS, "id", requestId);
+		}
+	}
+
+	/**
+	 * Returns the number of engines that are not used because they did not hold the
+	 * layers of their reports.
+	 * @return the number of denials in the last {@link LayerDenials#DENIAL_MS}
+	 */
+	public int deniedEngines() {
+		return this.layerDenials.count(nowMs());
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -8,15 +8,18 @@
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainSearch;
 import org.medlardrum.decisions.pool.ChainZones;
+import org.medlardrum.decisions.pool.LinkLimitedSearch;
 import org.medlardrum.decisions.pool.PoolServer;
 import org.medlardrum.decisions.pool.PoolSnapshot;
 import org.medlardrum.decisions.pool.StreamLimits;
+import org.medlardrum.decisions.pool.ZoneLinkBudget;
 import org.medlardrum.gateway.internal.load.Reservation;
 import org.medlardrum.gateway.internal.load.ServerLimits;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.routing.RoutedService;
 import org.medlardrum.state.routing.ServerStart;
+import org.medlardrum.state.routing.ServiceInstance;
 
 /**
  * Chooses engine chains from the servers, loads and suspicions recorded at this host.
@@ -27,6 +30,12 @@
 
 	private final String requestId;
 
+	/** Whether the stream has already overdrawn the budget of a link between zones. */
+	private boolean overdrawn;
+
+	/** Whether it is logged that a link has no room for the request. */
+	private boolean linkLimitLogged;
+
 	ChainChooser(RequestDependencies dependencies, String requestId) {
 		this.dependencies = dependencies;
 		this.requestId = requestId;
@@ -42,7 +51,9 @@
 	 */
 	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
 		PoolSnapshot snapshot = snapshot(service, excluded);
-		return findWithinLimits(snapshot, request, resumes).map((hops) -> {
+		Optional<List<ChainHop>> chain = (service.hasScarceZoneLinks())
+				? findWithinLinks(service, snapshot, request, resumes) : findWithinLimits(snapshot, request, resumes);
+		return chain.map((hops) -> {
 			double cacheUtilisation = hops.stream()
 				.mapToDouble((hop) -> snapshot.utilisation(hop.server(),
 						(long) request.tokensAtEnd() * hop.layers().length()))
@@ -69,6 +80,65 @@
 		return other;
 	}
 
+	// Takes the tokens that cross zones from this host's shares of the links.
+	private Optional<List<ChainHop>> findWithinLinks(RoutedService service, PoolSnapshot snapshot, ChainRequest request,
+			boolean resumes) {
+		ServerLimits limits = this.dependencies.limits();
+		ZoneLinkBudget budget = this.dependencies.zoneLinks().budget(service);
+		long nowMs = this.dependencies.nowMs();
+		double maxUtilisation = (resumes) ? StreamLimits.RESUME_MAX_UTILISATION
+				: ChainSearch.maxUtilisation(request.rank());
+		LinkLimitedSearch.ChainChoice choice = linkLimitedSearch(snapshot, budget, nowMs).find(request, maxUtilisation,
+				resumes && !this.overdrawn);
+		Optional<String> first = choice.preferred().map((hops) -> hops.getFirst().server().id());
+		first.ifPresent(limits::recordDemand);
+		if (first.isPresent() && !limits.isAllowed(first.get())) {
+			limits.logMove(this.requestId, first.get(), choice.chain().map((hops) -> hops.getFirst().server().id()));
+		}
+		choice.chain().ifPresent((hops) -> {
+			this.overdrawn |= !budget.shortLinks(hops, request.tokensAtEnd(), nowMs).isEmpty();
+			budget.take(hops, request.tokensAtEnd(), nowMs);
+		});
+		if (choice.chain().isEmpty() && !choice.refusedLinks().isEmpty()) {
+			recordLinkLimit(choice.refusedLinks(), budget, request, nowMs);
+		}
+		return choice.chain();
+	}
+
+	private LinkLimitedSearch linkLimitedSearch(PoolSnapshot snapshot, ZoneLinkBudget budget, long nowMs) {
+		return new LinkLimitedSearch(snapshot, budget, (server) -> !this.dependencies.limits().isAllowed(server.id()),
+				nowMs);
+	}
+
+	// Searches are repeated while a stream waits for a chain, so only the first is
+	// logged.
+	private void recordLinkLimit(Set<String> links, ZoneLinkBudget budget, ChainRequest request, long nowMs) {
+		this.dependencies.metrics().countRefusedCrossing();
+		if (!this.linkLimitLogged) {
+			this.linkLimitLogged = true;
+			links.forEach((link) -> this.dependencies.log()
+				.event("stream", "link-limited", "id", this.requestId, "link", link, "tokens", request.tokensAtEnd(),
+						"balance", budget.balanceTokens(link, nowMs)));
+		}
+	}
+
+	/**
+	 * Records that a chain was refused because of one of its engines.
+	 * @param service the service
+	 * @param engines the chain's engines as they were registered when it was chosen
+	 * @param faultyAddress address of the engine that the response names
+	 * @param status status of the response
+	 */
+	void recordRefusedChain(RoutedService service, List<ServiceInstance> engines, Optional<String> faultyAddress,
+			int status) {
+		if (service.hasScarceZoneLinks() && faultyAddress.isPresent()) {
+			engines.stream()
+				.filter((engine) -> engine.address().equals(faultyAddress.get()))
+				.findFirst()
+				.ifPresent((engine) -> this.dependencies.permits().recordRefusedChain(engine, this.requestId, status));
+		}
+	}
+
 	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
 		ChainSearch search = new ChainSearch(snapshot);
 		return (resumes) ? search.find(request, StreamLimits.RESUME_MAX_UTILISATION) : search.find(request);
@@ -82,8 +152,15 @@
 	 * @return {@code true} if a chain's cache utilisation stays well below the limit
 	 */
 	boolean hasSpareCapacity(RoutedService service, ChainRequest request, Set<String> excluded) {
-		return new ChainSearch(snapshot(service, excluded)).find(request, StreamLimits.SLOW_FAILOVER_MAX_UTILISATION)
-			.isPresent();
+		PoolSnapshot snapshot = snapshot(service, excluded);
+		double maxUtilisation = StreamLimits.SLOW_FAILOVER_MAX_UTILISATION;
+		if (service.hasScarceZoneLinks()) {
+			return linkLimitedSearch(snapshot, this.dependencies.zoneLinks().budget(service), this.dependencies.nowMs())
+				.find(request, maxUtilisation, false)
+				.chain()
+				.isPresent();
+		}
+		return new ChainSearch(snapshot).find(request, maxUtilisation).isPresent();
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -523,6 +523,7 @@
 		this.excluded.add(faultyServer.map(ServiceInstance::id).orElse(attempt.firstEngine()));
 		faultyServer.ifPresent((server) -> this.dependencies.state()
 			.suspectRefusing(attempt.callingZone(server.id(), ownZone()), server));
+		this.chooser.recordRefusedChain(this.request.service(), attempt.engines(), verdict.faultyAddress(), status);
 		return continueAfterFailure(attempt, "not-executed",
 				"status " + status + " from " + verdict.faultyAddress().orElse(attempt.call().address()));
 	}
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -61,6 +61,10 @@
 	private static final ModelPool POOL = new ModelPool("model", LAYERS, 100, 800, 1, 0, 0, 100, 0,
 			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 0, 0, 100, 20);
 
+	/** Link time of a prompt of 100 tokens: 80 ms, so that the links are scarce. */
+	private static final ModelPool SCARCE_LINKS_POOL = new ModelPool("model", LAYERS, 100, 800, 1, 0, 0, 100, 0,
+			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 100_000, 1_000, 100, 20);
+
 	final AtomicLong clockOffsetMs = new AtomicLong();
 
 	/** Time by which the clock advances whenever it is read. */
@@ -123,13 +127,26 @@
 		return table(version, RequestLimits.DEFAULT);
 	}
 
+	/**
+	 * Applies a configuration whose pool has scarce links between zones.
+	 */
+	GatewayFixture configuredWithScarceLinks() {
+		this.gateway.configure(table(1, RequestLimits.DEFAULT, SCARCE_LINKS_POOL));
+		confirm();
+		return this;
+	}
+
 	static RoutingTable table(long version, RequestLimits limits) {
+		return table(version, limits, POOL);
+	}
+
+	private static RoutingTable table(long version, RequestLimits limits, ModelPool pool) {
 		return new RoutingTable(version, List.of(route("safe", TrafficKind.SAFE, "ledger", 2),
 				route("unsafe", TrafficKind.UNSAFE, "ledger", 1), route("stream", TrafficKind.STREAMING, "pool", 2),
 				new ServiceRoute("once", "test", "/once/", TrafficKind.STREAMING, List.of(new ServiceShare("pool", 1)),
 						ROUTE_TIMEOUT_MS, TARGET_LATENCY_MS, GAP_TARGET_MS, 0, 2, false, false)),
 				List.of(new RoutedService("ledger", 100, Optional.empty()),
-						new RoutedService("pool", 100, Optional.of(POOL))),
+						new RoutedService("pool", 100, Optional.of(pool))),
 				true, Map.of("k1", new KeyHolder("org-1", -1)), limits);
 	}
 
@@ -160,6 +177,26 @@
 		this.gateway.updateInstances(this.instances);
 	}
 
+	/**
+	 * Registers an engine of a zone that holds a part of the layers.
+	 */
+	void registerEngine(String id, String address, String zone, LayerRange layers) {
+		this.instances
+			.add(new ServiceInstance(id, "pool", address, zone, SLOTS, false, 1, "fast", Optional.of(layers)));
+		this.gateway.updateInstances(this.instances);
+	}
+
+	/**
+	 * Registers the next report of a server within its start.
+	 */
+	void report(String id) {
+		this.instances.replaceAll((instance) -> (!instance.id().equals(id)) ? instance
+				: new ServiceInstance(id, instance.service(), instance.address(), instance.availabilityZone(),
+						instance.slots(), false, instance.startedAtMs(), instance.acceleratorKind(), instance.layers(),
+						instance.reportNumber() + 1));
+		registerAgain();
+	}
+
 	/**
 	 * Registers all servers once more, as sound.
 	 */
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/RoutedService.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/RoutedService.java
@@ -10,4 +10,13 @@
  * @param pool parameters of the model pool, empty for a plain service
  */
 public record RoutedService(String name, int connectionLimit, Optional<ModelPool> pool) {
+
+	/**
+	 * Returns whether the service is a model pool with scarce links between its zones.
+	 * @return {@code false} for a plain service
+	 */
+	public boolean hasScarceZoneLinks() {
+		return this.pool.filter(ModelPool::hasScarceZoneLinks).isPresent();
+	}
+
 }
