--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import org.medlardrum.gateway.internal.load.LoadExchange;
 import org.medlardrum.gateway.internal.load.LoadTable;
 import org.medlardrum.gateway.internal.load.ServerLimits;
+import org.medlardrum.gateway.internal.load.ZoneLinks;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.relay.RelayTargets;
@@ -153,7 +154,8 @@
 		this.state.onConfiguration(this.admissions::recheck);
 		this.exchange.exchangeDemand(this.admissions::ownDemand, this.admissions::updatePeer);
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, this.admissions, quarantine, limits, this.permits,
+				this.clients, dialect, log, metrics, this.admissions, quarantine, limits,
+				new ZoneLinks(this.exchange::peerCount), this.permits,
 				new EngineReports(this.state, this.clients, this.executor, dialect, this.permits, lateness), lateness,
 				this.relayTargets, this.budget, RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
@@ -191,6 +193,8 @@
 		}
 		metrics.gauge("medlardrum_gateway_oldest_wait_ms", "Time for which the oldest waiting request has waited",
 				this.admissions::oldestWaitMs);
+		metrics.gauge("medlardrum_gateway_denied_engines",
+				"Engines that lately did not hold the layers of their reports", this.permits::deniedEngines);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
 		this.servers = List.of(
 				EventLoopServer.start(settings.readinessAddress(), this.executor, MAX_OWN_CONNECTIONS,
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/RequestAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/RequestAdmission.java
@@ -49,6 +49,15 @@
 		return this.service.isNext(this.request.rank());
 	}
 
+	/**
+	 * Returns whether the request may still wait.
+	 * @param nowMs current time on the monotonic clock
+	 * @return {@code false} if it must start now to meet its target
+	 */
+	public boolean hasTime(long nowMs) {
+		return nowMs < this.request.startByMs();
+	}
+
 	/**
 	 * Offers the request to the waitlist.
 	 * @param next the request
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
@@ -124,17 +124,14 @@
 	}
 
 	private boolean applies(RoutedService service) {
-		return (service.pool().isPresent()) ? service.pool().get().hasScarceZoneLinks() : hasScarceZoneLinks();
+		return (service.pool().isPresent()) ? service.hasScarceZoneLinks() : hasScarceZoneLinks();
 	}
 
 	private boolean hasScarceZoneLinks() {
 		RoutingTable table = this.state.table();
 		if (table != this.checkedTable) {
 			this.checkedTable = table;
-			this.scarceZoneLinks = table.services()
-				.stream()
-				.flatMap((service) -> service.pool().stream())
-				.anyMatch(ModelPool::hasScarceZoneLinks);
+			this.scarceZoneLinks = table.services().stream().anyMatch(RoutedService::hasScarceZoneLinks);
 		}
 		return this.scarceZoneLinks;
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -123,7 +123,9 @@
 
 	// Waits for a slot, unless there is no server that could have a free one.
 	private String waitOrRefuse(String detail) {
-		if (this.admission.isEmpty() || !mayWait() || !hasUntriedServer()) {
+		long nowMs = this.dependencies.nowMs();
+		if (!this.admission.map((present) -> present.hasTime(nowMs)).orElse(false) || !mayWait()
+				|| !hasUntriedServer()) {
 			return refuseWithoutCapacity(detail);
 		}
 		return this.admission.get().await(this.waiting);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -10,31 +10,34 @@
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainSearch;
 import org.medlardrum.decisions.pool.ChainZones;
+import org.medlardrum.decisions.pool.LinkLimitedSearch;
 import org.medlardrum.decisions.pool.PoolServer;
 import org.medlardrum.decisions.pool.PoolSnapshot;
 import org.medlardrum.decisions.pool.StreamLimits;
+import org.medlardrum.decisions.pool.ZoneLinkBudget;
 import org.medlardrum.gateway.internal.load.Reservation;
 import org.medlardrum.gateway.internal.load.ServerLimits;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.routing.RoutedService;
 import org.medlardrum.state.routing.ServerStart;
+import org.medlardrum.state.routing.ServiceInstance;
 
 /**
  * Chooses engine chains from the servers, loads and suspicions recorded at this host.
  */
 final class ChainChooser {
 
-	/**
-	 * Largest fraction of an engine's KV cache that the most urgent rank may reserve, the
-	 * same as in a search whose limit depends on the rank only.
-	 */
-	private static final double MAX_UTILISATION = 0.92;
-
 	private final RequestDependencies dependencies;
 
 	private final String requestId;
 
+	/** Whether the stream has already overdrawn the budget of a link between zones. */
+	private boolean overdrawn;
+
+	/** Whether it is logged that a link has no room for the request. */
+	private boolean linkLimitLogged;
+
 	ChainChooser(RequestDependencies dependencies, String requestId) {
 		this.dependencies = dependencies;
 		this.requestId = requestId;
@@ -50,7 +53,9 @@
 	 */
 	Optional<ReservedChain> choose(RoutedService service, ChainRequest request, Set<String> excluded, boolean resumes) {
 		PoolSnapshot snapshot = snapshot(service, excluded);
-		return findWithinLimits(snapshot, request, maxUtilisation(service, request, resumes)).map((hops) -> {
+		Optional<List<ChainHop>> chain = (service.hasScarceZoneLinks())
+				? findWithinLinks(service, snapshot, request, resumes) : findWithinLimits(snapshot, request, resumes);
+		return chain.map((hops) -> {
 			double cacheUtilisation = hops.stream()
 				.mapToDouble((hop) -> snapshot.utilisation(hop.server(),
 						(long) request.tokensAtEnd() * hop.layers().length()))
@@ -62,10 +67,9 @@
 	}
 
 	// Only the first engine of a chain receives the request, so only its limit counts.
-	private Optional<List<ChainHop>> findWithinLimits(PoolSnapshot snapshot, ChainRequest request,
-			OptionalDouble maxUtilisation) {
+	private Optional<List<ChainHop>> findWithinLimits(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
 		ServerLimits limits = this.dependencies.limits();
-		Optional<List<ChainHop>> preferred = find(snapshot, request, maxUtilisation);
+		Optional<List<ChainHop>> preferred = find(snapshot, request, resumes);
 		Optional<String> first = preferred.map((hops) -> hops.getFirst().server().id());
 		first.ifPresent(limits::recordDemand);
 		if (first.isEmpty() || limits.isAllowed(first.get())) {
@@ -73,25 +77,40 @@
 		}
 		Optional<List<ChainHop>> other = find(
 				snapshot.withExcludedAsFirst(snapshot.excludedAsFirst().or((server) -> !limits.isAllowed(server.id()))),
-				request, maxUtilisation);
+				request, resumes);
 		limits.logMove(this.requestId, first.get(), other.map((hops) -> hops.getFirst().server().id()));
 		return other;
 	}
 
-	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request,
-			OptionalDouble maxUtilisation) {
-		ChainSearch search = new ChainSearch(snapshot);
-		return (maxUtilisation.isPresent()) ? search.find(request, maxUtilisation.getAsDouble()) : search.find(request);
+	// Takes the tokens that cross zones from this host's shares of the links.
+	private Optional<List<ChainHop>> findWithinLinks(RoutedService service, PoolSnapshot snapshot, ChainRequest request,
+			boolean resumes) {
+		ServerLimits limits = this.dependencies.limits();
+		ZoneLinkBudget budget = this.dependencies.zoneLinks().budget(service);
+		long nowMs = this.dependencies.nowMs();
+		double maxUtilisation = (resumes) ? StreamLimits.RESUME_MAX_UTILISATION : maxUtilisation(service, request);
+		LinkLimitedSearch.ChainChoice choice = linkLimitedSearch(snapshot, budget, nowMs).find(request, maxUtilisation,
+				resumes && !this.overdrawn);
+		Optional<String> first = choice.preferred().map((hops) -> hops.getFirst().server().id());
+		first.ifPresent(limits::recordDemand);
+		if (first.isPresent() && !limits.isAllowed(first.get())) {
+			limits.logMove(this.requestId, first.get(), choice.chain().map((hops) -> hops.getFirst().server().id()));
+		}
+		choice.chain().ifPresent((hops) -> {
+			this.overdrawn |= !budget.shortLinks(hops, request.tokensAtEnd(), nowMs).isEmpty();
+			budget.take(hops, request.tokensAtEnd(), nowMs);
+		});
+		if (choice.chain().isEmpty() && !choice.refusedLinks().isEmpty()) {
+			recordLinkLimit(choice.refusedLinks(), budget, request, nowMs);
+		}
+		return choice.chain();
 	}
 
-	// Empty for the limit that depends on the rank only.
-	private OptionalDouble maxUtilisation(RoutedService service, ChainRequest request, boolean resumes) {
-		if (resumes) {
-			return OptionalDouble.of(StreamLimits.RESUME_MAX_UTILISATION);
-		}
+	// Leaves the more urgent ranks what they need, instead of a fixed fraction.
+	private double maxUtilisation(RoutedService service, ChainRequest request) {
 		OptionalDouble reserved = this.dependencies.admissions().reservedShare(service, request.rank());
-		return (reserved.isPresent()) ? OptionalDouble.of(MAX_UTILISATION - reserved.getAsDouble())
-				: OptionalDouble.empty();
+		return (reserved.isPresent()) ? ChainSearch.maxUtilisation(0) - reserved.getAsDouble()
+				: ChainSearch.maxUtilisation(request.rank());
 	}
 
 	/**
@@ -109,6 +128,45 @@
 			.isPresent();
 	}
 
+	private LinkLimitedSearch linkLimitedSearch(PoolSnapshot snapshot, ZoneLinkBudget budget, long nowMs) {
+		return new LinkLimitedSearch(snapshot, budget, (server) -> !this.dependencies.limits().isAllowed(server.id()),
+				nowMs);
+	}
+
+	// Searches are repeated while a stream waits for a chain, so only the first is
+	// logged.
+	private void recordLinkLimit(Set<String> links, ZoneLinkBudget budget, ChainRequest request, long nowMs) {
+		this.dependencies.metrics().countRefusedCrossing();
+		if (!this.linkLimitLogged) {
+			this.linkLimitLogged = true;
+			links.forEach((link) -> this.dependencies.log()
+				.event("stream", "link-limited", "id", this.requestId, "link", link, "tokens", request.tokensAtEnd(),
+						"balance", budget.balanceTokens(link, nowMs)));
+		}
+	}
+
+	/**
+	 * Records that a chain was refused because of one of its engines.
+	 * @param service the service
+	 * @param engines the chain's engines as they were registered when it was chosen
+	 * @param faultyAddress address of the engine that the response names
+	 * @param status status of the response
+	 */
+	void recordRefusedChain(RoutedService service, List<ServiceInstance> engines, Optional<String> faultyAddress,
+			int status) {
+		if (service.hasScarceZoneLinks() && faultyAddress.isPresent()) {
+			engines.stream()
+				.filter((engine) -> engine.address().equals(faultyAddress.get()))
+				.findFirst()
+				.ifPresent((engine) -> this.dependencies.permits().recordRefusedChain(engine, this.requestId, status));
+		}
+	}
+
+	private static Optional<List<ChainHop>> find(PoolSnapshot snapshot, ChainRequest request, boolean resumes) {
+		ChainSearch search = new ChainSearch(snapshot);
+		return (resumes) ? search.find(request, StreamLimits.RESUME_MAX_UTILISATION) : search.find(request);
+	}
+
 	/**
 	 * Returns whether a chain with ample free capacity exists.
 	 * @param service the service
@@ -117,8 +175,15 @@
 	 * @return {@code true} if a chain's cache utilisation stays well below the limit
 	 */
 	boolean hasSpareCapacity(RoutedService service, ChainRequest request, Set<String> excluded) {
-		return new ChainSearch(snapshot(service, excluded)).find(request, StreamLimits.SLOW_FAILOVER_MAX_UTILISATION)
-			.isPresent();
+		PoolSnapshot snapshot = snapshot(service, excluded);
+		double maxUtilisation = StreamLimits.SLOW_FAILOVER_MAX_UTILISATION;
+		if (service.hasScarceZoneLinks()) {
+			return linkLimitedSearch(snapshot, this.dependencies.zoneLinks().budget(service), this.dependencies.nowMs())
+				.find(request, maxUtilisation, false)
+				.chain()
+				.isPresent();
+		}
+		return new ChainSearch(snapshot).find(request, maxUtilisation).isPresent();
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
@@ -151,7 +151,8 @@
 	// Waits for capacity, unless that does not help: without load there is no chain
 	// either.
 	private String waitOrAbandon(String event, String failure) {
-		if (this.admission.isEmpty() || !this.stream.mayWait()) {
+		long nowMs = this.dependencies.nowMs();
+		if (!this.admission.map((present) -> present.hasTime(nowMs)).orElse(false) || !this.stream.mayWait()) {
 			return this.stream.abandon(failure);
 		}
 		this.reason = event;
