--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/AdmissionSettings.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/AdmissionSettings.java
@@ -8,9 +8,10 @@
  * @param floorShare share of started work that is kept for each rank that waits
  * @param shareWindowMs time constant over which the started work of an organisation
  * decays
- * @param maxRetryAfterMs longest time after which a caller is asked to return; a caller
- * that would have to return later is not asked to. Callers cap {@code Retry-After} at a
- * third of their remaining time, so this is at most a third of the route's time limit
+ * @param maxRetryAfterMs longest time after which a caller is asked to return: a third of
+ * the time limit of a request, because callers cap {@code Retry-After} at a third of
+ * their remaining time. A caller for whom no capacity is expected within three times this
+ * time is not asked to return
  */
 public record AdmissionSettings(int maxWaiting, int maxWaitingPerOrganisation, double floorShare, long shareWindowMs,
 		long maxRetryAfterMs) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReservedRoom.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReservedRoom.java
@@ -1,16 +1,45 @@
 package org.medlardrum.decisions.admission;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
 /**
  * Computes the share of a service's capacity that work of a rank must leave free for more
  * urgent ranks, from the demand of those ranks at all hosts.
  */
 public final class ReservedRoom {
 
+	// The share that is kept free for each more urgent rank without any demand of theirs,
+	// so that the first requests of a surge find room.
+	private static final double MIN_SHARE_PER_RANK = 0.06;
+
+	private static final double MAX_SHARE = 0.5;
+
+	// Hosts don't know what waits at other hosts. An organisation that takes far more
+	// than an equal share leaves this much free, so that the requests of the others find
+	// room at whichever host they arrive. The excess that counts is above the variation
+	// that a host with a few starts in 10 s sees among equal organisations.
+	private static final double ORGANISATION_SHARE = 0.03;
+
+	private static final double EXCESS_SHARE = 0.25;
+
+	private final NavigableMap<Integer, WorkWindow> own = new TreeMap<>();
+
+	private final Map<String, NavigableMap<Integer, PeerDemand>> peers = new HashMap<>();
+
+	private final FloorCredits floors;
+
+	private final StartedWork startedWork;
+
 	/**
 	 * Creates a record without demand.
 	 * @param settings limits of the service at this host
 	 */
 	public ReservedRoom(AdmissionSettings settings) {
+		this.floors = new FloorCredits(settings.floorShare());
+		this.startedWork = new StartedWork(settings.shareWindowMs());
 	}
 
 	/**
@@ -20,7 +49,8 @@
 	 * @param nowMs current time, in milliseconds
 	 */
 	public void recordArrival(int rank, double work, long nowMs) {
-		throw new UnsupportedOperationException();
+		this.own.computeIfAbsent(rank, (key) -> new WorkWindow()).add(work, nowMs);
+		this.floors.demand(rank, work, nowMs);
 	}
 
 	/**
@@ -31,7 +61,7 @@
 	 * @param nowMs current time, in milliseconds
 	 */
 	public void recordStart(int rank, double work, long nowMs) {
-		throw new UnsupportedOperationException();
+		this.floors.started(rank, work, nowMs);
 	}
 
 	/**
@@ -42,7 +72,7 @@
 	 * @param nowMs current time, in milliseconds
 	 */
 	public void updatePeerDemand(String host, int rank, double workPerS, long nowMs) {
-		throw new UnsupportedOperationException();
+		this.peers.computeIfAbsent(host, (key) -> new TreeMap<>()).put(rank, new PeerDemand(workPerS, nowMs));
 	}
 
 	/**
@@ -53,7 +83,52 @@
 	 * @return the share, from 0 to 0.5
 	 */
 	public double share(int rank, double capacityWork, long nowMs) {
-		throw new UnsupportedOperationException();
+		if (this.floors.isDue(rank)) {
+			return 0;
+		}
+		double urgentPerS = 0;
+		for (int urgent : this.own.headMap(rank).keySet()) {
+			urgentPerS += ownDemandPerS(urgent, nowMs);
+		}
+		this.peers.values().removeIf((ranks) -> isStale(ranks, nowMs));
+		for (NavigableMap<Integer, PeerDemand> ranks : this.peers.values()) {
+			for (PeerDemand demand : ranks.headMap(rank, false).values()) {
+				urgentPerS += demand.workPerS();
+			}
+		}
+		double minimum = Math.min(MIN_SHARE_PER_RANK * rank, MAX_SHARE);
+		// One second of demand is kept free. A capacity of 0 keeps the largest share.
+		double demanded = (urgentPerS > 0) ? urgentPerS / capacityWork : 0;
+		return Math.clamp(demanded, minimum, MAX_SHARE);
+	}
+
+	private static boolean isStale(NavigableMap<Integer, PeerDemand> ranks, long nowMs) {
+		ranks.values().removeIf((demand) -> nowMs - demand.receivedAtMs() > WorkWindow.WINDOW_MS);
+		return ranks.isEmpty();
+	}
+
+	/**
+	 * Records the start of a request at this host, for its rank and its organisation.
+	 * @param request the request
+	 * @param nowMs current time, in milliseconds
+	 */
+	public void recordStart(AdmissionRequest request, long nowMs) {
+		recordStart(request.rank(), request.work(), nowMs);
+		this.startedWork.add(request.organisation(), request.work(), nowMs);
+	}
+
+	/**
+	 * Returns the share of the capacity that must remain free when a request starts: the
+	 * share of its rank, and 0.03 more if its organisation recently started far more than
+	 * an equal share of the work at this host.
+	 * @param request the request
+	 * @param capacityWork capacity of the service, in work that it can hold at once
+	 * @param nowMs current time, in milliseconds
+	 * @return the share, from 0 to 0.53
+	 */
+	public double share(AdmissionRequest request, double capacityWork, long nowMs) {
+		boolean exceeds = this.startedWork.excessShare(request.organisation()) > EXCESS_SHARE;
+		return share(request.rank(), capacityWork, nowMs) + ((exceeds) ? ORGANISATION_SHARE : 0);
 	}
 
 	/**
@@ -63,7 +138,11 @@
 	 * @return work that arrived per second, over the last 3,000 ms
 	 */
 	public double ownDemandPerS(int rank, long nowMs) {
-		throw new UnsupportedOperationException();
+		WorkWindow arrived = this.own.get(rank);
+		return (arrived != null) ? arrived.workPerS(nowMs) : 0;
+	}
+
+	private record PeerDemand(double workPerS, long receivedAtMs) {
 	}
 
 }
