--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -283,6 +283,10 @@
 		return this.budget.peakBytes();
 	}
 
+	int waiting() {
+		return this.admissions.waiting();
+	}
+
 	int inProgress() {
 		return this.handler.inProgress() + this.relayHandler.inProgress();
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/RequestAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/RequestAdmission.java
@@ -43,10 +43,10 @@
 
 	/**
 	 * Returns whether the request may be tried at once.
-	 * @return {@code false} if other requests wait that are at least as urgent
+	 * @return {@code false} if a waiting request comes before it
 	 */
 	public boolean isNext() {
-		return this.service.isNext(this.request.rank());
+		return this.service.isNext(this.request);
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
@@ -93,17 +93,12 @@
 	}
 
 	/**
-	 * Returns whether a request of a rank may be tried before the waiting ones.
-	 * @param rank the rank
-	 * @return {@code false} if a request waits that is at least as urgent
+	 * Returns whether a request may be tried before the waiting ones.
+	 * @param request the request
+	 * @return {@code false} if a waiting request comes before it
 	 */
-	boolean isNext(int rank) {
-		for (int other = 0; other <= rank && !this.waiting.isEmpty(); other++) {
-			if (this.waitlist.size(other) > 0) {
-				return false;
-			}
-		}
-		return true;
+	boolean isNext(AdmissionRequest request) {
+		return this.waitlist.isNext(request, this.clockMs.getAsLong());
 	}
 
 	String offer(RequestAdmission admission, WaitingRequest next) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
@@ -63,8 +63,8 @@
 
 	private final AtomicBoolean roundRequested = new AtomicBoolean();
 
-	/** Whether any request waits, for threads other than the event loop. */
-	private volatile boolean anyWaiting;
+	/** Number of waiting requests at the last round, for other threads. */
+	private volatile int waiting;
 
 	private volatile List<DemandReport> ownDemand = List.of();
 
@@ -170,7 +170,7 @@
 	 * Records that capacity may have become free. May be called by any thread.
 	 */
 	public void recordFreed() {
-		if (this.anyWaiting && this.roundRequested.compareAndSet(false, true)) {
+		if (this.waiting > 0 && this.roundRequested.compareAndSet(false, true)) {
 			this.executor.execute(() -> {
 				long waitMs = this.roundAtMs + MIN_ROUND_INTERVAL_MS - this.state.clock().monotonicMs();
 				if (waitMs > 0) {
@@ -199,8 +199,8 @@
 	// Runs the next round after the retry interval, or when the first waiting request
 	// cannot be started in time any more.
 	private void scheduleRetry() {
-		this.anyWaiting = this.services.values().stream().anyMatch((service) -> service.size() > 0);
-		if (!this.anyWaiting) {
+		this.waiting = this.services.values().stream().mapToInt(ServiceAdmission::size).sum();
+		if (this.waiting == 0) {
 			return;
 		}
 		long nowMs = this.state.clock().monotonicMs();
@@ -236,7 +236,7 @@
 	 * called by any thread.
 	 */
 	public void recheck() {
-		if (this.anyWaiting) {
+		if (this.waiting > 0) {
 			this.executor.execute(() -> this.services.values().forEach(ServiceAdmission::recheck));
 		}
 	}
@@ -280,6 +280,15 @@
 		}));
 	}
 
+	/**
+	 * Returns the number of waiting requests. May be called by any thread; the number
+	 * includes requests that have ended since the last round.
+	 * @return the number, over all services
+	 */
+	public int waiting() {
+		return this.waiting;
+	}
+
 	/**
 	 * Returns the number of waiting requests of a rank.
 	 * @param rank the rank
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -58,11 +58,11 @@
 
 	private static final int SLOTS = 8;
 
-	private static final ModelPool POOL = new ModelPool("model", LAYERS, 100, 800, 1, 0, 0, 100, 0,
+	static final ModelPool POOL = new ModelPool("model", LAYERS, 100, 800, 1, 0, 0, 100, 0,
 			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 0, 0, 100, 20);
 
 	/** Link time of a prompt of 100 tokens: 80 ms, so that the links are scarce. */
-	private static final ModelPool SCARCE_LINKS_POOL = new ModelPool("model", LAYERS, 100, 800, 1, 0, 0, 100, 0,
+	static final ModelPool SCARCE_LINKS_POOL = new ModelPool("model", LAYERS, 100, 800, 1, 0, 0, 100, 0,
 			Map.of("fast", new AcceleratorKind("fast", 72_000, 1, 1)), Map.of(), 100_000, 1_000, 100, 20);
 
 	final AtomicLong clockOffsetMs = new AtomicLong();
@@ -172,7 +172,11 @@
 	}
 
 	void register(String service, String id, String address) {
-		this.instances.add(new ServiceInstance(id, service, address, "a", SLOTS, false, 1, "fast",
+		register(service, id, address, SLOTS);
+	}
+
+	void register(String service, String id, String address, int slots) {
+		this.instances.add(new ServiceInstance(id, service, address, "a", slots, false, 1, "fast",
 				(service.equals("pool")) ? Optional.of(new LayerRange(0, LAYERS)) : Optional.empty()));
 		this.gateway.updateInstances(this.instances);
 	}
