--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReservedRoom.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReservedRoom.java
@@ -1,7 +1,5 @@
 package org.medlardrum.decisions.admission;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 
@@ -21,13 +19,13 @@
 	// than an equal share leaves this much free, so that the requests of the others find
 	// room at whichever host they arrive. The excess that counts is above the variation
 	// that a host with a few starts in 10 s sees among equal organisations.
-	private static final double ORGANISATION_SHARE = 0.03;
+	private static final double ORGANISATION_SHARE = 0.02;
 
 	private static final double EXCESS_SHARE = 0.25;
 
 	private final NavigableMap<Integer, WorkWindow> own = new TreeMap<>();
 
-	private final Map<String, NavigableMap<Integer, PeerDemand>> peers = new HashMap<>();
+	private final NavigableMap<Integer, PeerRates> peers = new TreeMap<>();
 
 	private final FloorCredits floors;
 
@@ -72,7 +70,7 @@
 	 * @param nowMs current time, in milliseconds
 	 */
 	public void updatePeerDemand(String host, int rank, double workPerS, long nowMs) {
-		this.peers.computeIfAbsent(host, (key) -> new TreeMap<>()).put(rank, new PeerDemand(workPerS, nowMs));
+		this.peers.computeIfAbsent(rank, (key) -> new PeerRates()).update(host, workPerS, nowMs);
 	}
 
 	/**
@@ -90,11 +88,8 @@
 		for (int urgent : this.own.headMap(rank).keySet()) {
 			urgentPerS += ownDemandPerS(urgent, nowMs);
 		}
-		this.peers.values().removeIf((ranks) -> isStale(ranks, nowMs));
-		for (NavigableMap<Integer, PeerDemand> ranks : this.peers.values()) {
-			for (PeerDemand demand : ranks.headMap(rank, false).values()) {
-				urgentPerS += demand.workPerS();
-			}
+		for (PeerRates demand : this.peers.headMap(rank).values()) {
+			urgentPerS += demand.workPerS(nowMs);
 		}
 		double minimum = Math.min(MIN_SHARE_PER_RANK * rank, MAX_SHARE);
 		// One second of demand is kept free. A capacity of 0 keeps the largest share.
@@ -102,11 +97,6 @@
 		return Math.clamp(demanded, minimum, MAX_SHARE);
 	}
 
-	private static boolean isStale(NavigableMap<Integer, PeerDemand> ranks, long nowMs) {
-		ranks.values().removeIf((demand) -> nowMs - demand.receivedAtMs() > WorkWindow.WINDOW_MS);
-		return ranks.isEmpty();
-	}
-
 	/**
 	 * Records the start of a request at this host, for its rank and its organisation.
 	 * @param request the request
@@ -119,12 +109,12 @@
 
 	/**
 	 * Returns the share of the capacity that must remain free when a request starts: the
-	 * share of its rank, and 0.03 more if its organisation recently started far more than
+	 * share of its rank, and 0.02 more if its organisation recently started far more than
 	 * an equal share of the work at this host.
 	 * @param request the request
 	 * @param capacityWork capacity of the service, in work that it can hold at once
 	 * @param nowMs current time, in milliseconds
-	 * @return the share, from 0 to 0.53
+	 * @return the share, from 0 to 0.52
 	 */
 	public double share(AdmissionRequest request, double capacityWork, long nowMs) {
 		boolean exceeds = this.startedWork.excessShare(request.organisation()) > EXCESS_SHARE;
@@ -142,7 +132,4 @@
 		return (arrived != null) ? arrived.workPerS(nowMs) : 0;
 	}
 
-	private record PeerDemand(double workPerS, long receivedAtMs) {
-	}
-
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReturnTime.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReturnTime.java
@@ -88,8 +88,12 @@
 			return NO_RETRY;
 		}
 		double waitMs = shortageMs + shortestWaitMs / availableShare(rank, nowMs);
+		if (waitMs > this.settings.maxRetryAfterMs()) {
+			// The caller returns before its turn, so its work would be reserved twice.
+			return spread();
+		}
 		this.reservedWork.merge(rank, request.work(), Double::sum);
-		return (waitMs > this.settings.maxRetryAfterMs()) ? spread() : Math.max(MIN_RETRY_AFTER_MS, (long) waitMs);
+		return Math.max(MIN_RETRY_AFTER_MS, (long) waitMs);
 	}
 
 	// A shortage is expected to last as long again as it has lasted: until it ends, new
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/RoomForecast.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/RoomForecast.java
@@ -22,7 +22,7 @@
 	private final TreeSet<Running> byEnd = new TreeSet<>(
 			Comparator.comparingLong(Running::expectedEndMs).thenComparing(Running::id));
 
-	private final Map<String, PeerRate> peers = new HashMap<>();
+	private final PeerRates peers = new PeerRates();
 
 	private final WorkWindow ended = new WorkWindow();
 
@@ -73,7 +73,7 @@
 	 * @param nowMs current time, in milliseconds
 	 */
 	public void updatePeerRate(String host, double workPerS, long nowMs) {
-		this.peers.put(host, new PeerRate(workPerS, nowMs));
+		this.peers.update(host, workPerS, nowMs);
 	}
 
 	/**
@@ -86,7 +86,7 @@
 	 */
 	public long roomExpectedAtMs(double work, long nowMs) {
 		long expectedAtMs = ownRoomExpectedAtMs(work, nowMs);
-		double peerWorkPerS = peerWorkPerS(nowMs);
+		double peerWorkPerS = this.peers.workPerS(nowMs);
 		if (peerWorkPerS > 0) {
 			expectedAtMs = Math.min(expectedAtMs, after(nowMs, work, servedWorkPerS(nowMs) + peerWorkPerS));
 		}
@@ -115,7 +115,7 @@
 	// requests at this host say little about a service that other hosts use too.
 	boolean isTooLate(double work, long startByMs, long nowMs) {
 		boolean known = this.running.size() >= MIN_SAMPLES || this.ended.count(nowMs) >= MIN_SAMPLES
-				|| peerWorkPerS(nowMs) > 0;
+				|| this.peers.workPerS(nowMs) > 0;
 		return known && roomExpectedAtMs(work, nowMs) > startByMs;
 	}
 
@@ -123,8 +123,8 @@
 	// equal share of the service's rate if that is higher.
 	double expectedWorkPerS(long nowMs) {
 		double ownWorkPerS = ownWorkPerS(nowMs);
-		double peerWorkPerS = peerWorkPerS(nowMs);
-		double meanWorkPerS = (servedWorkPerS(nowMs) + peerWorkPerS) / (this.peers.size() + 1);
+		double peerWorkPerS = this.peers.workPerS(nowMs);
+		double meanWorkPerS = (servedWorkPerS(nowMs) + peerWorkPerS) / (this.peers.hosts() + 1);
 		return Math.max(ownWorkPerS, meanWorkPerS);
 	}
 
@@ -139,15 +139,6 @@
 		return workPerS;
 	}
 
-	private double peerWorkPerS(long nowMs) {
-		this.peers.values().removeIf((peer) -> nowMs - peer.receivedAtMs() > WorkWindow.WINDOW_MS);
-		double sum = 0;
-		for (PeerRate peer : this.peers.values()) {
-			sum += peer.workPerS();
-		}
-		return sum;
-	}
-
 	/**
 	 * Returns the rate at which this host's work recently ended.
 	 * @param nowMs current time, in milliseconds
@@ -160,7 +151,4 @@
 	private record Running(String id, int rank, double work, long expectedEndMs) {
 	}
 
-	private record PeerRate(double workPerS, long receivedAtMs) {
-	}
-
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/WorkWindow.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/WorkWindow.java
@@ -28,12 +28,20 @@
 
 	double workPerS(long nowMs) {
 		advance(nowMs);
-		return 1000 * Arrays.stream(this.workOfStep).sum() / WINDOW_MS;
+		double sum = 0;
+		for (double work : this.workOfStep) {
+			sum += work;
+		}
+		return 1000 * sum / WINDOW_MS;
 	}
 
 	int count(long nowMs) {
 		advance(nowMs);
-		return Arrays.stream(this.countOfStep).sum();
+		int sum = 0;
+		for (int count : this.countOfStep) {
+			sum += count;
+		}
+		return sum;
 	}
 
 	private void advance(long nowMs) {
