Index suspicions by server

Cause: a chain search asks about each engine from each zone, and each question read all suspicions and answers. With four lost engines of which 109 hosts tell, a search over 99 engines took 1.4 to 1.7 ms on the machine of the build. Change: suspicions are kept by server, the last answer of a server is kept beside those by path, and expired ones are removed when the first one ends.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/ServerSuspicions.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/routing/ServerSuspicions.java
@@ -51,11 +51,21 @@
 	/** Teller of the suspicions of this host. */
 	private static final String OWN = "";
 
-	private final Map<Key, Entry> entries = new HashMap<>();
+	/**
+	 * Suspicions by server. A chain search asks about each engine from each zone, and
+	 * each of a hundred hosts may tell of the same servers.
+	 */
+	private final Map<String, Map<Key, Entry>> entries = new HashMap<>();
+
+	/** Time at which the first suspicion ends, or an earlier one. */
+	private long nextEndMs = Long.MAX_VALUE;
 
 	/** Times of the last answers to this host, by server and zone of its predecessor. */
 	private final Map<Path, Long> answeredAtMs = new HashMap<>();
 
+	/** Times of the last answers to this host, by server. */
+	private final Map<String, Long> lastAnsweredAtMs = new HashMap<>();
+
 	/** Times of the last answers to this host over a link between two zones. */
 	private final Map<ZonePair, Long> zoneAnsweredAtMs = new HashMap<>();
 
@@ -104,7 +114,7 @@
 		long remainingMs = Math.min(UNRESPONSIVE_SUSPICION_MS, told.remainingMs());
 		boolean unresponsive = remainingMs > REFUSED_SUSPICION_MS;
 		Key key = new Key(host, told.fromZone(), told.server(), told.serverZone());
-		Entry known = this.entries.get(key);
+		Entry known = of(told.server()).get(key);
 		long endMs = nowMs + remainingMs;
 		if (known != null && endMs - known.endMs < FRESH_ANSWER_MS) {
 			return;
@@ -116,7 +126,25 @@
 	}
 
 	private void add(Key key, Entry entry) {
-		this.entries.merge(key, entry, (first, second) -> (first.endMs >= second.endMs) ? first : second);
+		this.entries.computeIfAbsent(key.server, (server) -> new HashMap<>())
+			.merge(key, entry, (first, second) -> (first.endMs >= second.endMs) ? first : second);
+		this.nextEndMs = Math.min(this.nextEndMs, entry.endMs);
+	}
+
+	private Map<Key, Entry> of(String server) {
+		return this.entries.getOrDefault(server, Map.of());
+	}
+
+	private void removeIf(Predicate<Map.Entry<Key, Entry>> condition) {
+		this.entries.values().forEach((ofServer) -> ofServer.entrySet().removeIf(condition));
+		this.entries.values().removeIf(Map::isEmpty);
+	}
+
+	private void removeIf(String server, Predicate<Map.Entry<Key, Entry>> condition) {
+		Map<Key, Entry> ofServer = this.entries.get(server);
+		if (ofServer != null && ofServer.entrySet().removeIf(condition) && ofServer.isEmpty()) {
+			this.entries.remove(server);
+		}
 	}
 
 	/**
@@ -124,7 +152,7 @@
 	 * @param host identifier of the other host
 	 */
 	public synchronized void forget(String host) {
-		this.entries.keySet().removeIf((key) -> key.teller.equals(host));
+		removeIf((entry) -> entry.getKey().teller.equals(host));
 	}
 
 	/**
@@ -135,10 +163,8 @@
 	 */
 	public synchronized void recordAnswer(String fromZone, String server, long nowMs) {
 		this.answeredAtMs.put(new Path(fromZone, server), nowMs);
-		if (!this.entries.isEmpty()) {
-			this.entries.entrySet()
-				.removeIf((entry) -> entry.getKey().isPath(fromZone, server) && entry.getValue().observedAtMs <= nowMs);
-		}
+		this.lastAnsweredAtMs.merge(server, nowMs, Math::max);
+		removeIf(server, (entry) -> entry.getKey().isPath(fromZone, server) && entry.getValue().observedAtMs <= nowMs);
 	}
 
 	/**
@@ -160,9 +186,7 @@
 	 * @param server identifier of the server
 	 */
 	public synchronized void clearSuspicion(String fromZone, String server) {
-		if (!this.entries.isEmpty()) {
-			this.entries.keySet().removeIf((key) -> key.teller.equals(OWN) && key.isPath(fromZone, server));
-		}
+		removeIf(server, (entry) -> entry.getKey().teller.equals(OWN) && entry.getKey().isPath(fromZone, server));
 	}
 
 	/**
@@ -177,8 +201,8 @@
 		if (this.entries.isEmpty()) {
 			return false;
 		}
-		this.entries.values().removeIf((entry) -> entry.endMs <= nowMs);
-		for (Map.Entry<Key, Entry> entry : this.entries.entrySet()) {
+		removeExpired(nowMs);
+		for (Map.Entry<Key, Entry> entry : of(server).entrySet()) {
 			if (entry.getKey().isPath(fromZone, server) || isLostForAll(entry, server, serverZone)) {
 				return true;
 			}
@@ -186,6 +210,18 @@
 		return !fromZone.equals(serverZone) && isPartitioned(fromZone, serverZone, nowMs);
 	}
 
+	private void removeExpired(long nowMs) {
+		if (nowMs >= this.nextEndMs) {
+			removeIf((entry) -> entry.getValue().endMs <= nowMs);
+			this.nextEndMs = this.entries.values()
+				.stream()
+				.flatMap((ofServer) -> ofServer.values().stream())
+				.mapToLong(Entry::endMs)
+				.min()
+				.orElse(Long.MAX_VALUE);
+		}
+	}
+
 	// Whether an entry makes a server suspect from everywhere.
 	private boolean isLostForAll(Map.Entry<Key, Entry> entry, String server, String serverZone) {
 		return entry.getKey().isPath(serverZone, server) && !hasAnsweredSince(server, entry.getValue().observedAtMs);
@@ -203,23 +239,23 @@
 
 	// Whether the server has answered to any predecessor, so that it is alive.
 	private boolean hasAnsweredSince(String server, long sinceMs) {
-		return this.answeredAtMs.entrySet()
-			.stream()
-			.anyMatch((answer) -> answer.getKey().server.equals(server) && answer.getValue() >= sinceMs);
+		return this.lastAnsweredAtMs.getOrDefault(server, Long.MIN_VALUE) >= sinceMs;
 	}
 
-	private long countSuspects(String fromZone, String serverZone) {
-		return this.entries.keySet()
-			.stream()
-			.filter((key) -> key.fromZone.equals(fromZone) && key.serverZone.equals(serverZone))
-			.map(Key::server)
-			.distinct()
-			.filter((server) -> !this.discountsJointLosses || !isLostForAll(server, serverZone))
-			.count();
+	private int countSuspects(String fromZone, String serverZone) {
+		int count = 0;
+		for (Map.Entry<String, Map<Key, Entry>> ofServer : this.entries.entrySet()) {
+			String server = ofServer.getKey();
+			if (ofServer.getValue().keySet().stream().anyMatch((key) -> key.isBetween(fromZone, serverZone))
+					&& !(this.discountsJointLosses && isLostForAll(server, serverZone))) {
+				count++;
+			}
+		}
+		return count;
 	}
 
 	private boolean isLostForAll(String server, String serverZone) {
-		return this.entries.entrySet().stream().anyMatch((entry) -> isLostForAll(entry, server, serverZone));
+		return of(server).entrySet().stream().anyMatch((entry) -> isLostForAll(entry, server, serverZone));
 	}
 
 	/**
@@ -228,8 +264,9 @@
 	 * @return the suspicions
 	 */
 	public synchronized List<Suspicion> entries(long nowMs) {
-		return this.entries.entrySet()
+		return this.entries.values()
 			.stream()
+			.flatMap((ofServer) -> ofServer.entrySet().stream())
 			.filter((entry) -> entry.getKey().teller.equals(OWN) && entry.getValue().endMs > nowMs)
 			.map((entry) -> new Suspicion(entry.getKey().fromZone, entry.getKey().server, entry.getKey().serverZone,
 					entry.getValue().endMs - nowMs))
@@ -243,6 +280,7 @@
 	 */
 	public synchronized void retainAnswers(Predicate<String> registered) {
 		this.answeredAtMs.keySet().removeIf((path) -> !registered.test(path.server));
+		this.lastAnsweredAtMs.keySet().removeIf((server) -> !registered.test(server));
 	}
 
 	/**
@@ -268,6 +306,10 @@
 			return this.fromZone.equals(zone) && this.server.equals(serverId);
 		}
 
+		boolean isBetween(String from, String to) {
+			return this.fromZone.equals(from) && this.serverZone.equals(to);
+		}
+
 	}
 
 	/**
