Bound the rounds of the waitlist and the size of digests

A digest arrives every 3 ms at a host among 109, so a round begins at most every 20 ms and makes at most four searches in vain (30 to 80 us each in a trial with 99 engines). The demand of all ranks is sent in a datagram of its own beside more than 36 loads: larger datagrams are not received.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
@@ -35,8 +35,13 @@
 	private static final int MAX_FAILURES_PER_RANK = 2;
 
 	/**
-	 * Limit of requests started in one round. A search among 100 engines takes about 0.2
-	 * ms, in which the event loop does nothing else.
+	 * Limit of requests that are tried in vain in one round. A search in vain among 99
+	 * engines takes 30 to 80 us, without the sum of the loads of all hosts.
+	 */
+	private static final int MAX_FAILURES = 4;
+
+	/**
+	 * Limit of requests started in one round, in which the event loop does nothing else.
 	 */
 	private static final int MAX_STARTS = 16;
 
@@ -137,7 +142,7 @@
 		Set<String> tried = new HashSet<>();
 		for (int started = 0; started < MAX_STARTS;) {
 			Optional<RequestAdmission> next = findNext(nowMs, tried, failures);
-			if (next.isEmpty()) {
+			if (next.isEmpty() || tried.size() - started >= MAX_FAILURES) {
 				return false;
 			}
 			tried.add(next.get().request().id());
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
@@ -38,10 +38,11 @@
 	private static final long RETRY_INTERVAL_MS = 50;
 
 	/**
-	 * Shortest interval between two rounds. With 109 hosts a digest arrives every 3 ms,
-	 * and each round makes up to six searches in vain.
+	 * Shortest interval between two rounds that a sign of free capacity causes. With 109
+	 * hosts a digest arrives every 3 ms, and each round searches in vain up to four
+	 * times.
 	 */
-	private static final long MIN_ROUND_INTERVAL_MS = 10;
+	private static final long MIN_ROUND_INTERVAL_MS = 20;
 
 	/** Interval at which the demand for the digests is computed. */
 	private static final long DEMAND_INTERVAL_MS = 200;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -66,6 +66,12 @@
 	 */
 	private static final int MAX_SERVER_LOADS = 48;
 
+	/**
+	 * Number of load entries up to which the demand of all ranks, up to 240 bytes, is
+	 * sent in the same datagram. A datagram of more than 1,400 bytes is not received.
+	 */
+	private static final int MAX_LOADS_BESIDE_DEMAND = 36;
+
 	private static final int MAX_SUSPICIONS = 8;
 
 	/** Limit of leaving servers in a digest, about 22 bytes each. */
@@ -295,10 +301,14 @@
 		this.wasIdle = idle;
 		this.sentAtMs = nowMs;
 		Digest digest = digest(own, suspicions);
+		Digest demandDigest = (own.size() <= MAX_LOADS_BESIDE_DEMAND) ? digest : emptyDigest();
 		if (!demand.isEmpty()) {
-			digest.setRanks(demand.stream().map(LoadExchange::encode).toList());
+			demandDigest.setRanks(demand.stream().map(LoadExchange::encode).toList());
 		}
 		receivers.forEach((peer) -> this.sender.accept(peer, digest));
+		if (demandDigest != digest && !demand.isEmpty()) {
+			receivers.forEach((peer) -> this.sender.accept(peer, demandDigest));
+		}
 		// Each in a datagram of its own, since the loads may fill one.
 		if (!evidence.isEmpty()) {
 			Digest evidenceDigest = emptyDigest();
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -5,18 +5,29 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.medlardrum.decisions.pool.ChainHop;
+import org.medlardrum.decisions.pool.PoolServer;
 import org.medlardrum.gateway.GatewayClock;
+import org.medlardrum.gateway.internal.admission.DemandReport;
 import org.medlardrum.gateway.internal.log.DecisionLog;
 import org.medlardrum.gateway.internal.quarantine.RequestQuarantine;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.peer.gen.LeavingServer;
+import org.medlardrum.peer.gen.RankDemand;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
+import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
 import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
+import org.medlardrum.transport.peer.PeerOptions;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -161,4 +172,80 @@
 		assertThat(this.sent.getFirst().getSilentServers()).hasSize(5);
 	}
 
+	private LoadExchange receiver(List<DemandReport> received) {
+		LoadExchange receiver = new LoadExchange(new GatewayState(this.clock, this.log, KEY_FRESHNESS_MS),
+				new LoadTable(), new RequestQuarantine(this.clock, this.log, "other"),
+				new ServerLimits(this.clock, this.log, "other"), (peer, digest) -> {
+				}, "other", "b", "127.0.0.1:5");
+		receiver.exchangeDemand(List::of, (host, reports) -> received.addAll(reports));
+		return receiver;
+	}
+
+	/**
+	 * Guards against a host whose requests are all refused and that therefore has no
+	 * load: the others would not know that urgent requests find no capacity.
+	 */
+	@Test
+	void demandOfAHostWithoutLoadIsSentInEachDigest() {
+		List<DemandReport> own = List.of(new DemandReport("pool", 0, 72_800, 910),
+				new DemandReport("ledger", 2, 0.3, 0));
+		this.exchange.exchangeDemand(() -> own, (host, reports) -> {
+		});
+		for (int i = 0; i < 3; i++) {
+			this.nowMs.addAndGet(LoadExchange.BUSY_INTERVAL_MS);
+			this.exchange.step();
+		}
+		assertThat(this.sent).hasSize(3);
+		List<DemandReport> received = new ArrayList<>();
+		receiver(received).receive(this.sent.getLast());
+		assertThat(received).isEqualTo(own);
+	}
+
+	/** Guards against a digest that is larger than the datagrams that hosts receive. */
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 36, 37, 99 })
+	void digestsFitIntoDatagrams(int engines) throws Exception {
+		LoadTable loads = new LoadTable();
+		for (int i = 0; i < engines; i++) {
+			loads
+				.reserve(List.of(new ChainHop(
+						new PoolServer(String.format("i-%08d", i), "127.0.0.1:9", "b",
+								new AcceleratorKind("fast", 1, 1, 1), new LayerRange(0, 80), 8),
+						new LayerRange(0, 80))), 900);
+		}
+		LoadExchange loaded = new LoadExchange(this.state, loads, new RequestQuarantine(this.clock, this.log, "host"),
+				new ServerLimits(this.clock, this.log, "host"), (peer, digest) -> this.sent.add(digest),
+				"front-hr-central-c-4", "hr-central-c", "127.0.0.1:4");
+		loaded
+			.updatePeers(List.of(new Host("other", "b", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", HostState.LIVE)));
+		List<DemandReport> own = new ArrayList<>();
+		for (int rank = 0; rank < 4; rank++) {
+			own.add(new DemandReport("model-pool-1", rank, 7_280_000, 7_280_000));
+			own.add(new DemandReport("plain-service", rank, 100, 100));
+		}
+		loaded.exchangeDemand(() -> own, (host, reports) -> {
+		});
+		loaded.step();
+		int demands = 0;
+		for (Digest digest : this.sent) {
+			assertThat(new TSerializer(new TCompactProtocol.Factory()).serialize(digest).length)
+				.isAtMost(PeerOptions.MAX_DATAGRAM_BYTES);
+			demands += (digest.isSetRanks()) ? digest.getRanksSize() : 0;
+		}
+		assertThat(demands).isEqualTo(8);
+		assertThat(this.sent).hasSize((engines > 36) ? 2 : 1);
+	}
+
+	/** Guards against another build's digest that ends the thread that receives them. */
+	@Test
+	void demandWithoutAPoolIsIgnored() {
+		List<DemandReport> received = new ArrayList<>();
+		Digest digest = digest("third", 1);
+		RankDemand malformed = new RankDemand();
+		digest.setRanks(List.of(malformed, new RankDemand("pool", (short) -1, 1, 1),
+				new RankDemand("pool", (short) 1, -5, 7_000)));
+		receiver(received).receive(digest);
+		assertThat(received).containsExactly(new DemandReport("pool", 1, 0, 7));
+	}
+
 }
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadTableTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadTableTests.java
@@ -1,6 +1,7 @@
 package org.medlardrum.gateway.internal.load;
 
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.medlardrum.decisions.pool.ServerLoad;
@@ -26,6 +27,27 @@
 		assertThat(this.table.total(0).get("s1")).isEqualTo(new ServerLoad(10, 2, 1));
 	}
 
+	/**
+	 * Requests that wait are tried only when capacity may have become free; a round for
+	 * each digest would take much of a host's processor.
+	 */
+	@Test
+	void listenerRunsWhenCapacityBecomesFree() {
+		AtomicInteger runs = new AtomicInteger();
+		this.table.onFreed(runs::incrementAndGet);
+		Reservation own = this.table.reserveSlot("s1");
+		this.table.updatePeer("host-2", Map.of("s1", new ServerLoad(10, 2, 1)), 0);
+		this.table.updatePeer("host-2", Map.of("s1", new ServerLoad(20, 3, 1), "s2", new ServerLoad(1, 1, 1)), 0);
+		assertThat(runs.get()).isEqualTo(0);
+		this.table.updatePeer("host-2", Map.of("s1", new ServerLoad(20, 3, 1)), 0);
+		assertThat(runs.get()).isEqualTo(1);
+		this.table.updatePeer("host-2", Map.of("s1", new ServerLoad(15, 3, 1)), 0);
+		assertThat(runs.get()).isEqualTo(2);
+		own.close();
+		own.close();
+		assertThat(runs.get()).isEqualTo(3);
+	}
+
 	@Test
 	void loadOfAnUnresponsiveHostExpires() {
 		this.table.updatePeer("host-2", Map.of("s1", new ServerLoad(10, 2, 1)), 0);
