--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
@@ -228,8 +228,10 @@
 	 * Refuses all waiting requests because the host stops. May be called by any thread.
 	 */
 	public void stop() {
-		this.executor.execute(() -> this.services.values()
-			.forEach((service) -> service.stop(() -> RetryAfter.otherHostMs(this.random))));
+		this.executor.execute(() -> {
+			this.services.values().forEach((service) -> service.stop(() -> RetryAfter.otherHostMs(this.random)));
+			scheduleRetry();
+		});
 	}
 
 	/**
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -3,17 +3,12 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 
-import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.SendDenial;
-import org.medlardrum.decisions.routing.ServerSelector;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
 import org.medlardrum.gateway.internal.admission.RequestAdmission;
@@ -71,6 +66,8 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	private final PlainServers servers;
+
 	private PlainAttempt failedResponse;
 
 	private String lastFailure = "none";
@@ -92,6 +89,7 @@
 	public PlainExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
 		super(dependencies, request, response, outcomeListener, PART, MAX_ATTEMPTS);
+		this.servers = new PlainServers(dependencies, request);
 	}
 
 	@Override
@@ -125,21 +123,12 @@
 	private String waitOrRefuse(String detail) {
 		long nowMs = this.dependencies.nowMs();
 		if (!this.admission.map((present) -> present.hasTime(nowMs)).orElse(false) || !mayWait()
-				|| !hasUntriedServer()) {
+				|| !this.servers.hasUntried(this.tried)) {
 			return refuseWithoutCapacity(detail);
 		}
 		return this.admission.get().await(this.waiting);
 	}
 
-	private boolean hasUntriedServer() {
-		return this.dependencies.state()
-			.fleet()
-			.instances(this.request.service().name())
-			.stream()
-			.anyMatch((server) -> !server.draining() && !this.tried.contains(server.id())
-					&& this.dependencies.permits().mayReceive(server.id()));
-	}
-
 	@Override
 	protected String handleSignal(Signal signal) {
 		return switch (signal) {
@@ -190,7 +179,7 @@
 		if (isRelayPreferred() && passOn(reason)) {
 			return true;
 		}
-		Optional<ServiceInstance> choice = choose(nowMs);
+		Optional<ServiceInstance> choice = this.servers.choose(this.tried);
 		boolean unreachable = choice.isEmpty()
 				|| this.dependencies.state().unreachableServers().contains(choice.get().id());
 		if (unreachable && isRelayPossible() && passOn(reason)) {
@@ -237,70 +226,6 @@
 		return true;
 	}
 
-	private Optional<ServiceInstance> choose(long nowMs) {
-		Set<String> unavailable = new HashSet<>(this.tried);
-		serviceServers().filter((id) -> !this.dependencies.permits().mayReceive(id)).forEach(unavailable::add);
-		addFullServers(unavailable, nowMs);
-		Optional<ServiceInstance> preferred = choose(nowMs, unavailable);
-		preferred.ifPresent((server) -> this.dependencies.limits().recordDemand(server.id()));
-		if (preferred.isEmpty() || this.dependencies.limits().isAllowed(preferred.get().id())) {
-			return preferred;
-		}
-		Set<String> excludedServers = new HashSet<>(unavailable);
-		serviceServers().filter((id) -> !this.dependencies.limits().isAllowed(id)).forEach(excludedServers::add);
-		Optional<ServiceInstance> other = choose(nowMs, excludedServers);
-		this.dependencies.limits().logMove(this.request.id(), preferred.get().id(), other.map(ServiceInstance::id));
-		return other;
-	}
-
-	// Where requests wait for capacity, a server gets no more than its slots. A request
-	// waits for a full server rather than go to one that may be dead.
-	private void addFullServers(Set<String> unavailable, long nowMs) {
-		OptionalDouble reserved = (this.admission.isPresent())
-				? this.dependencies.admissions().reservedShare(this.request.service(), this.request.rank())
-				: OptionalDouble.empty();
-		if (reserved.isEmpty()) {
-			return;
-		}
-		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
-		List<ServiceInstance> usable = this.dependencies.state()
-			.fleet()
-			.instances(this.request.service().name())
-			.stream()
-			.filter((server) -> !server.draining() && !unavailable.contains(server.id()))
-			.toList();
-		List<ServiceInstance> full = usable.stream()
-			.filter((server) -> loads.getOrDefault(server.id(), ServerLoad.NONE).sequences() >= Math.max(1,
-					Math.floor(server.slots() * (1 - reserved.getAsDouble()))))
-			.toList();
-		full.forEach((server) -> unavailable.add(server.id()));
-		if (!full.stream().allMatch(this::isSuspect)) {
-			usable.stream().filter(this::isSuspect).forEach((server) -> unavailable.add(server.id()));
-		}
-	}
-
-	private boolean isSuspect(ServiceInstance server) {
-		return this.dependencies.state()
-			.isSuspect(this.dependencies.settings().availabilityZone(), server.id(), server.availabilityZone());
-	}
-
-	private Stream<String> serviceServers() {
-		return this.dependencies.state()
-			.fleet()
-			.instances(this.request.service().name())
-			.stream()
-			.map(ServiceInstance::id);
-	}
-
-	private Optional<ServiceInstance> choose(long nowMs, Set<String> excludedServers) {
-		String zone = this.dependencies.settings().availabilityZone();
-		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
-		return ServerSelector.choose(this.dependencies.state().fleet().instances(this.request.service().name()), zone,
-				excludedServers, (server) -> (double) loads.getOrDefault(server.id(), ServerLoad.NONE).sequences()
-						/ Math.max(1, server.slots()),
-				this::isSuspect);
-	}
-
 	private PlainAttempt attemptOf(BackendCall call) {
 		return this.active.stream().filter((attempt) -> attempt.call() == call).findFirst().orElse(null);
 	}
@@ -477,8 +402,7 @@
 	}
 
 	private String refuseWithoutCapacity(String detail) {
-		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(),
-				comeBackAfterMs(serviceServers().toList()));
+		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(), comeBackAfterMs(this.servers.ids()));
 		return "refused";
 	}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/GatewayFixture.java
@@ -223,8 +223,12 @@
 	 * Replaces all registered servers by one.
 	 */
 	void replace(String service, String id, FakeBackend backend) {
+		replace(service, id, backend.address(), SLOTS);
+	}
+
+	void replace(String service, String id, String address, int slots) {
 		this.instances.clear();
-		register(service, id, backend);
+		register(service, id, address, slots);
 	}
 
 	/**
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/WaitingRequestTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/WaitingRequestTests.java
@@ -88,7 +88,7 @@
 	private void configure(long version, boolean scarceLinks, String key, String... removedRoutes) {
 		List<ServiceRoute> routes = new ArrayList<>(List.of(route("stream", TrafficKind.STREAMING, "pool", 0),
 				route("background", TrafficKind.STREAMING, "pool", 2), route("safe", TrafficKind.SAFE, "ledger", 0),
-				route("unsafe", TrafficKind.UNSAFE, "ledger", 0)));
+				route("unsafe", TrafficKind.UNSAFE, "ledger", 0), route("batch", TrafficKind.UNSAFE, "ledger", 2)));
 		routes.removeIf((route) -> List.of(removedRoutes).contains(route.name()));
 		ModelPool pool = (scarceLinks) ? GatewayFixture.SCARCE_LINKS_POOL : GatewayFixture.POOL;
 		this.fixture.gateway()
@@ -346,6 +346,28 @@
 		}
 	}
 
+	/**
+	 * A surge of the least urgent rank may not take all slots: of 10, rank 2 leaves at
+	 * least 0.12 to more urgent ranks.
+	 */
+	@Test
+	void leastUrgentRankLeavesSlotsToMoreUrgentOnes() throws Exception {
+		this.fixture.replace("ledger", "s2", this.server.address(), 10);
+		List<CompletableFuture<String>> responses = new ArrayList<>();
+		for (int i = 0; i < 8; i++) {
+			responses.add(send("/batch/" + i));
+		}
+		await(() -> this.server.requests().size() == 8);
+		responses.add(sendWaiting("/batch/8"));
+		responses.add(send("/unsafe/9"));
+		await(() -> this.server.requests().size() == 9);
+		assertThat(this.server.requests().getLast()).contains("/unsafe/9");
+		this.answers.release(10);
+		for (CompletableFuture<String> response : responses) {
+			assertThat(response.get()).startsWith("HTTP/1.1 200");
+		}
+	}
+
 	/** A burst may neither overfill the server nor lose a request. */
 	@ParameterizedTest
 	@ValueSource(strings = { "/stream/", "/safe/" })
