Test that a started stream resumes over a link without budget

Cause: only the search was tested with an overdraft, not the stream. In a trial without the overdraft the new case fails (the stream is not continued and the read times out).

--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ScarceLinkTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ScarceLinkTests.java
@@ -104,4 +104,33 @@
 		}
 	}
 
+	/**
+	 * The budget is used up by new streams when the engine of a started one fails, and
+	 * the only other chain crosses zones. Without an overdraft the caller loses a stream
+	 * that it has begun to read.
+	 */
+	@Test
+	void startedStreamResumesOverALinkWithoutBudget() throws Exception {
+		configure(true);
+		String head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nid: r1\r\nproof: p\r\n\r\n";
+		try (FakeBackend breaking = new FakeBackend(
+				(request, socket, out) -> FakeBackend.write(out, head + FakeBackend.chunk("id: 1\ndata: e1\n\n")));
+				FakeBackend next = new FakeBackend((request, socket, out) -> FakeBackend.write(out,
+						head + FakeBackend.chunk("id: 2\ndata: e2\n\n") + "0\r\n\r\n"))) {
+			this.fixture.registerEngine("e2", next.address(), "a", new LayerRange(0, 4));
+			this.fixture.registerEngine("e3", "127.0.0.1:1", "b", new LayerRange(4, 8));
+			int sent = 0;
+			while (this.fixture.call("POST", "/stream/1").startsWith("HTTP/1.1 200")) {
+				sent++;
+			}
+			assertThat(sent).isEqualTo(8);
+			this.fixture.register("pool", "e1", breaking);
+			String response = this.fixture.call("POST", "/stream/1");
+			assertThat(response).contains("data: e1");
+			assertThat(response).contains("data: e2");
+			assertThat(breaking.requests()).hasSize(1);
+			assertThat(next.requests()).hasSize(sent + 1);
+		}
+	}
+
 }
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/ModelPool.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/ModelPool.java
@@ -38,8 +38,8 @@
 
 	/**
 	 * Typical prompts per second below which a link between zones counts as scarce. The
-	 * links of the users' sites carry at most 29.7 and 21.4 prompts per second where
-	 * chains across zones saturated them, and at least 33.9 elsewhere.
+	 * links of the users' sites carry 29.7 and 21.4 prompts per second where chains
+	 * across zones saturated them, and at least 33.9 elsewhere.
 	 */
 	private static final double MIN_PROMPTS_PER_S = 33;
 
