--- a/medlardrum-state/src/main/java/org/medlardrum/state/config/ConfigMerge.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/ConfigMerge.java
@@ -258,6 +258,20 @@
 		}
 	}
 
+	/**
+	 * Finds a member of a document.
+	 * @param document the document
+	 * @param path path of the member as a JSON pointer (RFC 6901), through objects only
+	 * @return the member, {@code null} when it is absent
+	 */
+	static JsonElement find(JsonObject document, String path) {
+		JsonElement element = document;
+		for (String segment : segmentsOf(path)) {
+			element = isObject(element) ? element.getAsJsonObject().get(segment) : null;
+		}
+		return element;
+	}
+
 	private static JsonObject objectOf(ConfigEdit edit) {
 		if (!edit.newValue().isJsonObject()) {
 			throw new IllegalArgumentException("Document '" + edit.document() + "' must be an object");
