--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ApplyCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ApplyCommand.java
@@ -12,6 +12,8 @@
 import org.medlardrum.coordination.config.ApplyResult;
 import org.medlardrum.coordination.config.ConfigLog;
 import org.medlardrum.state.config.ConfigDocuments;
+import org.medlardrum.state.config.ConfigMerge;
+import org.medlardrum.state.config.ConfigReview;
 
 /**
  * Writes configuration documents as one change and waits until entry hosts use it.
@@ -69,20 +71,24 @@
 		StoreResult<ConfigDocuments> basis = this.basedOn.isEmpty() ? log.load()
 				: log.loadAt(wholeNumber("--based-on", this.basedOn, 0, Long.MAX_VALUE));
 		return switch (basis) {
-			case StoreResult.Ok<ConfigDocuments> ok ->
-				report(session, found.value(), apply(log, ok.value(), files), maxWaitMs);
+			case StoreResult.Ok<ConfigDocuments> ok -> apply(session, found.value(), log, ok.value(), files, maxWaitMs);
 			case StoreResult.NotFound<ConfigDocuments> missing ->
 				CommandResult.failure(ExitCode.FAILED, "--based-on: version " + this.basedOn + " does not exist");
 			default -> storeFailure(basis);
 		};
 	}
 
-	private ApplyResult apply(ConfigLog log, ConfigDocuments basis, ConfigFiles files) {
-		Map<String, JsonObject> newOverlays = new TreeMap<>(basis.overlays());
-		newOverlays.putAll(files.overlays());
+	private CommandResult apply(Session session, Fleet fleet, ConfigLog log, ConfigDocuments basis, ConfigFiles files,
+			long maxWaitMs) {
+		ConfigDocuments withFiles = files.over(basis);
+		Map<String, JsonObject> newOverlays = new TreeMap<>(withFiles.overlays());
 		this.removeOverlays.forEach(newOverlays::remove);
-		return log.apply(basis, (files.base() != null) ? files.base() : basis.base(), newOverlays,
+		ApplyResult result = log.apply(basis, withFiles.base(), newOverlays,
 				!this.author.isEmpty() ? this.author : System.getProperty("user.name", "unknown"));
+		CommandResult report = report(session, fleet, result, maxWaitMs);
+		// Rejected documents have no merged configuration to review.
+		return (result instanceof ApplyResult.Rejected) ? report : ResultFormat.withWarnings(report,
+				ConfigReview.warnings(ConfigMerge.documents(0, withFiles.base(), newOverlays)));
 	}
 
 	private CommandResult report(Session session, Fleet fleet, ApplyResult result, long maxWaitMs) {
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ConfigFiles.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ConfigFiles.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 
 import com.google.gson.JsonObject;
+import org.medlardrum.state.config.ConfigDocuments;
 import org.medlardrum.state.config.ConfigFault;
 import org.medlardrum.state.config.ConfigMerge;
 import org.medlardrum.state.config.ConfigParser;
@@ -44,6 +45,18 @@
 		return new ConfigFiles(base, overlays, faults);
 	}
 
+	/**
+	 * Puts the files over documents: documents that no file was given for stay as they
+	 * are.
+	 * @param documents the documents
+	 * @return documents of version 0, since files have no version
+	 */
+	ConfigDocuments over(ConfigDocuments documents) {
+		Map<String, JsonObject> allOverlays = new TreeMap<>(documents.overlays());
+		allOverlays.putAll(this.overlays);
+		return ConfigMerge.documents(0, (this.base != null) ? this.base : documents.base(), allOverlays);
+	}
+
 	private static List<Path> listOverlayFiles(String baseFile, List<String> paths, List<ConfigFault> faults) {
 		List<Path> files = new ArrayList<>();
 		for (String pathText : paths) {
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/DiffCommand.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/DiffCommand.java
@@ -1,8 +1,6 @@
 package org.medlardrum.cli.internal;
 
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
@@ -50,7 +48,7 @@
 			return storeFailure(from);
 		}
 		if (this.toVersion.isEmpty()) {
-			return report(before.value(), withFiles(before.value(), files));
+			return report(before.value(), files.over(before.value()));
 		}
 		StoreResult<ConfigDocuments> to = load(log, "--to-version", this.toVersion);
 		return (to instanceof StoreResult.Ok<ConfigDocuments> after) ? report(before.value(), after.value())
@@ -61,13 +59,6 @@
 		return version.isEmpty() ? log.load() : log.loadAt(wholeNumber(flag, version, 0, Long.MAX_VALUE));
 	}
 
-	private static ConfigDocuments withFiles(ConfigDocuments before, ConfigFiles files) {
-		Map<String, JsonObject> overlays = new TreeMap<>(before.overlays());
-		overlays.putAll(files.overlays());
-		// Files have no version, and the comparison does not use one.
-		return ConfigMerge.documents(0, (files.base() != null) ? files.base() : before.base(), overlays);
-	}
-
 	private static CommandResult report(ConfigDocuments before, ConfigDocuments after) {
 		List<ConfigEdit> edits = ConfigMerge.diff(before, after);
 		JsonObject json = new JsonObject();
--- a/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ResultFormat.java
+++ b/medlardrum-cli/src/main/java/org/medlardrum/cli/internal/ResultFormat.java
@@ -10,6 +10,7 @@
 import org.medlardrum.state.config.ConfigCodec;
 import org.medlardrum.state.config.ConfigEdit;
 import org.medlardrum.state.config.ConfigFault;
+import org.medlardrum.state.config.ConfigFinding;
 import org.medlardrum.state.config.ConfigMerge;
 
 /**
@@ -29,6 +30,31 @@
 		return CommandResult.of(ExitCode.FAILED, json, String.join("\n", lines));
 	}
 
+	static String warningsText(List<ConfigFinding> warnings) {
+		return warnings.isEmpty() ? "" : findingsText("warning(s)", warnings);
+	}
+
+	static String findingsText(String kind, List<ConfigFinding> findings) {
+		List<String> lines = new ArrayList<>(List.of("\n" + findings.size() + " " + kind + ":"));
+		findings.forEach((finding) -> lines.add("  " + finding.describe()));
+		return String.join("\n", lines);
+	}
+
+	static JsonElement findingsJson(List<ConfigFinding> findings) {
+		return new Gson().toJsonTree(findings);
+	}
+
+	/**
+	 * Adds warnings to the result of a command that printed another outcome.
+	 * @param result the result
+	 * @param warnings the warnings
+	 * @return the result with the warnings
+	 */
+	static CommandResult withWarnings(CommandResult result, List<ConfigFinding> warnings) {
+		result.json().add("findings", findingsJson(warnings));
+		return new CommandResult(result.exitCode(), result.json(), result.text() + warningsText(warnings));
+	}
+
 	static String editsText(List<ConfigEdit> edits) {
 		List<String> lines = new ArrayList<>();
 		for (ConfigEdit edit : edits) {
--- a/medlardrum-state/src/main/java/org/medlardrum/state/config/ChangeEffects.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/config/ChangeEffects.java
@@ -15,7 +15,7 @@
 	static String ofRemoval(String section) {
 		return switch (section) {
 			case "routes" -> "its requests are refused, unless another route matches them";
-			case "organisations" -> "requests with its keys are refused";
+			case "organisations" -> "requests with its keys are refused, unless another organisation has them";
 			case "models" -> "callers can no longer request it";
 			case "pools" -> "its backend servers get no more requests";
 			case "placements" -> "the engine gets no more orders to load a model";
@@ -58,7 +58,8 @@
 		List<?> added = after.stream().filter((item) -> !before.contains(item)).toList();
 		switch (member) {
 			case "keySha256" -> {
-				addPart(parts, removed, removed.size() + " key(s) removed, requests with them are refused");
+				addPart(parts, removed, removed.size()
+						+ " key(s) removed, requests with them are refused, unless another organisation has them");
 				addPart(parts, added, added.size() + " key(s) added, requests with them are accepted");
 			}
 			case "organisations" -> {
