--- a/medlardrum-state/src/test/java/org/medlardrum/state/config/ConfigReviewTests.java
+++ b/medlardrum-state/src/test/java/org/medlardrum/state/config/ConfigReviewTests.java
@@ -92,19 +92,25 @@
 		assertThat(ConfigReview.warnings(documents(patch, Map.of()))).isEmpty();
 	}
 
-	/** Guards against a route for all methods that other routes have replaced. */
-	@Test
-	void routeForAllMethodsWithARouteForEachMethodIsNamed() {
+	/**
+	 * Guards against a route for all methods that other routes have replaced, and against
+	 * a warning when those have longer prefixes and so leave requests to it.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "/b, 1", "/b/c, 0", "/, 0" })
+	void routeForAllMethodsWithARouteForEachMethodIsNamed(String pathPrefix, int warnings) {
 		JsonObject patch = object("{\"routes\":{}}");
 		for (String method : List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")) {
 			assertThat(ConfigReview.warnings(documents(patch.toString(), Map.of()))).isEmpty();
 			patch.getAsJsonObject("routes")
-				.add(method, object("{\"kind\":\"service\",\"pool\":\"ledger\",\"pathPrefix\":\"/b\","
+				.add(method, object("{\"kind\":\"service\",\"pool\":\"ledger\",\"pathPrefix\":\"" + pathPrefix + "\","
 						+ "\"rank\":\"urgent\",\"method\":\"" + method + "\"}"));
 		}
-		assertThat(descriptions(ConfigReview.warnings(documents(patch.toString(), Map.of()))))
-			.containsExactly("base:/routes/book: never matches a documented method: other routes with the same "
-					+ "pathPrefix take each (DELETE, GET, HEAD, OPTIONS, PATCH, POST, PUT)");
+		List<String> found = descriptions(ConfigReview.warnings(documents(patch.toString(), Map.of())));
+		assertThat(found).hasSize(warnings);
+		found.forEach((description) -> assertThat(description)
+			.isEqualTo("base:/routes/book: never matches a documented method: other routes with the same "
+					+ "pathPrefix take each (DELETE, GET, HEAD, OPTIONS, PATCH, POST, PUT)"));
 	}
 
 	/** Guards against a route that looks open but whose callers cannot identify. */
@@ -143,6 +149,26 @@
 		found.forEach((description) -> assertThat(description).startsWith(finding));
 	}
 
+	/** Guards against an unused entry that a warning of another kind at a site hides. */
+	@Test
+	void anotherWarningAtASiteDoesNotHideAnUnusedEntry() {
+		ConfigDocuments documents = documents("""
+				{"routes": {"question": {"organisations": ["hotel"]}, "book": {"organisations": ["hotel"]}}}""",
+				Map.of("z-1", "{\"organisations\":{\"school\":{\"keySha256\":[]}}}"));
+		assertThat(descriptions(ConfigReview.warnings(documents))).containsExactly(
+				"base:/organisations/school: no route allows the organisation, so all of its requests are refused "
+						+ "(not at z-1)",
+				"overlay:z-1:/organisations/school: has no key, so all of its requests are refused");
+	}
+
+	/** Guards against a removed limit that is described as a limit of no requests. */
+	@Test
+	void removedLimitOfRequestsIsNotALimitOfNone() {
+		ConfigDocuments before = documents("{\"organisations\":{\"hotel\":{\"maxInFlight\":5}}}", Map.of());
+		assertThat(descriptions(ConfigReview.changes(before, documents("{}", Map.of()))))
+			.containsExactly("base:/organisations/hotel/maxInFlight: 5 -> 0: no limit of requests at a time");
+	}
+
 	/** Guards against a change of the base whose effect on callers is not named. */
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', quoteCharacter = '`',
