Run the admission properties in the build; accept any monotonic clock

Cause: the class AdmissionProperties does not match the names that the build runs, so a full verify left it out; runs by name included it. The gateway's clock is System.nanoTime, which may be negative, and three first times were 0: old reports were then never dropped and reserved returns never drained. A damaged rate from a peer (NaN) would have spoilt the sum. Change: the class is AdmissionPropertyTests; first times before any clock; started work by rank with StartedWork; rates that are not positive and finite count as 0.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/AdmissionWaitlist.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/AdmissionWaitlist.java
@@ -55,7 +55,7 @@
 
 	private RoomForecast forecast;
 
-	private long reviewedAtMs;
+	private long reviewedAtMs = Long.MIN_VALUE / 2;
 
 	/**
 	 * Creates an empty waitlist.
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/PeerRates.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/PeerRates.java
@@ -15,11 +15,14 @@
 
 	private double sumPerS;
 
-	private long purgedAtMs;
+	// Monotonic clocks may be negative.
+	private long purgedAtMs = Long.MIN_VALUE / 2;
 
 	void update(String host, double workPerS, long nowMs) {
-		Report former = this.reports.put(host, new Report(workPerS, nowMs));
-		this.sumPerS += workPerS - ((former != null) ? former.workPerS() : 0);
+		// A report that is not a rate must not spoil the sum of the others.
+		double validPerS = (workPerS > 0 && Double.isFinite(workPerS)) ? workPerS : 0;
+		Report former = this.reports.put(host, new Report(validPerS, nowMs));
+		this.sumPerS += validPerS - ((former != null) ? former.workPerS() : 0);
 	}
 
 	double workPerS(long nowMs) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/RankWaiting.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/RankWaiting.java
@@ -85,7 +85,7 @@
 		for (Map.Entry<String, Entries> other : this.organisations.entrySet()) {
 			if (!other.getKey().equals(request.organisation())) {
 				double behind = (level - this.started.weight(other.getKey())) / perWork;
-				ahead += Math.clamp(behind, 0, other.getValue().work);
+				ahead += Math.max(0, Math.min(behind, other.getValue().work));
 			}
 		}
 		return ahead;
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReturnTime.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/ReturnTime.java
@@ -2,10 +2,10 @@
 
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-
-import org.medlardrum.decisions.DecayingRate;
+import java.util.TreeSet;
 
 /**
  * Computes when a refused caller should return: when capacity is expected for its rank,
@@ -40,14 +40,17 @@
 
 	private final Map<Integer, Shortage> shortages = new TreeMap<>();
 
-	private final Map<Integer, DecayingRate> started = new TreeMap<>();
+	private final StartedWork started;
+
+	private final NavigableSet<Integer> startedRanks = new TreeSet<>();
 
-	private long drainedAtMs;
+	private long drainedAtMs = Long.MIN_VALUE / 2;
 
 	private double spread;
 
 	ReturnTime(AdmissionSettings settings) {
 		this.settings = settings;
+		this.started = new StartedWork(settings.shareWindowMs());
 	}
 
 	/**
@@ -65,7 +68,8 @@
 	}
 
 	void recordStart(int rank, double work, long nowMs) {
-		this.started.computeIfAbsent(rank, (key) -> new DecayingRate(this.settings.shareWindowMs())).add(work, nowMs);
+		this.started.add(Integer.toString(rank), work, nowMs);
+		this.startedRanks.add(rank);
 	}
 
 	// Returns when the caller of a refused request should return, and reserves the work
@@ -87,7 +91,7 @@
 		if (shortestWaitMs > CALLER_FRACTION * this.settings.maxRetryAfterMs()) {
 			return NO_RETRY;
 		}
-		double waitMs = shortageMs + shortestWaitMs / availableShare(rank, nowMs);
+		double waitMs = shortageMs + shortestWaitMs / availableShare(rank);
 		if (waitMs > this.settings.maxRetryAfterMs()) {
 			// The caller returns before its turn, so its work would be reserved twice.
 			return spread();
@@ -107,13 +111,13 @@
 	}
 
 	// Returns the share of the capacity that more urgent ranks leave.
-	private double availableShare(int rank, long nowMs) {
+	private double availableShare(int rank) {
 		double urgent = 0;
 		double all = 0;
-		for (Map.Entry<Integer, DecayingRate> entry : this.started.entrySet()) {
-			double costPerS = entry.getValue().costPerS(nowMs);
-			all += costPerS;
-			urgent += (entry.getKey() < rank) ? costPerS : 0;
+		for (int started : this.startedRanks) {
+			double weight = this.started.weight(Integer.toString(started));
+			all += weight;
+			urgent += (started < rank) ? weight : 0;
 		}
 		double floorShare = Math.max(this.settings.floorShare(), MIN_AVAILABLE_SHARE);
 		return (all > 0) ? Math.max(floorShare, 1 - urgent / all) : 1;
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/StartedWork.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/StartedWork.java
@@ -4,9 +4,10 @@
 import java.util.Map;
 
 /**
- * Work that each organisation started recently, with exponential decay. Newer work is
- * given a larger weight instead of older work a smaller one (forward decay: Cormode et
- * al., ICDE 2009), so the order of organisations does not change between starts.
+ * Work that each organisation, or each rank, started recently, with exponential decay.
+ * Newer work is given a larger weight instead of older work a smaller one (forward decay:
+ * Cormode et al., ICDE 2009), so the order of organisations does not change between
+ * starts.
  */
 final class StartedWork {
 
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/admission/AdmissionProperties.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/admission/AdmissionPropertyTests.java
@@ -19,7 +19,7 @@
 /**
  * Properties of the admission decisions over random loads.
  */
-class AdmissionProperties {
+class AdmissionPropertyTests {
 
 	private static final AdmissionSettings SETTINGS = new AdmissionSettings(20, 8, 0.05, 10_000, 6666);
 
@@ -34,7 +34,7 @@
 		Map<String, AdmissionRequest> waiting = new HashMap<>();
 		Set<String> ended = new HashSet<>();
 		List<String> running = new ArrayList<>();
-		long nowMs = random.nextLong(1_000_000);
+		long nowMs = random.nextLong(-1_000_000, 1_000_000);
 		for (int i = 0; i < 300; i++) {
 			nowMs += random.nextInt(40);
 			AdmissionRequest offered = request(random, i, random.nextInt(RANKS), nowMs);
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/admission/AdmissionWaitlistTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/admission/AdmissionWaitlistTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -114,13 +115,17 @@
 		assertThat(room.share(2, 100, 0)).isWithin(1e-9).of(0.12);
 	}
 
-	// Guards against forecasts that ignore what other hosts complete.
-	@Test
-	void forecastUsesTheRatesOfAllHosts() {
-		assertThat(this.forecast.roomExpectedAtMs(1, 0)).isEqualTo(Long.MAX_VALUE);
-		this.forecast.updatePeerRate("host", 10, 0);
-		assertThat(this.forecast.roomExpectedAtMs(1, 0)).isEqualTo(100);
-		assertThat(this.forecast.roomExpectedAtMs(1, 3001)).isEqualTo(Long.MAX_VALUE);
+	// Guards against forecasts that ignore what other hosts complete, that believe old or
+	// damaged reports, and against a clock that starts below 0.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 1_000_000, -1_000_000 })
+	void forecastUsesTheRatesOfAllHosts(long nowMs) {
+		assertThat(this.forecast.roomExpectedAtMs(1, nowMs)).isEqualTo(Long.MAX_VALUE);
+		this.forecast.updatePeerRate("host", 4, nowMs);
+		this.forecast.updatePeerRate("host", 10, nowMs);
+		this.forecast.updatePeerRate("damaged", Double.NaN, nowMs);
+		assertThat(this.forecast.roomExpectedAtMs(1, nowMs)).isEqualTo(nowMs + 100);
+		assertThat(this.forecast.roomExpectedAtMs(1, nowMs + 3001)).isEqualTo(Long.MAX_VALUE);
 	}
 
 	private AdmissionOutcome offer(String id, int rank, String organisation, double work) {
