Give back the link tokens of chains that were not executed

Cause: a chain across zones that refused its request, or was not sent, had taken its tokens. A refused chain does not count as the overdraft of its stream.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLinkBudget.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLinkBudget.java
@@ -92,6 +92,19 @@
 		ChainZones.crossings(chain).forEach((link, count) -> bucket(link, nowMs).tokens -= (double) count * tokens);
 	}
 
+	/**
+	 * Returns the tokens of a chain that no engine has executed, so that nothing crossed.
+	 * @param chain the chain
+	 * @param tokens tokens that were taken for each crossing
+	 * @param nowMs current time on the monotonic clock
+	 */
+	public synchronized void giveBack(List<ChainHop> chain, long tokens, long nowMs) {
+		ChainZones.crossings(chain).forEach((link, count) -> {
+			Bucket bucket = bucket(link, nowMs);
+			bucket.tokens = Math.min(capacity(), bucket.tokens + (double) count * tokens);
+		});
+	}
+
 	/**
 	 * Returns the tokens that are left for a link.
 	 * @param link the link, a {@link ModelPool#zonePairKey}
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LinkLimitedSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LinkLimitedSearchTests.java
@@ -264,4 +264,13 @@
 		assertThat(find(snapshot, budget, request("a"), false, 500)).isEmpty();
 	}
 
+	@Test
+	void tokensOfARefusedChainAreGivenBackUpToAFullBucket() {
+		ZoneLinkBudget budget = budgetOfOneHost();
+		List<ChainHop> chain = find(snapshot(brokenZones(), Map.of()), budget, request("a"), false, 0).orElseThrow();
+		assertThat(budget.balanceTokens("a|b", 0)).isEqualTo(0);
+		budget.giveBack(chain, TOKENS, 500);
+		assertThat(budget.balanceTokens("a|b", 500)).isEqualTo(TOKENS);
+	}
+
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -30,8 +30,11 @@
 
 	private final String requestId;
 
-	/** Whether the stream has already overdrawn the budget of a link between zones. */
-	private boolean overdrawn;
+	/**
+	 * The chain for which the stream has overdrawn the budget of a link between zones,
+	 * {@code null} if there is none.
+	 */
+	private List<ChainHop> overdrawnFor;
 
 	/** Whether it is logged that a link has no room for the request. */
 	private boolean linkLimitLogged;
@@ -89,14 +92,16 @@
 		double maxUtilisation = (resumes) ? StreamLimits.RESUME_MAX_UTILISATION
 				: ChainSearch.maxUtilisation(request.rank());
 		LinkLimitedSearch.ChainChoice choice = linkLimitedSearch(snapshot, budget, nowMs).find(request, maxUtilisation,
-				resumes && !this.overdrawn);
+				resumes && this.overdrawnFor == null);
 		Optional<String> first = choice.preferred().map((hops) -> hops.getFirst().server().id());
 		first.ifPresent(limits::recordDemand);
 		if (first.isPresent() && !limits.isAllowed(first.get())) {
 			limits.logMove(this.requestId, first.get(), choice.chain().map((hops) -> hops.getFirst().server().id()));
 		}
 		choice.chain().ifPresent((hops) -> {
-			this.overdrawn |= !budget.shortLinks(hops, request.tokensAtEnd(), nowMs).isEmpty();
+			if (!budget.shortLinks(hops, request.tokensAtEnd(), nowMs).isEmpty()) {
+				this.overdrawnFor = hops;
+			}
 			budget.take(hops, request.tokensAtEnd(), nowMs);
 		});
 		if (choice.chain().isEmpty() && !choice.refusedLinks().isEmpty()) {
@@ -122,6 +127,22 @@
 		}
 	}
 
+	/**
+	 * Returns what a chain took from the budgets of the links when it has not been
+	 * executed.
+	 * @param service the service
+	 * @param request requirements for which the chain was chosen
+	 * @param chain the chain
+	 */
+	void giveBackTokens(RoutedService service, ChainRequest request, List<ChainHop> chain) {
+		if (service.hasScarceZoneLinks()) {
+			this.dependencies.zoneLinks()
+				.budget(service)
+				.giveBack(chain, request.tokensAtEnd(), this.dependencies.nowMs());
+			this.overdrawnFor = (this.overdrawnFor == chain) ? null : this.overdrawnFor;
+		}
+	}
+
 	/**
 	 * Records that a chain was refused because of one of its engines.
 	 * @param service the service
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ScarceLinkTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ScarceLinkTests.java
@@ -1,5 +1,7 @@
 package org.medlardrum.gateway;
 
+import java.util.concurrent.atomic.AtomicReference;
+
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -133,4 +135,29 @@
 		}
 	}
 
+	/**
+	 * A chain that refuses a request sends nothing over the link. Refusals of one moment
+	 * would otherwise use up the budget of the next seconds.
+	 */
+	@Test
+	void refusedChainsTakeNoBudget() throws Exception {
+		configure(true);
+		AtomicReference<FakeBackend.Script> script = new AtomicReference<>(
+				FakeBackend.response(503, "id: r1\r\nnot-run: 1\r\n", ""));
+		try (FakeBackend first = new FakeBackend((head, socket, out) -> script.get().handle(head, socket, out))) {
+			this.fixture.registerEngine("e1", first.address(), "a", new LayerRange(0, 4));
+			this.fixture.registerEngine("e2", "127.0.0.1:1", "b", new LayerRange(4, 8));
+			for (int i = 0; i < 20; i++) {
+				assertThat(this.fixture.call("POST", "/stream/1")).startsWith("HTTP/1.1 503");
+			}
+			assertThat(first.requests()).hasSize(20);
+			script.set(SERVE);
+			int served = 0;
+			while (this.fixture.call("POST", "/stream/1").startsWith("HTTP/1.1 200")) {
+				served++;
+			}
+			assertThat(served).isEqualTo(8);
+		}
+	}
+
 }
