--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/state/GatewayState.java
@@ -1,11 +1,11 @@
 package org.medlardrum.gateway.internal.state;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import org.medlardrum.decisions.routing.BackendLinks;
 import org.medlardrum.decisions.routing.ConfigFreshness;
@@ -16,6 +16,7 @@
 import org.medlardrum.decisions.routing.ServerSuspicions;
 import org.medlardrum.gateway.GatewayClock;
 import org.medlardrum.gateway.internal.log.DecisionLog;
+import org.medlardrum.state.routing.RoutedService;
 import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServerStart;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -27,12 +28,6 @@
  */
 public final class GatewayState {
 
-	/**
-	 * Time for which a removed server is still recorded as leaving; longer than any
-	 * stream lasts.
-	 */
-	private static final long LEAVING_RETENTION_MS = 30_000;
-
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
 	private final GatewayClock clock;
@@ -91,8 +86,10 @@
 
 	private volatile FleetView fleet = new FleetView(List.of(), null);
 
-	/** Times on the monotonic clock at which servers began to leave, by identifier. */
-	private volatile Map<String, Long> leavingSinceMs = Map.of();
+	private final LeavingTimes leavingTimes = new LeavingTimes();
+
+	/** Supplies suspicions that are told to the other hosts in addition. */
+	private volatile Supplier<List<ServerSuspicions.Suspicion>> denialsToTell = List::of;
 
 	/**
 	 * Creates a state without configuration and servers.
@@ -121,6 +118,7 @@
 		}
 		this.table = next;
 		this.fleet = new FleetView(this.fleet.all(), next);
+		this.suspicions.setDiscountsJointLosses(next.services().stream().anyMatch(RoutedService::hasScarceZoneLinks));
 		this.log.event("config", "in-force", "version", next.version(), "before",
 				(active != null) ? active.version() : "none");
 	}
@@ -136,12 +134,8 @@
 		FleetView before = this.fleet;
 		List<ServiceInstance> believed = instances.stream().map(this.leavingServers::correct).toList();
 		FleetView after = new FleetView(this.reports.update(believed, nowMs), this.table);
-		Map<String, Long> leaving = new HashMap<>();
 		for (ServiceInstance old : before.all()) {
 			Optional<ServiceInstance> now = after.instance(old.id());
-			if (now.isEmpty() || now.get().draining() || !now.get().isSameStart(old)) {
-				leaving.put(old.id(), this.leavingSinceMs.getOrDefault(old.id(), nowMs));
-			}
 			if (now.isEmpty()) {
 				this.log.event("fleet", "removed", "server", old.id(), "address", old.address(), "zone",
 						old.availabilityZone());
@@ -150,12 +144,6 @@
 				this.log.event("fleet", "draining", "server", old.id(), "address", old.address());
 			}
 		}
-		this.leavingSinceMs.forEach((id, since) -> {
-			if (nowMs - since < LEAVING_RETENTION_MS
-					&& after.instance(id).map(ServiceInstance::draining).orElse(true)) {
-				leaving.putIfAbsent(id, since);
-			}
-		});
 		for (ServiceInstance instance : after.all()) {
 			Optional<ServiceInstance> old = before.instance(instance.id());
 			if (old.isEmpty() || !old.get().layers().equals(instance.layers())) {
@@ -164,7 +152,7 @@
 						instance.layers().map((range) -> range.fromLayer() + "-" + range.toLayer()).orElse("none"));
 			}
 		}
-		this.leavingSinceMs = Map.copyOf(leaving);
+		this.leavingTimes.update(before, after, nowMs);
 		this.fleet = after;
 		this.suspicions.retainAnswers((id) -> after.instance(id).isPresent());
 	}
@@ -342,12 +330,7 @@
 	 * @return the identifier of the first such server, empty if there is none
 	 */
 	public Optional<String> findLeavingForAtLeast(Collection<String> ids, long ageMs) {
-		Map<String, Long> leaving = this.leavingSinceMs;
-		if (leaving.isEmpty()) {
-			return Optional.empty();
-		}
-		long nowMs = this.clock.monotonicMs();
-		return ids.stream().filter((id) -> leaving.containsKey(id) && nowMs - leaving.get(id) >= ageMs).findFirst();
+		return this.leavingTimes.findForAtLeast(ids, ageMs, this.clock.monotonicMs());
 	}
 
 	/**
@@ -482,7 +465,9 @@
 	public void recordAnswer(String fromZone, String server) {
 		long nowMs = this.clock.monotonicMs();
 		this.answeredAtMs = nowMs;
-		this.suspicions.recordAnswer(fromZone, server, nowMs);
+		this.fleet.instance(server)
+			.ifPresentOrElse((known) -> this.suspicions.recordAnswer(fromZone, server, known.availabilityZone(), nowMs),
+					() -> this.suspicions.recordAnswer(fromZone, server, nowMs));
 	}
 
 	/**
@@ -557,7 +542,20 @@
 	 * @return the suspicions, none while this host is cut off
 	 */
 	public List<ServerSuspicions.Suspicion> ownSuspicions() {
-		return (isCutOff()) ? List.of() : this.suspicions.entries(this.clock.monotonicMs());
+		if (isCutOff()) {
+			return List.of();
+		}
+		return Stream
+			.concat(this.suspicions.entries(this.clock.monotonicMs()).stream(), this.denialsToTell.get().stream())
+			.toList();
+	}
+
+	/**
+	 * Sets the denials that are told to the other hosts as suspicions.
+	 * @param denials supplies the suspicions
+	 */
+	void tellDenials(Supplier<List<ServerSuspicions.Suspicion>> denials) {
+		this.denialsToTell = denials;
 	}
 
 	/**
