--- /dev/null
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneChange.java
@@ -0,0 +1,22 @@
+package org.medlardrum.decisions.pool;
+
+/**
+ * Time since the last changes of the engines of an availability zone.
+ *
+ * @param sinceAddedMs time since an engine was added last
+ * @param sinceFirstAddedMs time since the first of the engines was added that followed
+ * one another by less than {@link LayerReview#ADDED_QUIET_MS}
+ * @param sinceRemovedMs time since an engine was removed last
+ */
+public record ZoneChange(long sinceAddedMs, long sinceFirstAddedMs, long sinceRemovedMs) {
+
+	/** No change for a long time. */
+	public static final ZoneChange NONE = new ZoneChange(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
+
+	ZoneChange and(ZoneChange other) {
+		return new ZoneChange(Math.min(this.sinceAddedMs, other.sinceAddedMs),
+				Math.max(this.sinceFirstAddedMs, other.sinceFirstAddedMs),
+				Math.min(this.sinceRemovedMs, other.sinceRemovedMs));
+	}
+
+}
