Issue orders from the layer review

Cause: the first plan did not wait for engines that were still registering, a lost engine was never compensated for, and a registration and a report of layers were each batched for up to 1,350 ms.

Change: PlacementIssuer keeps a history of each pool and follows LayerReview. An engine is never ordered to hold more layers than fit into its memory.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -138,6 +138,13 @@
 		this.confirmer.wake();
 	}
 
+	/**
+	 * Ends a batch delay that began before a shorter one applied.
+	 */
+	public void followNow() {
+		this.follower.wake();
+	}
+
 	/**
 	 * Starts the threads that follow the store.
 	 */
@@ -374,7 +381,7 @@
 			Map<String, String> copy = Map.copyOf(this.values);
 			notifyListener((listener) -> listener.changed(copy));
 		}
-		return (changed) ? this.options.batchDelayMs() : 0;
+		return (changed) ? this.options.batchDelayMs().getAsLong() : 0;
 	}
 
 	private void put(StoreChange change) {
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/OrderLease.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/OrderLease.java
@@ -41,6 +41,8 @@
 
 	private long acquiredAtMs;
 
+	private volatile StoreEra knownEra;
+
 	OrderLease(PlatformStore store, String ownHostId, InstantSource clock, OrderOptions options) {
 		this.store = store;
 		this.ownHostId = ownHostId;
@@ -64,12 +66,40 @@
 	 * @return whether the order may be sent
 	 */
 	boolean maySend(boolean fencing) {
-		long nowMs = this.clock.millis();
-		if (this.token == 0 || nowMs >= this.validUntilMs) {
-			return false;
+		long waitMs = this.options.leaseTtlMs() + this.options.marginMs();
+		return (fencing) ? isHeld() : maySendAt(this.acquiredAtMs + waitMs);
+	}
+
+	/**
+	 * Returns whether an order may be sent now to an engine that refuses orders which are
+	 * based on an outdated report. The lease was acquired after the former one had ended
+	 * in the store, so orders of the former holder have timed out after
+	 * {@code orderTimeoutMs} and the margin. Only a store that was restored may have lost
+	 * a lease that is still valid for its holder.
+	 * @return whether the order may be sent
+	 */
+	boolean maySendFirst() {
+		long leaseMs = this.options.leaseTtlMs() + this.options.marginMs();
+		StoreEra known = this.knownEra;
+		if (known == null || known.era != this.era) {
+			return maySendAt(this.acquiredAtMs + leaseMs);
 		}
-		return fencing || (this.validUntilMs - nowMs > this.options.orderTimeoutMs() + this.options.marginMs()
-				&& nowMs - this.acquiredAtMs >= this.options.leaseTtlMs() + this.options.marginMs());
+		return maySendAt(Math.max(this.acquiredAtMs + this.options.orderTimeoutMs() + this.options.marginMs(),
+				known.sinceMs + leaseMs));
+	}
+
+	private boolean maySendAt(long firstOrderMs) {
+		long nowMs = this.clock.millis();
+		return isHeld() && nowMs >= firstOrderMs
+				&& this.validUntilMs - nowMs > this.options.orderTimeoutMs() + this.options.marginMs();
+	}
+
+	/**
+	 * Records the era of the store that this host follows.
+	 * @param newEra the era
+	 */
+	void recordStoreEra(long newEra) {
+		this.knownEra = new StoreEra(newEra, this.clock.millis());
 	}
 
 	/**
@@ -154,4 +184,13 @@
 		return isHeld();
 	}
 
+	/**
+	 * Era of the store.
+	 *
+	 * @param era the era
+	 * @param sinceMs time since when this host follows it
+	 */
+	private record StoreEra(long era, long sinceMs) {
+	}
+
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -1,23 +1,24 @@
 package org.medlardrum.coordination.orders;
 
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 import org.medlardrum.coordination.PlatformStore;
 import org.medlardrum.coordination.internal.BackgroundThread;
-import org.medlardrum.decisions.pool.LayerPlanner;
+import org.medlardrum.decisions.pool.LayerReview;
 import org.medlardrum.decisions.pool.PlacementServer;
+import org.medlardrum.decisions.pool.PlacementView;
 import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.ModelPool;
 import org.tinylog.Logger;
 
 /**
@@ -31,14 +32,8 @@
 	/** Time between two comparisons of all engines with the plan. */
 	private static final long STEP_INTERVAL_MS = 500;
 
-	/**
-	 * Time for an engine to register its ordered layers: loading a tenth of the model,
-	 * one heartbeat, and an order that the engine executes late.
-	 */
-	private static final long SETTLE_MS = 6_000;
-
-	/** Time for the engine that a new engine replaces to announce that it leaves. */
-	private static final long NEW_SERVER_WAIT_MS = 1_500;
+	/** The same while layers are missing or an order is outstanding. */
+	private static final long URGENT_STEP_INTERVAL_MS = 250;
 
 	/**
 	 * Hosts that see a free lease try to acquire it after a random delay of up to this
@@ -70,11 +65,20 @@
 
 	private final BackgroundThread thread = new BackgroundThread("placement", this::step);
 
-	private final Map<String, PendingOrder> pendingOrders = new HashMap<>();
+	private final Map<String, PoolHistory> historyByPool = new HashMap<>();
+
+	private final LongAdder moves = new LongAdder();
+
+	private final LongAdder layouts = new LongAdder();
+
+	private volatile int incompleteZones;
+
+	private volatile boolean holder;
 
-	private final Map<String, LayerRange> lastLayersByAddress = new HashMap<>();
+	private volatile boolean urgent;
 
-	private final Map<String, Long> firstSeenMs = new HashMap<>();
+	private volatile Runnable urgentListener = () -> {
+	};
 
 	private long acquireAtMs = -1;
 
@@ -134,6 +138,41 @@
 		this.thread.close();
 	}
 
+	/**
+	 * Sets an action that is called when layers are found missing. Called before the
+	 * start.
+	 * @param action the action
+	 */
+	public void onUrgent(Runnable action) {
+		this.urgentListener = Objects.requireNonNull(action, "action");
+	}
+
+	/**
+	 * Returns whether this host issues orders and layers are missing or an order is
+	 * outstanding, so that changes of the registry should be read quickly.
+	 * @return {@code true} if so
+	 */
+	public boolean isUrgent() {
+		return this.urgent;
+	}
+
+	/**
+	 * Returns the state and the counters.
+	 * @return the state and the counters
+	 */
+	public PlacementStats stats() {
+		return new PlacementStats(this.holder, this.moves.sum(), this.layouts.sum(), this.incompleteZones);
+	}
+
+	/**
+	 * Records that this host follows a new era of the store. A holder of the lease in an
+	 * earlier era may issue orders until that lease ends.
+	 * @param era the era
+	 */
+	public void recordStoreEra(long era) {
+		this.lease.recordStoreEra(era);
+	}
+
 	/**
 	 * Renews or acquires the lease and compares all engines with the plan. Called by the
 	 * thread {@code placement}, or directly by tests.
@@ -142,18 +181,46 @@
 	public long step() {
 		if (!this.mayLead.getAsBoolean()) {
 			this.lease.abandon("the host is leaving");
+			recordState(false, 0);
 			return STEP_INTERVAL_MS;
 		}
 		this.lease.renew();
 		if (!this.lease.isHeld() && !acquire()) {
-			return STEP_INTERVAL_MS / 2;
+			recordState(false, 0);
+			return URGENT_STEP_INTERVAL_MS;
 		}
-		if (this.lease.maySend(false)) {
-			for (PoolPlacement pool : this.pools.get()) {
-				place(pool);
+		boolean missing = false;
+		int incomplete = 0;
+		Map<String, PoolHistory> histories = new HashMap<>(this.historyByPool);
+		this.historyByPool.clear();
+		for (PoolPlacement pool : this.pools.get()) {
+			String key = pool.pool().model() + '#' + this.historyByPool.size();
+			PoolHistory history = histories.getOrDefault(key, new PoolHistory());
+			this.historyByPool.put(key, history);
+			history.observe(pool, this.clock.millis());
+			PlacementView.Result result = new LayerReview(pool.pool()).review(history.view(pool, this.clock.millis()));
+			incomplete += result.incompleteZones();
+			if (this.lease.maySendFirst()) {
+				place(pool, history, result);
 			}
+			missing |= result.hasGap() || history.hasOrders();
+		}
+		recordState(missing, incomplete);
+		return (missing) ? URGENT_STEP_INTERVAL_MS : STEP_INTERVAL_MS;
+	}
+
+	private void recordState(boolean missing, int incomplete) {
+		boolean before = this.urgent;
+		this.urgent = missing;
+		this.holder = this.lease.isHeld();
+		if (incomplete != this.incompleteZones) {
+			Logger.info("placement: {} zones without a complete chain of their own, {} before", incomplete,
+					this.incompleteZones);
+		}
+		this.incompleteZones = incomplete;
+		if (missing && !before) {
+			this.urgentListener.run();
 		}
-		return STEP_INTERVAL_MS;
 	}
 
 	private boolean acquire() {
@@ -174,84 +241,40 @@
 			return false;
 		}
 		// The former holder may have sent orders that are not recorded here.
-		this.pendingOrders.clear();
+		this.historyByPool.clear();
 		return true;
 	}
 
-	private void place(PoolPlacement placement) {
-		long nowMs = this.clock.millis();
-		LayerPlanner planner = new LayerPlanner(placement.pool());
-		List<PlacementServer> expected = new ArrayList<>();
-		for (PlacementServer server : placement.servers()) {
-			this.firstSeenMs.putIfAbsent(server.id(), nowMs);
-			removeFinishedOrder(server, nowMs);
-			expected.add(withExpectedLayers(server));
+	private void place(PoolPlacement placement, PoolHistory history, PlacementView.Result result) {
+		for (PlacementView.Layout layout : result.layouts()) {
+			Logger.info(
+					"placement: zone {} laid out again: {}, {} of {} engines receive new layers {}, gain {} requests",
+					String.join(", ", layout.zones()), layout.reason(), layout.moves().size(),
+					placement.servers().size(), layout.moves(), Math.round(layout.gainRequests()));
+			this.layouts.increment();
+			history.discardFormerLayers(layout.zones());
 		}
-		this.firstSeenMs.keySet()
-			.retainAll(placement.servers().stream().map(PlacementServer::id).collect(Collectors.toSet()));
-		List<PlacementServer> ready = expected.stream()
-			.filter((server) -> server.layers().isPresent() || isReadyForLayers(server, planner, expected, nowMs))
-			.toList();
-		Map<String, LayerRange> plan = planner.plan(ready);
 		for (PlacementServer server : placement.servers()) {
-			PendingOrder order = this.pendingOrders.get(server.id());
-			LayerRange desired = desiredLayers(server, order, plan);
-			boolean due = order == null || nowMs - order.sentAtMs >= SETTLE_MS;
-			if (desired != null && due && !server.layers().equals(Optional.of(desired))) {
-				if (!this.lease.maySend(false)) {
+			boolean move = result.moves().containsKey(server.id());
+			LayerRange desired = (move) ? result.moves().get(server.id()) : history.desiredLayers(server).orElse(null);
+			if (desired != null && history.isDue(server.id(), this.clock.millis())
+					&& !server.layers().equals(Optional.of(desired))) {
+				if (!this.lease.maySendFirst()) {
 					return;
 				}
-				sendOrder(server, desired);
+				sendOrder(placement.pool(), history, server, desired, move);
 				this.lease.renew();
 			}
 		}
 	}
 
-	// Removes an order when the engine has registered its layers, or abandons it when the
-	// engine has registered other layers for SETTLE_MS after the order.
-	private void removeFinishedOrder(PlacementServer server, long nowMs) {
-		PendingOrder order = this.pendingOrders.get(server.id());
-		if (order != null && server.layers().isPresent()
-				&& (server.layers().get().equals(order.layers) || nowMs - order.sentAtMs >= SETTLE_MS)) {
-			this.pendingOrders.remove(server.id());
-		}
-		server.layers().ifPresent((layers) -> this.lastLayersByAddress.put(server.address(), layers));
-	}
-
-	// A new engine often replaces another one that is about to leave, so it waits
-	// NEW_SERVER_WAIT_MS for the layers of that one to become free. It does not wait when
-	// some layers are already held by no engine, as when most engines are empty.
-	private boolean isReadyForLayers(PlacementServer server, LayerPlanner planner, List<PlacementServer> all,
-			long nowMs) {
-		return nowMs - this.firstSeenMs.get(server.id()) >= NEW_SERVER_WAIT_MS || planner.hasGap(server, all);
-	}
-
-	private LayerRange desiredLayers(PlacementServer server, PendingOrder order, Map<String, LayerRange> plan) {
-		if (order != null) {
-			return order.layers;
-		}
-		if (server.layers().isEmpty() && this.lastLayersByAddress.containsKey(server.address())) {
-			return this.lastLayersByAddress.get(server.address());
-		}
-		return plan.get(server.id());
-	}
-
-	// Returns the engine with the layers that it has been ordered to hold, or those that
-	// the engine at its address held before a restart.
-	private PlacementServer withExpectedLayers(PlacementServer server) {
-		PendingOrder order = this.pendingOrders.get(server.id());
-		Optional<LayerRange> layers = server.layers();
-		if (order != null) {
-			layers = Optional.of(order.layers);
-		}
-		else if (layers.isEmpty()) {
-			layers = Optional.ofNullable(this.lastLayersByAddress.get(server.address()));
+	private void sendOrder(ModelPool pool, PoolHistory history, PlacementServer server, LayerRange desired,
+			boolean move) {
+		if (desired.length() > pool.maxLayers(server.acceleratorKind()) || desired.toLayer() > pool.layers()) {
+			Logger.warn("placement: engine {} at {} has no memory for layers {} to {}, no order was sent", server.id(),
+					server.address(), desired.fromLayer(), desired.toLayer());
+			return;
 		}
-		return new PlacementServer(server.id(), server.address(), server.availabilityZone(), server.acceleratorKind(),
-				layers);
-	}
-
-	private void sendOrder(PlacementServer server, LayerRange desired) {
 		Optional<LayerReport> report = this.engines.report(server.address(), this.options.orderTimeoutMs());
 		if (report.isEmpty()) {
 			Logger.info("placement: engine {} at {} is unresponsive, no order was sent", server.id(), server.address());
@@ -261,36 +284,26 @@
 			return;
 		}
 		if (report.get().layers().equals(Optional.of(desired))) {
-			recordPending(server, desired);
+			history.recordOrder(server.id(), desired, this.clock.millis());
 			return;
 		}
 		OrderResult result = this.engines.place(server.address(), desired, report.get().acceptedOrders(),
 				this.options.orderTimeoutMs());
 		Logger.info("placement: engine {} at {} ordered to hold layers {} to {}: {}", server.id(), server.address(),
 				desired.fromLayer(), desired.toLayer(), result);
+		if (move) {
+			this.moves.increment();
+		}
 		switch (result) {
-			case OrderResult.Accepted accepted -> recordPending(server, desired);
+			case OrderResult.Accepted accepted -> history.recordOrder(server.id(), desired, this.clock.millis());
 			// The engine may still execute the order. After SETTLE_MS the same layers are
 			// ordered again.
-			case OrderResult.Unknown unknown -> recordPending(server, desired);
-			case OrderResult.Refused refused -> this.pendingOrders.remove(server.id());
-			case OrderResult.NotSent notSent -> this.pendingOrders.remove(server.id());
+			case OrderResult.Unknown unknown -> history.recordOrder(server.id(), desired, this.clock.millis());
+			case OrderResult.Refused refused -> history.removeOrder(server.id());
+			case OrderResult.NotSent notSent -> history.removeOrder(server.id());
 			case OrderResult.Fenced fenced ->
 				this.lease.abandon("engine " + server.id() + " has seen a higher fencing token");
 		}
 	}
 
-	private void recordPending(PlacementServer server, LayerRange desired) {
-		this.pendingOrders.put(server.id(), new PendingOrder(desired, this.clock.millis()));
-	}
-
-	/**
-	 * An order that an engine may still be executing.
-	 *
-	 * @param layers the ordered layers
-	 * @param sentAtMs time when the order was sent
-	 */
-	private record PendingOrder(LayerRange layers, long sentAtMs) {
-	}
-
 }
--- /dev/null
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -0,0 +1,225 @@
+package org.medlardrum.coordination.orders;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.medlardrum.decisions.pool.LayerReview;
+import org.medlardrum.decisions.pool.PlacementServer;
+import org.medlardrum.decisions.pool.PlacementView;
+import org.medlardrum.decisions.pool.ZoneChange;
+import org.medlardrum.state.LayerRange;
+
+/**
+ * What the holder of the lease has seen of a pool since it acquired the lease: when
+ * engines were added and removed, the orders that may still be executed, and the layers
+ * of engines that may return at the same address.
+ */
+final class PoolHistory {
+
+	/**
+	 * Time for an engine to register its ordered layers: loading a tenth of the model,
+	 * one heartbeat, and an order that the engine executes late.
+	 */
+	static final long SETTLE_MS = 6_000;
+
+	/** Time for the engine that a new engine replaces to announce that it leaves. */
+	private static final long NEW_SERVER_WAIT_MS = 1_500;
+
+	/** A time before which nothing was seen. */
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+	private final Map<String, Seen> seenById = new HashMap<>();
+
+	private final Map<String, ZoneTimes> timesByZone = new HashMap<>();
+
+	private final Map<String, PendingOrder> pendingById = new HashMap<>();
+
+	private final Map<String, FormerLayers> formerByAddress = new HashMap<>();
+
+	private boolean observed;
+
+	/**
+	 * Records the engines that are registered now.
+	 * @param placement the pool and its engines
+	 * @param nowMs the time
+	 */
+	void observe(PoolPlacement placement, long nowMs) {
+		Set<String> present = new HashSet<>();
+		for (PlacementServer server : placement.servers()) {
+			present.add(server.id());
+			if (this.seenById.putIfAbsent(server.id(), new Seen(server.availabilityZone(), nowMs)) == null) {
+				recordAdded(server, nowMs);
+			}
+			removeFinishedOrder(server, nowMs);
+			Optional.ofNullable(this.pendingById.get(server.id()))
+				.map(PendingOrder::layers)
+				.or(server::layers)
+				.ifPresent((layers) -> this.formerByAddress.put(server.address(),
+						new FormerLayers(server.availabilityZone(), server.acceleratorKind().name(), layers)));
+		}
+		this.seenById.entrySet().removeIf((entry) -> {
+			boolean removed = !present.contains(entry.getKey());
+			if (removed) {
+				times(entry.getValue().zone).removedAtMs = nowMs;
+				this.pendingById.remove(entry.getKey());
+			}
+			return removed;
+		});
+		this.observed = true;
+	}
+
+	// At the first look, engines with layers were registered before, and others may just
+	// have been removed.
+	private void recordAdded(PlacementServer server, long nowMs) {
+		ZoneTimes times = times(server.availabilityZone());
+		if (!this.observed) {
+			times.removedAtMs = nowMs;
+		}
+		if (this.observed || server.layers().isEmpty()) {
+			if (nowMs - times.addedAtMs >= LayerReview.ADDED_QUIET_MS) {
+				times.firstAddedAtMs = nowMs;
+			}
+			times.addedAtMs = nowMs;
+		}
+	}
+
+	private ZoneTimes times(String zone) {
+		return this.timesByZone.computeIfAbsent(zone, (name) -> new ZoneTimes());
+	}
+
+	// Removes an order when the engine has registered its layers, or abandons it when the
+	// engine has registered other layers for SETTLE_MS after the order.
+	private void removeFinishedOrder(PlacementServer server, long nowMs) {
+		PendingOrder order = this.pendingById.get(server.id());
+		if (order != null && server.layers().isPresent()
+				&& (server.layers().get().equals(order.layers) || nowMs - order.sentAtMs >= SETTLE_MS)) {
+			this.pendingById.remove(server.id());
+		}
+	}
+
+	/**
+	 * Returns the engines with the layers that they hold, are ordered to hold or held
+	 * before a restart at the same address.
+	 * @param placement the pool and its engines
+	 * @param nowMs the time
+	 * @return the input of the review
+	 */
+	PlacementView view(PoolPlacement placement, long nowMs) {
+		Map<String, LayerRange> expected = new HashMap<>();
+		Set<String> unconfirmed = new HashSet<>();
+		for (PlacementServer server : placement.servers()) {
+			desiredLayers(server).filter((layers) -> !server.layers().equals(Optional.of(layers)))
+				.ifPresent((layers) -> {
+					expected.put(server.id(), layers);
+					unconfirmed.add(server.id());
+				});
+		}
+		Set<String> waiting = this.seenById.entrySet()
+			.stream()
+			.filter((entry) -> nowMs - entry.getValue().atMs < NEW_SERVER_WAIT_MS)
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		Map<String, ZoneChange> changes = new HashMap<>();
+		this.timesByZone.forEach((zone, times) -> changes.put(zone,
+				new ZoneChange(nowMs - times.addedAtMs, nowMs - times.firstAddedAtMs, nowMs - times.removedAtMs)));
+		return new PlacementView(placement.servers()
+			.stream()
+			.map((server) -> new PlacementServer(server.id(), server.address(), server.availabilityZone(),
+					server.acceleratorKind(), Optional.ofNullable(expected.get(server.id())).or(server::layers)))
+			.toList(), unconfirmed, waiting, changes);
+	}
+
+	/**
+	 * Returns the layers that an engine is to hold apart from new moves: those of its
+	 * order, or for an engine without layers those that the engine at its address held.
+	 * @param server the engine
+	 * @return the layers
+	 */
+	Optional<LayerRange> desiredLayers(PlacementServer server) {
+		PendingOrder order = this.pendingById.get(server.id());
+		if (order != null) {
+			return Optional.of(order.layers);
+		}
+		return (server.layers().isPresent()) ? Optional.empty()
+				: Optional.ofNullable(this.formerByAddress.get(server.address()))
+					.filter((former) -> former.kind.equals(server.acceleratorKind().name())
+							&& former.zone.equals(server.availabilityZone()))
+					.map(FormerLayers::layers);
+	}
+
+	/**
+	 * Returns whether an order may be sent to an engine now: none was, or the last one
+	 * had time to take effect.
+	 * @param id identifier of the engine
+	 * @param nowMs the time
+	 * @return whether an order is due
+	 */
+	boolean isDue(String id, long nowMs) {
+		PendingOrder order = this.pendingById.get(id);
+		return order == null || nowMs - order.sentAtMs >= SETTLE_MS;
+	}
+
+	void recordOrder(String id, LayerRange layers, long nowMs) {
+		this.pendingById.put(id, new PendingOrder(layers, nowMs));
+	}
+
+	void removeOrder(String id) {
+		this.pendingById.remove(id);
+	}
+
+	boolean hasOrders() {
+		return !this.pendingById.isEmpty();
+	}
+
+	/**
+	 * Discards the former layers of zones that are laid out again. Engines that return
+	 * there are placed anew.
+	 * @param zones the zones
+	 */
+	void discardFormerLayers(Set<String> zones) {
+		this.formerByAddress.values().removeIf((former) -> zones.contains(former.zone));
+	}
+
+	private static final class ZoneTimes {
+
+		private long addedAtMs = NEVER_MS;
+
+		private long firstAddedAtMs = NEVER_MS;
+
+		private long removedAtMs = NEVER_MS;
+
+	}
+
+	/**
+	 * First sight of an engine.
+	 *
+	 * @param zone its availability zone
+	 * @param atMs the time
+	 */
+	private record Seen(String zone, long atMs) {
+	}
+
+	/**
+	 * An order that an engine may still be executing.
+	 *
+	 * @param layers the ordered layers
+	 * @param sentAtMs time when the order was sent
+	 */
+	private record PendingOrder(LayerRange layers, long sentAtMs) {
+	}
+
+	/**
+	 * Layers of the last engine at an address.
+	 *
+	 * @param zone availability zone of the engine
+	 * @param kind kind of its accelerator; another one may have less memory
+	 * @param layers the layers
+	 */
+	private record FormerLayers(String zone, String kind, LayerRange layers) {
+	}
+
+}
