--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
@@ -189,8 +189,9 @@
 				? this.planner.redundantMove(group.servers, group.holding, all) : additions;
 	}
 
-	// While the pool is in use, one zone at a time is laid out; a zone without a chain
-	// before one that could do better, and the largest gain first.
+	// Zones without a chain are laid out together, because no complete chain of a zone
+	// loses a layer by that. Only if a chain through several zones is all that serves,
+	// the zone that gains most is laid out first. Complete zones follow one at a time.
 	private List<Layout> choose(List<Proposal> proposals, List<Group> groups, PlacementView view) {
 		List<Proposal> due = proposals.stream()
 			.filter((proposal) -> proposal.layout != null && !proposal.layout.moves().isEmpty())
@@ -198,19 +199,18 @@
 				.thenComparing((proposal) -> !proposal.group.isZone())
 				.thenComparing((proposal) -> -proposal.gainRequests))
 			.toList();
+		List<Layout> missing = due.stream().filter((proposal) -> proposal.group.hasGap).map(Proposal::layout).toList();
+		if (missing.isEmpty()) {
+			boolean allComplete = groups.stream().noneMatch((group) -> group.viable && group.heldHasGap);
+			return (allComplete) ? due.stream().limit(1).map(Proposal::layout).toList() : List.of();
+		}
+		boolean ownChain = groups.stream().anyMatch((group) -> group.isZone() && !group.heldHasGap);
 		List<PlacementServer> holding = view.servers()
 			.stream()
 			.filter((server) -> !view.unconfirmed().contains(server.id()))
 			.toList();
-		if (LayerCoverage.of(this.pool, holding).hasGap()) {
-			return due.stream().map(Proposal::layout).toList();
-		}
-		return due.stream()
-			.filter((proposal) -> groups.stream()
-				.noneMatch((group) -> group != proposal.group && group.heldHasGap && !group.unconfirmed.isEmpty()))
-			.limit(1)
-			.map(Proposal::layout)
-			.toList();
+		boolean sharedChain = !ownChain && !LayerCoverage.of(this.pool, holding).hasGap();
+		return (sharedChain) ? missing.subList(0, 1) : missing;
 	}
 
 	private static Set<String> zones(Collection<PlacementServer> servers) {
