Complete a layout that was begun, and restore one of several chains

Cause: an order that was refused left a layout half done, and layers that were only ordered counted when an engine was moved. A zone with two chains that lost an engine would have been laid out whole.

Change: the layers that an engine is to hold are recorded before the order is sent, and no engine that holds layers moves while others of its zone load. An empty engine that does not load for 12 s is left out of the layout. Of several chains, the complete ones stay untouched.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -203,7 +203,7 @@
 			if (this.lease.maySendFirst()) {
 				place(pool, history, result);
 			}
-			missing |= result.hasGap() || history.hasOrders();
+			missing |= result.hasGap() || history.hasOrders(this.clock.millis());
 		}
 		recordState(missing, incomplete);
 		return (missing) ? URGENT_STEP_INTERVAL_MS : STEP_INTERVAL_MS;
@@ -213,7 +213,7 @@
 		boolean before = this.urgent;
 		this.urgent = missing;
 		this.holder = this.lease.isHeld();
-		if (incomplete != this.incompleteZones) {
+		if (this.holder && incomplete != this.incompleteZones) {
 			Logger.info("placement: {} zones without a complete chain of their own, {} before", incomplete,
 					this.incompleteZones);
 		}
@@ -254,22 +254,22 @@
 			this.layouts.increment();
 			history.discardFormerLayers(layout.zones());
 		}
+		result.moves().forEach((id, layers) -> history.recordIntention(id, layers, this.clock.millis()));
 		for (PlacementServer server : placement.servers()) {
-			boolean move = result.moves().containsKey(server.id());
-			LayerRange desired = (move) ? result.moves().get(server.id()) : history.desiredLayers(server).orElse(null);
+			LayerRange desired = history.desiredLayers(server).orElse(null);
 			if (desired != null && history.isDue(server.id(), this.clock.millis())
 					&& !server.layers().equals(Optional.of(desired))) {
 				if (!this.lease.maySendFirst()) {
 					return;
 				}
-				sendOrder(placement.pool(), history, server, desired, move);
+				history.recordIntention(server.id(), desired, this.clock.millis());
+				sendOrder(placement.pool(), history, server, desired);
 				this.lease.renew();
 			}
 		}
 	}
 
-	private void sendOrder(ModelPool pool, PoolHistory history, PlacementServer server, LayerRange desired,
-			boolean move) {
+	private void sendOrder(ModelPool pool, PoolHistory history, PlacementServer server, LayerRange desired) {
 		if (desired.length() > pool.maxLayers(server.acceleratorKind()) || desired.toLayer() > pool.layers()) {
 			Logger.warn("placement: engine {} at {} has no memory for layers {} to {}, no order was sent", server.id(),
 					server.address(), desired.fromLayer(), desired.toLayer());
@@ -278,29 +278,30 @@
 		Optional<LayerReport> report = this.engines.report(server.address(), this.options.orderTimeoutMs());
 		if (report.isEmpty()) {
 			Logger.info("placement: engine {} at {} is unresponsive, no order was sent", server.id(), server.address());
+			history.recordUnresponsive(server.id(), this.clock.millis());
 			return;
 		}
 		if (report.get().busy()) {
 			return;
 		}
 		if (report.get().layers().equals(Optional.of(desired))) {
-			history.recordOrder(server.id(), desired, this.clock.millis());
+			history.recordOrder(server.id(), this.clock.millis());
 			return;
 		}
 		OrderResult result = this.engines.place(server.address(), desired, report.get().acceptedOrders(),
 				this.options.orderTimeoutMs());
 		Logger.info("placement: engine {} at {} ordered to hold layers {} to {}: {}", server.id(), server.address(),
 				desired.fromLayer(), desired.toLayer(), result);
-		if (move) {
-			this.moves.increment();
-		}
+		this.moves.increment();
 		switch (result) {
-			case OrderResult.Accepted accepted -> history.recordOrder(server.id(), desired, this.clock.millis());
+			case OrderResult.Accepted accepted -> history.recordOrder(server.id(), this.clock.millis());
 			// The engine may still execute the order. After SETTLE_MS the same layers are
 			// ordered again.
-			case OrderResult.Unknown unknown -> history.recordOrder(server.id(), desired, this.clock.millis());
-			case OrderResult.Refused refused -> history.removeOrder(server.id());
-			case OrderResult.NotSent notSent -> history.removeOrder(server.id());
+			case OrderResult.Unknown unknown -> history.recordOrder(server.id(), this.clock.millis());
+			// Sent again in the next step.
+			case OrderResult.Refused refused -> {
+			}
+			case OrderResult.NotSent notSent -> history.recordUnresponsive(server.id(), this.clock.millis());
 			case OrderResult.Fenced fenced ->
 				this.lease.abandon("engine " + server.id() + " has seen a higher fencing token");
 		}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -26,6 +26,15 @@
 	 */
 	static final long SETTLE_MS = 6_000;
 
+	/**
+	 * Time after which an engine without layers that has not loaded the ordered ones is
+	 * left out of the layout: two orders had time to take effect.
+	 */
+	private static final long GIVE_UP_MS = 2 * SETTLE_MS;
+
+	/** Time between two calls of an unresponsive engine. */
+	private static final long CALL_AGAIN_MS = 1_000;
+
 	/** Time for the engine that a new engine replaces to announce that it leaves. */
 	private static final long NEW_SERVER_WAIT_MS = 1_500;
 
@@ -95,8 +104,8 @@
 	// engine has registered other layers for SETTLE_MS after the order.
 	private void removeFinishedOrder(PlacementServer server, long nowMs) {
 		PendingOrder order = this.pendingById.get(server.id());
-		if (order != null && server.layers().isPresent()
-				&& (server.layers().get().equals(order.layers) || nowMs - order.sentAtMs >= SETTLE_MS)) {
+		if (order != null && server.layers().isPresent() && (server.layers().get().equals(order.layers)
+				|| nowMs - Math.max(order.sinceMs, order.sentAtMs) >= SETTLE_MS)) {
 			this.pendingById.remove(server.id());
 		}
 	}
@@ -128,11 +137,17 @@
 				new ZoneChange(nowMs - times.addedAtMs, nowMs - times.firstAddedAtMs, nowMs - times.removedAtMs)));
 		return new PlacementView(placement.servers()
 			.stream()
+			.filter((server) -> !isGivenUp(server.id(), nowMs))
 			.map((server) -> new PlacementServer(server.id(), server.address(), server.availabilityZone(),
 					server.acceleratorKind(), Optional.ofNullable(expected.get(server.id())).or(server::layers)))
 			.toList(), unconfirmed, waiting, changes);
 	}
 
+	private boolean isGivenUp(String id, long nowMs) {
+		PendingOrder order = this.pendingById.get(id);
+		return order != null && nowMs - order.sinceMs >= GIVE_UP_MS;
+	}
+
 	/**
 	 * Returns the layers that an engine is to hold apart from new moves: those of its
 	 * order, or for an engine without layers those that the engine at its address held.
@@ -163,16 +178,42 @@
 		return order == null || nowMs - order.sentAtMs >= SETTLE_MS;
 	}
 
-	void recordOrder(String id, LayerRange layers, long nowMs) {
-		this.pendingById.put(id, new PendingOrder(layers, nowMs));
+	/**
+	 * Records that an engine is to hold layers, before an order is sent. An order that is
+	 * refused or not sent is sent again in the next step, so that a layout of several
+	 * engines is completed.
+	 * @param id identifier of the engine
+	 * @param layers the layers
+	 * @param nowMs the time
+	 */
+	void recordIntention(String id, LayerRange layers, long nowMs) {
+		PendingOrder order = this.pendingById.get(id);
+		if (order == null || !order.layers.equals(layers)) {
+			this.pendingById.put(id, new PendingOrder(layers, nowMs, NEVER_MS));
+		}
 	}
 
-	void removeOrder(String id) {
-		this.pendingById.remove(id);
+	void recordOrder(String id, long nowMs) {
+		this.pendingById.computeIfPresent(id, (any, order) -> new PendingOrder(order.layers, order.sinceMs, nowMs));
 	}
 
-	boolean hasOrders() {
-		return !this.pendingById.isEmpty();
+	/**
+	 * Records that an engine did not respond, so that it does not delay the orders to
+	 * others in each step.
+	 * @param id identifier of the engine
+	 * @param nowMs the time
+	 */
+	void recordUnresponsive(String id, long nowMs) {
+		recordOrder(id, nowMs + CALL_AGAIN_MS - SETTLE_MS);
+	}
+
+	/**
+	 * Returns whether orders are outstanding that are expected to be executed.
+	 * @param nowMs the time
+	 * @return {@code true} if so
+	 */
+	boolean hasOrders(long nowMs) {
+		return this.pendingById.keySet().stream().anyMatch((id) -> !isGivenUp(id, nowMs));
 	}
 
 	/**
@@ -207,9 +248,10 @@
 	 * An order that an engine may still be executing.
 	 *
 	 * @param layers the ordered layers
-	 * @param sentAtMs time when the order was sent
+	 * @param sinceMs time since when the engine is to hold them
+	 * @param sentAtMs time when the order was sent last
 	 */
-	private record PendingOrder(LayerRange layers, long sentAtMs) {
+	private record PendingOrder(LayerRange layers, long sinceMs, long sentAtMs) {
 	}
 
 	/**
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Function;
 
 import org.medlardrum.decisions.pool.PlacementServer;
@@ -53,6 +55,9 @@
 	/** Share of the orders that are executed up to 4 s after their call timed out. */
 	double lateShare;
 
+	/** Identifiers of engines that do not respond to the issuer. */
+	final Set<String> unresponsive = new HashSet<>();
+
 	/** Number of orders after which engines do not answer. */
 	int rejectAfter = Integer.MAX_VALUE;
 
@@ -217,7 +222,8 @@
 
 	@Override
 	public Optional<LayerReport> report(String address, long timeoutMs) {
-		return engine(address).filter((engine) -> this.orders.size() < this.rejectAfter)
+		return engine(address)
+			.filter((engine) -> this.orders.size() < this.rejectAfter && !this.unresponsive.contains(engine.id))
 			.map((engine) -> new LayerReport(engine.held, engine.loadedAtMs >= 0, engine.acceptedOrders));
 	}
 
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
@@ -112,22 +112,35 @@
 		assertWithMessage("no further moves").that(this.fleet.orders).hasSize(orders);
 	}
 
-	/** The move opened a new gap, because an order to other engines was outstanding. */
+	/**
+	 * An engine that held 17 to 36 was moved into a gap, because two engines that had
+	 * restarted were expected to hold its layers again. They did not yet.
+	 */
 	@Test
 	void redundantEngineStaysUntilOthersHoldItsLayers() {
-		this.fleet.startZone("c", 1, 4, 4);
+		this.fleet.startZone("c", 1, 4, 5);
 		this.fleet.hold("c-fast-0", 17, 36);
-		this.fleet.hold("c-medium-0", 0, 10);
-		this.fleet.hold("c-medium-1", 36, 48);
-		this.fleet.hold("c-medium-2", 48, 60);
-		this.fleet.hold("c-slow-0", 60, 67);
-		this.fleet.hold("c-slow-1", 67, 74);
-		this.fleet.hold("c-slow-2", 73, 80);
-		run(8_000);
-		this.fleet.orders.clear();
-		run(30_000);
-		assertCompleteZones("after the orders");
-		assertThat(this.fleet.overloaded).isEmpty();
+		this.fleet.hold("c-medium-0", 0, 7);
+		this.fleet.hold("c-medium-1", 7, 17);
+		this.fleet.hold("c-medium-2", 17, 28);
+		this.fleet.hold("c-medium-3", 28, 39);
+		this.fleet.hold("c-slow-0", 39, 47);
+		this.fleet.hold("c-slow-1", 47, 55);
+		this.fleet.hold("c-slow-2", 55, 63);
+		this.fleet.hold("c-slow-3", 63, 71);
+		this.fleet.hold("c-slow-4", 71, 80);
+		run(6_000);
+		List.of("c-medium-1", "c-medium-2", "c-medium-3").forEach(this.fleet::crash);
+		run(3_000);
+		this.fleet.unresponsive.addAll(List.of("c-medium-2", "c-medium-3"));
+		List.of("c-medium-2", "c-medium-3").forEach((id) -> this.fleet.restart(id, id));
+		for (int i = 0; i < 32; i++) {
+			run(250);
+			assertThat(this.fleet.held()).containsEntry("c-fast-0", new LayerRange(17, 36));
+		}
+		this.fleet.unresponsive.clear();
+		run(20_000);
+		assertCompleteZones("after the others hold layers");
 	}
 
 	@ParameterizedTest
@@ -176,6 +189,26 @@
 		assertCompleteZones("20 s after the others joined");
 	}
 
+	/** The second deployment, whose zones hold one or two chains. */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
+	void zonesOfManyEnginesChangeFewLayersAfterALoss(long seed) {
+		this.fleet.startZone("a", 1, 22, 12);
+		this.fleet.startZone("b", 4, 9, 14);
+		this.fleet.startZone("c", 2, 13, 22);
+		run(20_000);
+		assertCompleteZones("after the start");
+		this.fleet.orders.clear();
+		someEngines(4, seed).forEach(this.fleet::crash);
+		run(14_000);
+		assertCompleteZones("14 s after the loss");
+		run(60_000);
+		assertCompleteZones("later");
+		int orders = this.fleet.orders.size();
+		run(60_000);
+		assertThat(this.fleet.orders).hasSize(orders);
+	}
+
 	private List<String> someEngines(int count, long seed) {
 		List<String> ids = new ArrayList<>(this.fleet.held().keySet());
 		Collections.shuffle(ids, new Random(seed));
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
@@ -110,11 +110,14 @@
 
 	// A new layout of a group whose layers are incomplete or worse than they could be.
 	private Optional<Proposal> propose(Group group, boolean anyComplete) {
-		if (!group.viable) {
+		// Layers that are only ordered may never be loaded, so no engine that holds
+		// layers
+		// is moved while others of its group load.
+		if (!group.viable || !group.unconfirmed.isEmpty()) {
 			return Optional.empty();
 		}
 		if (!group.hasGap) {
-			return (group.isZone() && group.unconfirmed.isEmpty()) ? improvement(group) : Optional.empty();
+			return (group.isZone()) ? improvement(group) : Optional.empty();
 		}
 		boolean forming = group.empty.size() * 2 > group.servers.size();
 		if (!forming && !hasGapWith(group, safeGapMoves(group, group.servers))) {
@@ -132,8 +135,7 @@
 		// that are added next may let one of them hold a chain of its own.
 		long returnWaitMs = (group.isZone() || !anyComplete) ? RETURN_WAIT_MS : CALM_MS;
 		boolean early = isGrowing(group.change) || group.change.sinceRemovedMs() < returnWaitMs;
-		boolean ordered = group.unconfirmed.stream().anyMatch((server) -> moves.containsKey(server.id()));
-		return Optional.of((early || ordered) ? new Proposal(group, null, 0) : proposal);
+		return Optional.of((early) ? new Proposal(group, null, 0) : proposal);
 	}
 
 	private boolean hasGapWith(Group group, Map<String, LayerRange> moves) {
@@ -144,22 +146,26 @@
 		if (!group.empty.isEmpty() || Math.min(group.change.sinceAddedMs(), group.change.sinceRemovedMs()) < CALM_MS) {
 			return Optional.empty();
 		}
-		Map<String, LayerRange> moves = ZoneLayout.changes(group.servers, this.layouts.layout(group.servers));
-		if (moves.isEmpty()) {
-			return Optional.empty();
-		}
 		double before = LayerCoverage.of(this.pool, group.servers).requests();
-		double after = LayerCoverage.of(this.pool, LayerCoverage.withLayers(group.servers, moves)).requests();
-		double during = LayerCoverage
-			.of(this.pool, group.servers.stream().filter((server) -> !moves.containsKey(server.id())).toList())
-			.requests();
-		double durationMs = ORDER_MS + loadMs(group.servers, moves);
-		boolean worthwhile = (after - before) * (GAIN_PERIOD_MS - durationMs) > (before - during) * durationMs;
-		if (after < MIN_GAIN * before || !worthwhile) {
-			return Optional.empty();
+		Map<String, LayerRange> best = Map.of();
+		double bestAfter = before;
+		double bestService = before * GAIN_PERIOD_MS;
+		Map<String, LayerRange> all = ZoneLayout.changes(group.servers, this.layouts.layout(group.servers));
+		for (Map<String, LayerRange> moves : List.of(this.layouts.restoreChain(group.servers), all)) {
+			double after = LayerCoverage.of(this.pool, LayerCoverage.withLayers(group.servers, moves)).requests();
+			double during = LayerCoverage
+				.of(this.pool, group.servers.stream().filter((server) -> !moves.containsKey(server.id())).toList())
+				.requests();
+			double durationMs = ORDER_MS + loadMs(group.servers, moves);
+			double service = during * durationMs + after * (GAIN_PERIOD_MS - durationMs);
+			if (after >= MIN_GAIN * before && service > bestService) {
+				best = moves;
+				bestAfter = after;
+				bestService = service;
+			}
 		}
-		Layout layout = new Layout(zones(group.servers), "more service", moves, after - before);
-		return Optional.of(new Proposal(group, layout, after - before));
+		Layout layout = new Layout(zones(group.servers), "more service", best, bestAfter - before);
+		return (best.isEmpty()) ? Optional.empty() : Optional.of(new Proposal(group, layout, bestAfter - before));
 	}
 
 	private double loadMs(Collection<PlacementServer> servers, Map<String, LayerRange> moves) {
@@ -182,7 +188,6 @@
 		return this.planner.additions(ready, view.servers());
 	}
 
-	// No engine is moved while others of the group load: the gap may be closed by them.
 	private Map<String, LayerRange> safeGapMoves(Group group, Collection<PlacementServer> all) {
 		Map<String, LayerRange> additions = this.planner.additions(group.servers, all);
 		return (additions.isEmpty() && group.unconfirmed.isEmpty())
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
@@ -5,8 +5,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 import org.medlardrum.state.LayerRange;
 import org.medlardrum.state.routing.AcceleratorKind;
@@ -128,6 +131,44 @@
 		return changes(servers, best);
 	}
 
+	/**
+	 * Returns the moves that make a further chain of the engines that are not part of a
+	 * complete one, as after the loss of an engine of one of several chains.
+	 * @param servers the engines with their layers
+	 * @return the layers of the engines that change theirs, empty if the other engines
+	 * can hold no complete chain
+	 */
+	Map<String, LayerRange> restoreChain(Collection<PlacementServer> servers) {
+		List<PlacementServer> others = new ArrayList<>(servers);
+		for (Set<String> chain = completeChain(others); !chain.isEmpty(); chain = completeChain(others)) {
+			Set<String> used = chain;
+			others.removeIf((server) -> used.contains(server.id()));
+		}
+		return (isViable(others)) ? rearrange(others) : Map.of();
+	}
+
+	// Identifiers of engines that hold all layers together. Of the engines that hold the
+	// next layer, the one that overlaps least with those before is used.
+	private Set<String> completeChain(Collection<PlacementServer> servers) {
+		Set<String> chain = new LinkedHashSet<>();
+		int covered = 0;
+		while (covered < this.pool.layers()) {
+			int end = covered;
+			Optional<PlacementServer> next = servers.stream()
+				.filter((server) -> server.layers()
+					.filter((range) -> range.fromLayer() <= end && range.toLayer() > end)
+					.isPresent())
+				.max(Comparator.comparingInt((PlacementServer server) -> server.layers().orElseThrow().fromLayer())
+					.thenComparing(PlacementServer::id));
+			if (next.isEmpty()) {
+				return Set.of();
+			}
+			chain.add(next.get().id());
+			covered = next.get().layers().orElseThrow().toLayer();
+		}
+		return chain;
+	}
+
 	/**
 	 * Returns the entries of a layout that differ from the layers that engines have.
 	 * @param servers the engines with their layers
