Wait for the pool as a whole, and complete a first placement the same

Cause: engines that register in turn in several zones put the first placement off without end, because each zone had a burst of its own. An issuer lost during the first placement left a state from which the next one ended in a slightly different layout.

Change: the history records additions of the pool as a whole. A layout that only concerns engines without layers is the same as for an empty zone.

Tests: PlacementReplayTests (first placement within 6 s, partition, issuers lost during the first placement), OrderLeaseTests (900 ms, restored store), StoreFollowerTests (batch delay), LayerReviewTests pass.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -45,6 +45,8 @@
 
 	private final Map<String, ZoneTimes> timesByZone = new HashMap<>();
 
+	private final ZoneTimes poolTimes = new ZoneTimes();
+
 	private final Map<String, PendingOrder> pendingById = new HashMap<>();
 
 	private final Map<String, FormerLayers> formerByAddress = new HashMap<>();
@@ -61,7 +63,8 @@
 		for (PlacementServer server : placement.servers()) {
 			present.add(server.id());
 			if (this.seenById.putIfAbsent(server.id(), new Seen(server.availabilityZone(), nowMs)) == null) {
-				recordAdded(server, nowMs);
+				recordAdded(server, times(server.availabilityZone()), nowMs);
+				recordAdded(server, this.poolTimes, nowMs);
 			}
 			removeFinishedOrder(server, nowMs);
 			Optional.ofNullable(this.pendingById.get(server.id()))
@@ -74,6 +77,7 @@
 			boolean removed = !present.contains(entry.getKey());
 			if (removed) {
 				times(entry.getValue().zone).removedAtMs = nowMs;
+				this.poolTimes.removedAtMs = nowMs;
 				this.pendingById.remove(entry.getKey());
 			}
 			return removed;
@@ -83,8 +87,7 @@
 
 	// At the first look, engines with layers were registered before, and others may just
 	// have been removed.
-	private void recordAdded(PlacementServer server, long nowMs) {
-		ZoneTimes times = times(server.availabilityZone());
+	private void recordAdded(PlacementServer server, ZoneTimes times, long nowMs) {
 		if (!this.observed) {
 			times.removedAtMs = nowMs;
 		}
@@ -140,7 +143,7 @@
 			.filter((server) -> !isGivenUp(server.id(), nowMs))
 			.map((server) -> new PlacementServer(server.id(), server.address(), server.availabilityZone(),
 					server.acceleratorKind(), Optional.ofNullable(expected.get(server.id())).or(server::layers)))
-			.toList(), unconfirmed, waiting, changes);
+			.toList(), unconfirmed, waiting, changes, this.poolTimes.change(nowMs));
 	}
 
 	private boolean isGivenUp(String id, long nowMs) {
@@ -233,6 +236,10 @@
 
 		private long removedAtMs = NEVER_MS;
 
+		ZoneChange change(long nowMs) {
+			return new ZoneChange(nowMs - this.addedAtMs, nowMs - this.firstAddedAtMs, nowMs - this.removedAtMs);
+		}
+
 	}
 
 	/**
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -92,6 +92,24 @@
 		assertThat(this.calls.stream().filter((call) -> call.startsWith("read")).toList()).hasSize(1);
 	}
 
+	/**
+	 * The holder of the order lease batches changes more briefly while layers are
+	 * missing.
+	 */
+	@Test
+	void batchDelayIsReadForEachBatch() {
+		AtomicLong batchDelayMs = new AtomicLong(1_350);
+		StoreFollower varying = new StoreFollower(new ScriptedFeed(), this.recorder, this.nowMs::get,
+				() -> this.nowMs.get() + 1_000_000, new FollowerOptions(10_000, batchDelayMs::get, 1_800, 1, 2_200));
+		this.responses.add(new ScriptedResponse(1, ok(5)));
+		varying.followStep();
+		this.responses.add(new ScriptedResponse(1, ok(6, new StoreChange("a", "1", version(6)))));
+		assertThat(varying.followStep()).isEqualTo(1_350);
+		batchDelayMs.set(300);
+		this.responses.add(new ScriptedResponse(1, ok(7, new StoreChange("a", "2", version(7)))));
+		assertThat(varying.followStep()).isEqualTo(300);
+	}
+
 	@Test
 	void watchWithoutChangesConfirmsNothing() {
 		follow(1, ok(5));
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
@@ -44,6 +44,10 @@
 
 	private final Map<String, Engine> byId = new LinkedHashMap<>();
 
+	private String partitionedZone = "";
+
+	private long partitionedAtMs;
+
 	private final Map<String, Engine> crashedById = new LinkedHashMap<>();
 
 	/** Engines that were ordered to hold more than their memory. */
@@ -108,6 +112,24 @@
 		start(newId, old.address, old.zone, old.kind);
 	}
 
+	/**
+	 * Separates a zone from the registry and the issuer.
+	 */
+	void partition(String zone) {
+		this.partitionedZone = zone;
+		this.partitionedAtMs = this.clock.millis();
+	}
+
+	void endPartition() {
+		this.partitionedZone = "";
+	}
+
+	// The registry removes each engine REMOVAL_MS after its last heartbeat.
+	private boolean isRemoved(Engine engine) {
+		return engine.zone.equals(this.partitionedZone) && this.clock.millis() - this.partitionedAtMs >= REMOVAL_MS
+				- Math.floorMod(engine.id.hashCode(), HEARTBEAT_MS);
+	}
+
 	/**
 	 * Gives an engine layers and registers them.
 	 */
@@ -155,7 +177,9 @@
 	}
 
 	List<PlacementServer> registered() {
-		return servers((engine) -> engine.registered);
+		return servers((engine) -> engine.registered).stream()
+			.filter((server) -> !isRemoved(this.byId.get(server.id())))
+			.toList();
 	}
 
 	/**
@@ -223,7 +247,8 @@
 	@Override
 	public Optional<LayerReport> report(String address, long timeoutMs) {
 		return engine(address)
-			.filter((engine) -> this.orders.size() < this.rejectAfter && !this.unresponsive.contains(engine.id))
+			.filter((engine) -> this.orders.size() < this.rejectAfter && !this.unresponsive.contains(engine.id)
+					&& !engine.zone.equals(this.partitionedZone))
 			.map((engine) -> new LayerReport(engine.held, engine.loadedAtMs >= 0, engine.acceptedOrders));
 	}
 
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/OrderLeaseTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/OrderLeaseTests.java
@@ -4,7 +4,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.medlardrum.coordination.FakePlatformStore;
+import org.medlardrum.coordination.StoreLease;
+import org.medlardrum.coordination.StoreResult;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -50,4 +54,53 @@
 		assertThat(next.token()).isGreaterThan(lost.token());
 	}
 
+	/**
+	 * The former lease has ended in the store, so its orders have timed out after 900 ms.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "899, false", "900, true" })
+	void firstOrderFollowsTheTimeoutOfOrdersOfTheFormerHolder(long afterMs, boolean maySend) {
+		OrderLease lease = lease("a");
+		lease.recordStoreEra(era());
+		this.nowMs.addAndGet(5_000);
+		assertThat(lease.acquire()).isTrue();
+		this.nowMs.addAndGet(afterMs);
+		assertThat(lease.maySendFirst()).isEqualTo(maySend);
+		assertThat(lease.maySend(false)).isFalse();
+	}
+
+	private long era() {
+		return ((StoreResult.Ok<StoreLease>) this.store.createLease(3_000)).value().era();
+	}
+
+	/**
+	 * A restored store may lack a lease that its holder still uses.
+	 */
+	@Test
+	void firstOrderAfterARestoreWaitsForALeaseThatTheStoreHasLost() {
+		this.store.takeCopy();
+		OrderLease next = lease("b");
+		next.recordStoreEra(era());
+		this.nowMs.addAndGet(10_000);
+		OrderLease lost = lease("a");
+		assertThat(lost.acquire()).isTrue();
+		this.store.restoreCopy();
+		assertThat(next.acquire()).isTrue();
+		for (int i = 0; i < 30; i++) {
+			this.nowMs.addAndGet(100);
+			assertThat(lost.isHeld() && next.maySendFirst()).isFalse();
+			next.renew();
+			if (i == 5) {
+				next.recordStoreEra(era());
+			}
+		}
+		assertThat(next.maySendFirst()).isFalse();
+		this.nowMs.addAndGet(900);
+		next.renew();
+		assertThat(next.maySendFirst()).isFalse();
+		this.nowMs.addAndGet(100);
+		next.renew();
+		assertThat(next.maySendFirst()).isTrue();
+	}
+
 }
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
@@ -244,6 +244,49 @@
 		assertWithMessage("no further moves").that(this.fleet.orders).hasSize(orders);
 	}
 
+	/**
+	 * Engines of different zones follow one another, so no zone has a pause of its own.
+	 */
+	@Test
+	void firstPlacementWaitsNoLongerThanSixSeconds() {
+		run(6_000);
+		for (int i = 0; i < 8; i++) {
+			this.fleet.start("a-fast-" + i, ZONES.get(i % 3), EngineFleet.FAST);
+			run(1_500);
+		}
+		assertThat(this.fleet.orders).isNotEmpty();
+	}
+
+	/** Engines behind a partition leave the registry and return with their layers. */
+	@ParameterizedTest
+	@ValueSource(longs = { 4_000, 8_000, 15_000 })
+	void partitionedZoneKeepsItsLayers(long durationMs) {
+		ZONES.forEach((zone) -> this.fleet.startZone(zone, 1, 6, 4));
+		run(20_000);
+		Map<String, LayerRange> before = this.fleet.held();
+		this.fleet.partition("b");
+		run(durationMs);
+		this.fleet.endPartition();
+		run(60_000);
+		assertThat(this.fleet.held()).isEqualTo(before);
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 5, 10, 16, 17, 20, 25, 30, 32 })
+	void issuerLostDuringTheFirstPlacement(int lastOrder) {
+		ZONES.forEach((zone) -> this.fleet.startZone(zone, 1, 6, 4));
+		Map<String, LayerRange> expected = new HashMap<>();
+		ZONES.forEach((zone) -> expected.putAll(new ZoneLayout(EngineFleet.POOL).layout(inZone(zone))));
+		this.fleet.rejectAfter = lastOrder;
+		run(10_000);
+		assertThat(this.fleet.held().size()).isAtMost(lastOrder);
+		this.fleet.rejectAfter = Integer.MAX_VALUE;
+		this.issuer = issuer();
+		run(40_000);
+		assertCompleteZones("after the first placement");
+		assertThat(this.fleet.held()).isEqualTo(expected);
+	}
+
 	/** The next issuer has no other state than the registry. */
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 import org.medlardrum.decisions.pool.PlacementView.Layout;
 import org.medlardrum.decisions.pool.PlacementView.Result;
@@ -94,8 +95,7 @@
 	}
 
 	private Result firstPlacement(PlacementView view, int incomplete) {
-		Optional<ZoneChange> change = view.changes().values().stream().reduce(ZoneChange::and);
-		if (view.servers().isEmpty() || isGrowing(change.orElse(ZoneChange.NONE))) {
+		if (view.servers().isEmpty() || isGrowing(view.poolChange())) {
 			return new Result(Map.of(), List.of(), incomplete, !view.servers().isEmpty());
 		}
 		Map<String, LayerRange> plan = this.planner.plan(view.servers());
@@ -119,16 +119,20 @@
 		if (!group.hasGap) {
 			return (group.isZone()) ? improvement(group) : Optional.empty();
 		}
+		Set<String> emptyIds = group.empty.stream().map(PlacementServer::id).collect(Collectors.toSet());
+		// A layout that a former issuer began for engines without layers is completed, so
+		// that it ends the same.
+		Map<String, LayerRange> begun = ZoneLayout.changes(group.servers, this.layouts.layout(group.servers));
 		boolean forming = group.empty.size() * 2 > group.servers.size();
-		if (!forming && !hasGapWith(group, safeGapMoves(group, group.servers))) {
+		boolean complete = forming || emptyIds.containsAll(begun.keySet());
+		if (!complete && !hasGapWith(group, safeGapMoves(group, group.servers))) {
 			return Optional.empty();
 		}
-		Map<String, LayerRange> moves = this.layouts.rearrange(group.servers);
+		Map<String, LayerRange> moves = (complete) ? begun : this.layouts.rearrange(group.servers);
 		double requests = LayerCoverage.of(this.pool, LayerCoverage.withLayers(group.servers, moves)).requests();
 		Proposal proposal = new Proposal(group, new Layout(zones(group.servers), "no complete chain", moves, requests),
 				requests);
-		boolean onlyEmpty = group.empty.stream().map(PlacementServer::id).toList().containsAll(moves.keySet());
-		if (!forming && onlyEmpty) {
+		if (!forming && emptyIds.containsAll(moves.keySet())) {
 			return Optional.of(proposal);
 		}
 		// Zones that share a chain are laid out late while another zone serves: engines
@@ -262,10 +266,9 @@
 			this.holding = servers.stream()
 				.filter((server) -> server.layers().isPresent() && !view.unconfirmed().contains(server.id()))
 				.toList();
-			this.change = zones(servers).stream()
-				.map((zone) -> view.changes().getOrDefault(zone, ZoneChange.NONE))
-				.reduce(ZoneChange::and)
-				.orElse(ZoneChange.NONE);
+			Set<String> zones = zones(servers);
+			this.change = (zones.size() == 1) ? view.changes().getOrDefault(zones.iterator().next(), ZoneChange.NONE)
+					: view.poolChange();
 			this.viable = LayerReview.this.layouts.isViable(servers);
 			this.hasGap = LayerCoverage.of(LayerReview.this.pool, servers).hasGap();
 			this.heldHasGap = LayerCoverage.of(LayerReview.this.pool, this.holding).hasGap();
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementView.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementView.java
@@ -16,9 +16,10 @@
  * @param waiting identifiers of engines without layers that may replace an engine that is
  * about to leave; they receive layers only where some are missing
  * @param changes last changes of each availability zone
+ * @param poolChange last changes of all zones together
  */
 public record PlacementView(List<PlacementServer> servers, Set<String> unconfirmed, Set<String> waiting,
-		Map<String, ZoneChange> changes) {
+		Map<String, ZoneChange> changes, ZoneChange poolChange) {
 
 	public PlacementView {
 		servers = List.copyOf(servers);
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneChange.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneChange.java
@@ -1,7 +1,7 @@
 package org.medlardrum.decisions.pool;
 
 /**
- * Time since the last changes of the engines of an availability zone.
+ * Time since the last changes of the engines of an availability zone or a pool.
  *
  * @param sinceAddedMs time since an engine was added last
  * @param sinceFirstAddedMs time since the first of the engines was added that followed
@@ -13,10 +13,4 @@
 	/** No change for a long time. */
 	public static final ZoneChange NONE = new ZoneChange(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
 
-	ZoneChange and(ZoneChange other) {
-		return new ZoneChange(Math.min(this.sinceAddedMs, other.sinceAddedMs),
-				Math.max(this.sinceFirstAddedMs, other.sinceFirstAddedMs),
-				Math.min(this.sinceRemovedMs, other.sinceRemovedMs));
-	}
-
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
@@ -1,15 +1,18 @@
 package org.medlardrum.decisions.pool;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.NavigableMap;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.medlardrum.state.LayerRange;
 import org.medlardrum.state.routing.AcceleratorKind;
@@ -139,36 +142,49 @@
 	 * can hold no complete chain
 	 */
 	Map<String, LayerRange> restoreChain(Collection<PlacementServer> servers) {
-		List<PlacementServer> others = new ArrayList<>(servers);
-		for (Set<String> chain = completeChain(others); !chain.isEmpty(); chain = completeChain(others)) {
-			Set<String> used = chain;
-			others.removeIf((server) -> used.contains(server.id()));
+		NavigableMap<Integer, Deque<PlacementServer>> byFirstLayer = new TreeMap<>();
+		servers.stream()
+			.sorted(Comparator.comparing(PlacementServer::id))
+			.forEach((server) -> server.layers()
+				.ifPresent((range) -> byFirstLayer.computeIfAbsent(range.fromLayer(), (from) -> new ArrayDeque<>())
+					.add(server)));
+		Set<String> used = new HashSet<>();
+		for (List<String> chain = takeChain(byFirstLayer); !chain.isEmpty(); chain = takeChain(byFirstLayer)) {
+			used.addAll(chain);
 		}
+		List<PlacementServer> others = servers.stream().filter((server) -> !used.contains(server.id())).toList();
 		return (isViable(others)) ? rearrange(others) : Map.of();
 	}
 
-	// Identifiers of engines that hold all layers together. Of the engines that hold the
-	// next layer, the one that overlaps least with those before is used.
-	private Set<String> completeChain(Collection<PlacementServer> servers) {
-		Set<String> chain = new LinkedHashSet<>();
+	// Removes engines that hold all layers together and returns their identifiers. Of the
+	// engines that hold the next layer, the one that overlaps least with those before is
+	// used.
+	private List<String> takeChain(NavigableMap<Integer, Deque<PlacementServer>> byFirstLayer) {
+		List<String> chain = new ArrayList<>();
 		int covered = 0;
 		while (covered < this.pool.layers()) {
-			int end = covered;
-			Optional<PlacementServer> next = servers.stream()
-				.filter((server) -> server.layers()
-					.filter((range) -> range.fromLayer() <= end && range.toLayer() > end)
-					.isPresent())
-				.max(Comparator.comparingInt((PlacementServer server) -> server.layers().orElseThrow().fromLayer())
-					.thenComparing(PlacementServer::id));
-			if (next.isEmpty()) {
-				return Set.of();
+			PlacementServer next = takeNext(byFirstLayer.headMap(covered, true).descendingMap().values(), covered);
+			if (next == null) {
+				return List.of();
 			}
-			chain.add(next.get().id());
-			covered = next.get().layers().orElseThrow().toLayer();
+			chain.add(next.id());
+			covered = next.layers().orElseThrow().toLayer();
 		}
 		return chain;
 	}
 
+	private static PlacementServer takeNext(Collection<Deque<PlacementServer>> candidates, int covered) {
+		for (Deque<PlacementServer> sameFirst : candidates) {
+			for (PlacementServer server : sameFirst) {
+				if (server.layers().orElseThrow().toLayer() > covered) {
+					sameFirst.remove(server);
+					return server;
+				}
+			}
+		}
+		return null;
+	}
+
 	/**
 	 * Returns the entries of a layout that differ from the layers that engines have.
 	 * @param servers the engines with their layers
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerReviewTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerReviewTests.java
@@ -58,7 +58,8 @@
 				servers.stream()
 					.map(PlacementServer::availabilityZone)
 					.distinct()
-					.collect(Collectors.toMap((zone) -> zone, (zone) -> change)));
+					.collect(Collectors.toMap((zone) -> zone, (zone) -> change)),
+				change);
 	}
 
 	private Map<String, LayerRange> moves(Collection<PlacementServer> servers, ZoneChange change) {
