Give an engine that announced that it leaves time to be replaced

Change: PoolPlacement lists engines that leave. Their zone waits as long as after the silence of a lost engine.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -38,6 +38,13 @@
 	/** Time for the engine that a new engine replaces to announce that it leaves. */
 	private static final long NEW_SERVER_WAIT_MS = 1_500;
 
+	/**
+	 * Silence after which a lost engine is removed from the registry. An engine that
+	 * announces that it leaves has the same time to return or to be replaced, so that an
+	 * upgrade of one engine after the other does not lay out the zone each time.
+	 */
+	private static final long SILENCE_MS = 3_600;
+
 	/** A time before which nothing was seen. */
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
@@ -76,8 +83,9 @@
 		this.seenById.entrySet().removeIf((entry) -> {
 			boolean removed = !present.contains(entry.getKey());
 			if (removed) {
-				times(entry.getValue().zone).removedAtMs = nowMs;
-				this.poolTimes.removedAtMs = nowMs;
+				long removedAtMs = (placement.leaving().contains(entry.getKey())) ? nowMs + SILENCE_MS : nowMs;
+				times(entry.getValue().zone).recordRemoved(removedAtMs);
+				this.poolTimes.recordRemoved(removedAtMs);
 				this.pendingById.remove(entry.getKey());
 			}
 			return removed;
@@ -89,7 +97,7 @@
 	// have been removed.
 	private void recordAdded(PlacementServer server, ZoneTimes times, long nowMs) {
 		if (!this.observed) {
-			times.removedAtMs = nowMs;
+			times.recordRemoved(nowMs);
 		}
 		if (this.observed || server.layers().isEmpty()) {
 			if (nowMs - times.addedAtMs >= LayerReview.ADDED_QUIET_MS) {
@@ -236,6 +244,10 @@
 
 		private long removedAtMs = NEVER_MS;
 
+		void recordRemoved(long atMs) {
+			this.removedAtMs = Math.max(this.removedAtMs, atMs);
+		}
+
 		ZoneChange change(long nowMs) {
 			return new ZoneChange(nowMs - this.addedAtMs, nowMs - this.firstAddedAtMs, nowMs - this.removedAtMs);
 		}
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
@@ -62,6 +62,9 @@
 	/** Identifiers of engines that do not respond to the issuer. */
 	final Set<String> unresponsive = new HashSet<>();
 
+	/** Identifiers of engines that announced that they leave. */
+	final Set<String> leaving = new HashSet<>();
+
 	/** Number of orders after which engines do not answer. */
 	int rejectAfter = Integer.MAX_VALUE;
 
@@ -178,7 +181,7 @@
 
 	List<PlacementServer> registered() {
 		return servers((engine) -> engine.registered).stream()
-			.filter((server) -> !isRemoved(this.byId.get(server.id())))
+			.filter((server) -> !isRemoved(this.byId.get(server.id())) && !this.leaving.contains(server.id()))
 			.toList();
 	}
 
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
@@ -45,7 +45,7 @@
 
 	private PlacementIssuer issuer() {
 		return new PlacementIssuer(this.store, "entry-" + this.issuers++, this.fleet,
-				() -> List.of(new PoolPlacement(EngineFleet.POOL, this.fleet.registered())),
+				() -> List.of(new PoolPlacement(EngineFleet.POOL, this.fleet.registered(), this.fleet.leaving)),
 				() -> this.store.get(PlacementIssuer.leaseKey()) instanceof StoreResult.NotFound, () -> true,
 				this.clock, new Random(3), OPTIONS);
 	}
@@ -257,6 +257,45 @@
 		assertThat(this.fleet.orders).isNotEmpty();
 	}
 
+	/** An upgrade replaces one engine after the other; each new one starts 3 s later. */
+	@Test
+	void replacedEnginesDoNotMoveOthers() {
+		ZONES.forEach((zone) -> this.fleet.startZone(zone, 1, 6, 4));
+		run(20_000);
+		this.fleet.orders.clear();
+		for (int i = 0; i < 6; i++) {
+			this.fleet.leaving.add("b-medium-" + i);
+			run(3_000);
+			this.fleet.start("b-medium-" + i + "-new", "b", EngineFleet.MEDIUM);
+			run(6_000);
+			assertCompleteZones("after replacement " + i);
+		}
+		assertThat(this.fleet.orders).hasSize(6);
+	}
+
+	@Test
+	void zoneIsLaidOutAgainAfterAnEngineLeftForGood() {
+		ZONES.forEach((zone) -> this.fleet.startZone(zone, 1, 6, 4));
+		run(20_000);
+		this.fleet.leaving.add("b-medium-2");
+		run(4_500 + 4_500);
+		this.fleet.crash("b-medium-2");
+		run(3_750);
+		assertCompleteZones("after it left");
+	}
+
+	/** The layers of the engine before are more than the memory of the next one. */
+	@Test
+	void smallerEngineAtTheSameAddressIsNotOrderedBeyondItsMemory() {
+		ZONES.forEach((zone) -> this.fleet.startZone(zone, 1, 6, 4));
+		run(20_000);
+		this.fleet.crash("a-fast-0");
+		run(3_250);
+		this.fleet.start("a-small", "10.0.0.1:a-fast-0", "a", EngineFleet.SLOW);
+		run(20_000);
+		assertCompleteZones("after the smaller engine started");
+	}
+
 	/** Engines behind a partition leave the registry and return with their layers. */
 	@ParameterizedTest
 	@ValueSource(longs = { 4_000, 8_000, 15_000 })
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneChange.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneChange.java
@@ -6,7 +6,8 @@
  * @param sinceAddedMs time since an engine was added last
  * @param sinceFirstAddedMs time since the first of the engines was added that followed
  * one another by less than {@link LayerReview#ADDED_QUIET_MS}
- * @param sinceRemovedMs time since an engine was removed last
+ * @param sinceRemovedMs time since an engine was removed last, negative while one that
+ * announced that it leaves may still return
  */
 public record ZoneChange(long sinceAddedMs, long sinceFirstAddedMs, long sinceRemovedMs) {
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
@@ -28,7 +28,8 @@
 
 	/**
 	 * Memory relative to the weights from which a zone is divided into chains with at
-	 * most {@link #MAX_WEIGHT_MEMORY} of it taken by weights.
+	 * most {@link #MAX_WEIGHT_MEMORY} of it taken by weights. With less, more than four
+	 * fifths of the memory hold weights, and the zone gets one chain at most.
 	 */
 	private static final double MIN_CHAIN_MEMORY = 1.25;
 
