Order again when an engine restarts while it loads

Cause: an engine that restarted under the same identifier after it had accepted an order stayed empty until the order was sent again after 6 s.

Change: 2 s after an accepted order, an engine that has registered no layers is asked for its report. If that does not include the order, the engine has restarted and the order is sent again. An order whose response was lost is still sent again only after 6 s.

Tests: PlacementReplayTests, PlacementSpeedTests, PlacementIssuerTests pass.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -256,6 +256,10 @@
 		}
 		result.moves().forEach((id, layers) -> history.recordIntention(id, layers, this.clock.millis()));
 		for (PlacementServer server : placement.servers()) {
+			if (history.isRestartCheckDue(server, this.clock.millis())) {
+				history.recordRestartCheck(server.id(),
+						this.engines.report(server.address(), this.options.orderTimeoutMs()), this.clock.millis());
+			}
 			LayerRange desired = history.desiredLayers(server).orElse(null);
 			if (desired != null && history.isDue(server.id(), this.clock.millis())
 					&& !server.layers().equals(Optional.of(desired))) {
@@ -294,7 +298,8 @@
 				desired.fromLayer(), desired.toLayer(), result);
 		this.moves.increment();
 		switch (result) {
-			case OrderResult.Accepted accepted -> history.recordOrder(server.id(), this.clock.millis());
+			case OrderResult.Accepted accepted ->
+				history.recordAccepted(server.id(), report.get().acceptedOrders(), this.clock.millis());
 			// The engine may still execute the order. After SETTLE_MS the same layers are
 			// ordered again.
 			case OrderResult.Unknown unknown -> history.recordOrder(server.id(), this.clock.millis());
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -32,6 +32,12 @@
 	 */
 	private static final long GIVE_UP_MS = 2 * SETTLE_MS;
 
+	/**
+	 * Time after an accepted order before an engine without layers is asked whether it
+	 * has restarted since.
+	 */
+	private static final long RESTART_CHECK_MS = 2_000;
+
 	/** Time between two calls of an unresponsive engine. */
 	private static final long CALL_AGAIN_MS = 1_000;
 
@@ -45,6 +51,8 @@
 	 */
 	private static final long SILENCE_MS = 3_600;
 
+	private static final long NOT_ACCEPTED = -1;
+
 	/** A time before which nothing was seen. */
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
@@ -200,12 +208,55 @@
 	void recordIntention(String id, LayerRange layers, long nowMs) {
 		PendingOrder order = this.pendingById.get(id);
 		if (order == null || !order.layers.equals(layers)) {
-			this.pendingById.put(id, new PendingOrder(layers, nowMs, NEVER_MS));
+			this.pendingById.put(id, new PendingOrder(layers, nowMs, NEVER_MS, NOT_ACCEPTED, NEVER_MS));
 		}
 	}
 
 	void recordOrder(String id, long nowMs) {
-		this.pendingById.computeIfPresent(id, (any, order) -> new PendingOrder(order.layers, order.sinceMs, nowMs));
+		recordSent(id, nowMs, NOT_ACCEPTED);
+	}
+
+	/**
+	 * Records that an engine accepted an order.
+	 * @param id identifier of the engine
+	 * @param ordersBefore number of orders that it had accepted before
+	 * @param nowMs the time
+	 */
+	void recordAccepted(String id, long ordersBefore, long nowMs) {
+		recordSent(id, nowMs, ordersBefore);
+	}
+
+	private void recordSent(String id, long sentAtMs, long ordersBefore) {
+		this.pendingById.computeIfPresent(id,
+				(any, order) -> new PendingOrder(order.layers, order.sinceMs, sentAtMs, ordersBefore, sentAtMs));
+	}
+
+	/**
+	 * Returns whether an engine is to be asked whether it has restarted under the same
+	 * identifier since it accepted an order. Its registry entry does not show that.
+	 * @param server the engine
+	 * @param nowMs the time
+	 * @return whether a check is due
+	 */
+	boolean isRestartCheckDue(PlacementServer server, long nowMs) {
+		PendingOrder order = this.pendingById.get(server.id());
+		return order != null && order.ordersBefore != NOT_ACCEPTED && server.layers().isEmpty()
+				&& nowMs - order.checkedAtMs >= RESTART_CHECK_MS;
+	}
+
+	/**
+	 * Records the report of an engine that accepted an order. If the report does not
+	 * include the order, the engine has restarted and the order is sent again.
+	 * @param id identifier of the engine
+	 * @param report the report, empty when the engine did not respond
+	 * @param nowMs the time
+	 */
+	void recordRestartCheck(String id, Optional<LayerReport> report, long nowMs) {
+		this.pendingById.computeIfPresent(id, (any, order) -> {
+			boolean lost = report.isPresent() && report.get().acceptedOrders() <= order.ordersBefore;
+			return new PendingOrder(order.layers, order.sinceMs, (lost) ? NEVER_MS : order.sentAtMs,
+					(lost) ? NOT_ACCEPTED : order.ordersBefore, nowMs);
+		});
 	}
 
 	/**
@@ -269,8 +320,12 @@
 	 * @param layers the ordered layers
 	 * @param sinceMs time since when the engine is to hold them
 	 * @param sentAtMs time when the order was sent last
+	 * @param ordersBefore number of orders that the engine had accepted before this one,
+	 * {@link #NOT_ACCEPTED} if it is not known to have accepted it
+	 * @param checkedAtMs time when the engine was last known to run since it accepted the
+	 * order
 	 */
-	private record PendingOrder(LayerRange layers, long sinceMs, long sentAtMs) {
+	private record PendingOrder(LayerRange layers, long sinceMs, long sentAtMs, long ordersBefore, long checkedAtMs) {
 	}
 
 	/**
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementReplayTests.java
@@ -257,6 +257,24 @@
 		assertThat(this.fleet.orders).isNotEmpty();
 	}
 
+	/** Without a check, the order would be sent again 6 s after the first one. */
+	@Test
+	void engineThatRestartsWhileItLoadsIsOrderedAgainSoon() {
+		ZONES.forEach((zone) -> this.fleet.startZone(zone, 1, 6, 4));
+		while (this.fleet.orders.size() < 33) {
+			run(250);
+		}
+		this.fleet.crash("a-fast-0");
+		run(2_500);
+		this.fleet.restart("a-fast-0", "a-fast-0");
+		int orders = this.fleet.orders.size();
+		run(2_000);
+		assertThat(this.fleet.orders).hasSize(orders + 1);
+		run(4_000);
+		assertCompleteZones("after the restart");
+		assertThat(this.fleet.orders).hasSize(orders + 1);
+	}
+
 	/** An upgrade replaces one engine after the other; each new one starts 3 s later. */
 	@Test
 	void replacedEnginesDoNotMoveOthers() {
