Test when missing layers are urgent

Guards against changes of the registry that are batched for the usual time while layers are missing, and against counters that do not follow the orders.

Tests: PlacementIssuerTests pass.

--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementIssuerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementIssuerTests.java
@@ -107,6 +107,25 @@
 		assertThat(this.engines.layers).hasSize(2);
 	}
 
+	/** Otherwise changes of the registry are batched for the usual time. */
+	@Test
+	void missingLayersAreUrgentForTheHolderUntilTheyAreHeld() {
+		List<String> calls = new ArrayList<>();
+		this.first.onUrgent(() -> calls.add("urgent"));
+		run(2_500, this.first, this.second);
+		assertThat(this.first.isUrgent() || this.second.isUrgent()).isTrue();
+		run(20_000, this.first, this.second);
+		assertThat(this.first.isUrgent() || this.second.isUrgent()).isFalse();
+		assertThat(this.first.stats()).isEqualTo(new PlacementStats(true, 2, 1, 0));
+		assertThat(calls).containsExactly("urgent");
+		this.engines.stop("e1");
+		this.engines.stop("e2");
+		this.engines.start("e3", "10.0.0.1:3");
+		run(500, this.first, this.second);
+		assertThat(this.first.stats().incompleteZones()).isEqualTo(1);
+		assertThat(calls).hasSize(2);
+	}
+
 	@Test
 	void busyEngineReceivesNoOrder() {
 		this.engines.busy = true;
