Try waiting requests before the forecast refuses them

A round now tries first and refuses afterwards; requests whose last start has passed are not tried. The reserved share also counts the organisation, as the decisions offer it.

ServiceAdmissionTests (6) and WaitingRequestTests (30) pass.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
@@ -108,7 +108,10 @@
 
 	String offer(RequestAdmission admission, WaitingRequest next) {
 		long nowMs = this.clockMs.getAsLong();
-		expire(nowMs);
+		// After a suspension, the work of requests that are too late must not count.
+		if (earliestStartByMs() < nowMs) {
+			expire(nowMs);
+		}
 		AdmissionOutcome outcome = this.waitlist.offer(admission.request(), this.forecast, nowMs);
 		if (outcome instanceof AdmissionOutcome.Wait) {
 			this.waiting.put(admission.request().id(), admission);
@@ -131,13 +134,24 @@
 	}
 
 	/**
-	 * Starts waiting requests for which capacity is free. After each start the order is
-	 * determined again, because it depends on the work that was started.
+	 * Starts waiting requests for which capacity is free, and refuses those that cannot
+	 * start in time. A request whose last start has passed is not tried. A request that
+	 * is too late only by the forecast is tried before it is refused, because capacity
+	 * may be free already.
 	 * @return {@code true} if another round may start more requests
 	 */
 	boolean runRound() {
 		long nowMs = this.clockMs.getAsLong();
-		expire(nowMs);
+		boolean more = startFree(nowMs);
+		if (!more) {
+			expire(nowMs);
+		}
+		return more;
+	}
+
+	// After each start the order is determined again, because it depends on the work that
+	// was started.
+	private boolean startFree(long nowMs) {
 		Map<Integer, Integer> failures = new HashMap<>();
 		Set<String> tried = new HashSet<>();
 		for (int started = 0; started < MAX_STARTS;) {
@@ -255,7 +269,7 @@
 				nowMs + Math.round(estimateMs * this.durationRatio));
 		if (first) {
 			this.waitlist.recordStart(request, nowMs);
-			this.reservedRoom.recordStart(request.rank(), request.work(), nowMs);
+			this.reservedRoom.recordStart(request, nowMs);
 		}
 		else {
 			this.waitlist.remove(request.id());
@@ -277,6 +291,17 @@
 		}
 	}
 
+	/**
+	 * Returns the share of the capacity that a request leaves to others.
+	 * @param rank rank of the request
+	 * @param organisation organisation of the caller
+	 * @return the share
+	 */
+	double reservedShare(int rank, String organisation) {
+		return this.reservedRoom.share(new AdmissionRequest("", rank, organisation, 1, 0, 0),
+				this.capacityWork.getAsDouble(), this.clockMs.getAsLong());
+	}
+
 	/**
 	 * Returns the share of the capacity that work of a rank leaves to more urgent ranks.
 	 * @param rank the rank
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
@@ -155,15 +155,16 @@
 	}
 
 	/**
-	 * Returns the share of a service's capacity that work of a rank leaves to more urgent
-	 * ranks.
+	 * Returns the share of a service's capacity that a request leaves to more urgent
+	 * ranks and to other organisations.
 	 * @param service the service
-	 * @param rank the rank
-	 * @return the share, empty if no request of the service waits at this host
+	 * @param rank rank of the request
+	 * @param organisation organisation of the caller
+	 * @return the share, empty if requests of the service do not wait at this host
 	 */
-	public OptionalDouble reservedShare(RoutedService service, int rank) {
+	public OptionalDouble reservedShare(RoutedService service, int rank, String organisation) {
 		ServiceAdmission admission = this.services.get(service.name());
-		return (admission != null && applies(service)) ? OptionalDouble.of(admission.reservedShare(rank))
+		return (admission != null && applies(service)) ? OptionalDouble.of(admission.reservedShare(rank, organisation))
 				: OptionalDouble.empty();
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainServers.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainServers.java
@@ -54,7 +54,7 @@
 	// waits for a full server rather than go to one that may be dead.
 	private void addFull(Set<String> unavailable, Map<String, ServerLoad> loads) {
 		OptionalDouble reserved = this.dependencies.admissions()
-			.reservedShare(this.request.service(), this.request.rank());
+			.reservedShare(this.request.service(), this.request.rank(), this.request.organisationName());
 		if (reserved.isEmpty()) {
 			return;
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/GatewayRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/GatewayRequest.java
@@ -29,6 +29,8 @@
 		CallerAttributes attributes, ServiceRoute route, RoutedService service, Optional<String> organisation, int rank,
 		long arrivedAtMs, long deadlineAtMs, RelaySource source) {
 
+	private static final String NO_ORGANISATION = "none";
+
 	/**
 	 * Creates a request of a caller.
 	 * @param method method of the request
@@ -50,6 +52,14 @@
 				RelaySource.CALLER);
 	}
 
+	/**
+	 * Returns the organisation for logs and shares of capacity.
+	 * @return its name, {@code none} without an API key
+	 */
+	public String organisationName() {
+		return this.organisation.orElse(NO_ORGANISATION);
+	}
+
 	/**
 	 * Returns the identifier of the request.
 	 * @return the identifier
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/request/RequestExecution.java
@@ -56,8 +56,6 @@
 	 */
 	private static final int WAIT_TIME_DIVISOR = 8;
 
-	private static final String NO_ORGANISATION = "none";
-
 	private static final int BAD_REQUEST = 400;
 
 	private static final int SERVER_ERROR = 500;
@@ -170,9 +168,8 @@
 				(this.request.deadlineAtMs() - this.request.arrivedAtMs()) / WAIT_TIME_DIVISOR);
 		return this.dependencies.admissions()
 			.recordArrival(this.request.service(), this.request.route(),
-					new AdmissionRequest(this.request.id(), this.request.rank(),
-							this.request.organisation().orElse(NO_ORGANISATION), work, this.request.arrivedAtMs(),
-							this.request.arrivedAtMs() + maxWaitMs),
+					new AdmissionRequest(this.request.id(), this.request.rank(), this.request.organisationName(), work,
+							this.request.arrivedAtMs(), this.request.arrivedAtMs() + maxWaitMs),
 					this.request.deadlineAtMs());
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -32,15 +32,18 @@
 
 	private final String requestId;
 
+	private final String organisation;
+
 	/** Whether the stream has already overdrawn the budget of a link between zones. */
 	private boolean overdrawn;
 
 	/** Whether it is logged that a link has no room for the request. */
 	private boolean linkLimitLogged;
 
-	ChainChooser(RequestDependencies dependencies, String requestId) {
+	ChainChooser(RequestDependencies dependencies, String requestId, String organisation) {
 		this.dependencies = dependencies;
 		this.requestId = requestId;
+		this.organisation = organisation;
 	}
 
 	/**
@@ -108,7 +111,8 @@
 
 	// Leaves the more urgent ranks what they need, instead of a fixed fraction.
 	private double maxUtilisation(RoutedService service, ChainRequest request) {
-		OptionalDouble reserved = this.dependencies.admissions().reservedShare(service, request.rank());
+		OptionalDouble reserved = this.dependencies.admissions()
+			.reservedShare(service, request.rank(), this.organisation);
 		return (reserved.isPresent()) ? ChainSearch.maxUtilisation(0) - reserved.getAsDouble()
 				: ChainSearch.maxUtilisation(request.rank());
 	}
