--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -32,6 +32,8 @@
 
 	private final String requestId;
 
+	private final String organisation;
+
 	/**
 	 * The chain for which the stream has overdrawn the budget of a link between zones,
 	 * {@code null} if there is none.
@@ -41,9 +43,10 @@
 	/** Whether it is logged that a link has no room for the request. */
 	private boolean linkLimitLogged;
 
-	ChainChooser(RequestDependencies dependencies, String requestId) {
+	ChainChooser(RequestDependencies dependencies, String requestId, String organisation) {
 		this.dependencies = dependencies;
 		this.requestId = requestId;
+		this.organisation = organisation;
 	}
 
 	/**
@@ -113,7 +116,8 @@
 
 	// Leaves the more urgent ranks what they need, instead of a fixed fraction.
 	private double maxUtilisation(RoutedService service, ChainRequest request) {
-		OptionalDouble reserved = this.dependencies.admissions().reservedShare(service, request.rank());
+		OptionalDouble reserved = this.dependencies.admissions()
+			.reservedShare(service, request.rank(), this.organisation);
 		return (reserved.isPresent()) ? ChainSearch.maxUtilisation(0) - reserved.getAsDouble()
 				: ChainSearch.maxUtilisation(request.rank());
 	}
