Order requests by the rank of their route within the rank of their organisation

Where all organisations have the same rank, the routes' ranks had no effect on admission, so a surge on the least urgent route took capacity from the others. Plain requests that find no free slot in time are sent to a server that queues them, as before: a late response costs the caller less than a refusal.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
@@ -126,9 +126,7 @@
 		return switch (outcome) {
 			case AdmissionOutcome.Wait wait -> null;
 			case AdmissionOutcome.Refuse refuse -> {
-				long retryAfterMs = retryAfterMs(admission, refuse.retryAfterMs(), nowMs);
-				logRefusal(admission, REFUSE_EVENT, refuse.reason(), retryAfterMs, nowMs);
-				yield next.refuse(ProblemType.OVERLOADED, refuse.reason(), retryAfterMs);
+				yield startLateOrRefuse(admission, next, REFUSE_EVENT, refuse.reason(), refuse.retryAfterMs());
 			}
 		};
 	}
@@ -197,11 +195,22 @@
 	private void refuse(Displaced displaced, String event) {
 		RequestAdmission admission = this.waiting.remove(displaced.request().id());
 		if (admission != null) {
-			long nowMs = this.clockMs.getAsLong();
-			long retryAfterMs = retryAfterMs(admission, displaced.retryAfterMs(), nowMs);
-			logRefusal(admission, event, displaced.reason(), retryAfterMs, nowMs);
-			end(admission, ProblemType.OVERLOADED, displaced.reason(), retryAfterMs);
+			WaitingRequest request = admission.waiting();
+			admission.setWaiting(null);
+			request
+				.run(() -> startLateOrRefuse(admission, request, event, displaced.reason(), displaced.retryAfterMs()));
+		}
+	}
+
+	private String startLateOrRefuse(RequestAdmission admission, WaitingRequest request, String event, String reason,
+			long returnAfterMs) {
+		if (request.startLate()) {
+			return null;
 		}
+		long nowMs = this.clockMs.getAsLong();
+		long retryAfterMs = retryAfterMs(admission, returnAfterMs, nowMs);
+		logRefusal(admission, event, reason, retryAfterMs, nowMs);
+		return request.refuse(ProblemType.OVERLOADED, reason, retryAfterMs);
 	}
 
 	private static void end(RequestAdmission admission, ProblemType type, String reason, long retryAfterMs) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmissions.java
@@ -114,8 +114,9 @@
 				(name) -> new ServiceAdmission(name, AdmissionSettings.forTimeout(route.timeoutMs()),
 						this.state.clock()::monotonicMs, () -> capacityWork(name), this::scheduleRetry, this.log));
 		// Callers may send the same identifier twice.
-		AdmissionRequest unique = new AdmissionRequest(request.id() + '/' + this.arrivals++, request.rank(),
-				request.organisation(), request.work(), request.arrivedAtMs(), request.startByMs());
+		AdmissionRequest unique = new AdmissionRequest(request.id() + '/' + this.arrivals++,
+				position(service, request.rank(), route.rank()), request.organisation(), request.work(),
+				request.arrivedAtMs(), request.startByMs());
 		admission.recordArrival(unique);
 		if (!this.reportsDemand) {
 			this.reportsDemand = true;
@@ -124,6 +125,12 @@
 		return Optional.of(new RequestAdmission(admission, unique, request.id(), deadlineAtMs));
 	}
 
+	// Requests whose organisations have the same rank are ordered by the ranks of their
+	// routes.
+	private int position(RoutedService service, int rank, int routeRank) {
+		return this.state.table().rankOrder(service.name()).position(rank, routeRank);
+	}
+
 	private boolean applies(RoutedService service) {
 		return (service.pool().isPresent()) ? service.hasScarceZoneLinks() : hasScarceZoneLinks();
 	}
@@ -159,12 +166,14 @@
 	 * ranks and to other organisations.
 	 * @param service the service
 	 * @param rank rank of the request
+	 * @param routeRank rank of its route
 	 * @param organisation organisation of the caller
 	 * @return the share, empty if requests of the service do not wait at this host
 	 */
-	public OptionalDouble reservedShare(RoutedService service, int rank, String organisation) {
+	public OptionalDouble reservedShare(RoutedService service, int rank, int routeRank, String organisation) {
 		ServiceAdmission admission = this.services.get(service.name());
-		return (admission != null && applies(service)) ? OptionalDouble.of(admission.reservedShare(rank, organisation))
+		return (admission != null && applies(service))
+				? OptionalDouble.of(admission.reservedShare(position(service, rank, routeRank), organisation))
 				: OptionalDouble.empty();
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/WaitingRequest.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/WaitingRequest.java
@@ -29,6 +29,14 @@
 	 */
 	String tryStart();
 
+	/**
+	 * Sends the request although no capacity is free, if a server can queue it. Called
+	 * when the request can no longer start in time, since a late response costs its
+	 * caller less than a refusal.
+	 * @return {@code true} if it was sent
+	 */
+	boolean startLate();
+
 	/**
 	 * Refuses the request.
 	 * @param type type of the problem
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -76,6 +76,9 @@
 
 	private final WaitingPlain waiting = new WaitingPlain();
 
+	/** Whether the request waits for a slot rather than in the queue of a server. */
+	private boolean withinSlots = true;
+
 	/** Empty if the request does not wait for a slot. */
 	private Optional<RequestAdmission> admission = Optional.empty();
 
@@ -179,7 +182,7 @@
 		if (isRelayPreferred() && passOn(reason)) {
 			return true;
 		}
-		Optional<ServiceInstance> choice = this.servers.choose(this.tried);
+		Optional<ServiceInstance> choice = this.servers.choose(this.tried, this.withinSlots);
 		boolean unreachable = choice.isEmpty()
 				|| this.dependencies.state().unreachableServers().contains(choice.get().id());
 		if (unreachable && isRelayPossible() && passOn(reason)) {
@@ -441,6 +444,13 @@
 					: execution.refuseWithoutCapacity("the request may not be sent any more");
 		}
 
+		@Override
+		public boolean startLate() {
+			PlainExecution execution = PlainExecution.this;
+			execution.withinSlots = false;
+			return execution.mayWait() && execution.sendFirst("queued", execution.dependencies.nowMs());
+		}
+
 		@Override
 		public String refuse(ProblemType type, String reason, long retryAfterMs) {
 			PlainExecution execution = PlainExecution.this;
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainServers.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainServers.java
@@ -31,13 +31,17 @@
 	/**
 	 * Chooses a server.
 	 * @param tried identifiers of servers to which the request was already sent
+	 * @param withinSlots whether servers whose slots are taken are excluded where
+	 * requests wait for capacity
 	 * @return the server, empty if none is left
 	 */
-	Optional<ServiceInstance> choose(Set<String> tried) {
+	Optional<ServiceInstance> choose(Set<String> tried, boolean withinSlots) {
 		Map<String, ServerLoad> loads = this.dependencies.loads().total(this.dependencies.nowMs());
 		Set<String> unavailable = new HashSet<>(tried);
 		ids().stream().filter((id) -> !this.dependencies.permits().mayReceive(id)).forEach(unavailable::add);
-		addFull(unavailable, loads);
+		if (withinSlots) {
+			addFull(unavailable, loads);
+		}
 		Optional<ServiceInstance> preferred = choose(unavailable, loads);
 		preferred.ifPresent((server) -> this.dependencies.limits().recordDemand(server.id()));
 		if (preferred.isEmpty() || this.dependencies.limits().isAllowed(preferred.get().id())) {
@@ -54,7 +58,8 @@
 	// waits for a full server rather than go to one that may be dead.
 	private void addFull(Set<String> unavailable, Map<String, ServerLoad> loads) {
 		OptionalDouble reserved = this.dependencies.admissions()
-			.reservedShare(this.request.service(), this.request.rank(), this.request.organisationName());
+			.reservedShare(this.request.service(), this.request.rank(), this.request.route().rank(),
+					this.request.organisationName());
 		if (reserved.isEmpty()) {
 			return;
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -17,6 +17,7 @@
 import org.medlardrum.decisions.pool.ZoneLinkBudget;
 import org.medlardrum.gateway.internal.load.Reservation;
 import org.medlardrum.gateway.internal.load.ServerLimits;
+import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.routing.RoutedService;
@@ -34,6 +35,8 @@
 
 	private final String organisation;
 
+	private final int routeRank;
+
 	/**
 	 * The chain for which the stream has overdrawn the budget of a link between zones,
 	 * {@code null} if there is none.
@@ -43,10 +46,11 @@
 	/** Whether it is logged that a link has no room for the request. */
 	private boolean linkLimitLogged;
 
-	ChainChooser(RequestDependencies dependencies, String requestId, String organisation) {
+	ChainChooser(RequestDependencies dependencies, GatewayRequest request) {
 		this.dependencies = dependencies;
-		this.requestId = requestId;
-		this.organisation = organisation;
+		this.requestId = request.id();
+		this.organisation = request.organisationName();
+		this.routeRank = request.route().rank();
 	}
 
 	/**
@@ -117,7 +121,7 @@
 	// Leaves the more urgent ranks what they need, instead of a fixed fraction.
 	private double maxUtilisation(RoutedService service, ChainRequest request) {
 		OptionalDouble reserved = this.dependencies.admissions()
-			.reservedShare(service, request.rank(), this.organisation);
+			.reservedShare(service, request.rank(), this.routeRank, this.organisation);
 		return (reserved.isPresent()) ? ChainSearch.maxUtilisation(0) - reserved.getAsDouble()
 				: ChainSearch.maxUtilisation(request.rank());
 	}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
@@ -293,6 +293,12 @@
 					: FirstChainSearch.this.stream.abandon(FirstChainSearch.this.lastFailure);
 		}
 
+		// An engine without free KV cache would preempt another stream.
+		@Override
+		public boolean startLate() {
+			return false;
+		}
+
 		@Override
 		public String refuse(ProblemType type, String detail, long retryAfterMs) {
 			return FirstChainSearch.this.refuse(type, detail, retryAfterMs);
--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/RoutingTable.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/RoutingTable.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * One version of the operator's configuration, indexed for lookups.
@@ -31,6 +32,8 @@
 
 	private final RequestLimits limits;
 
+	private final Map<String, RankOrder> rankOrders = new ConcurrentHashMap<>();
+
 	/**
 	 * Creates a table.
 	 * @param version version of the configuration
@@ -104,6 +107,16 @@
 		return Optional.ofNullable(this.keys.get(key));
 	}
 
+	/**
+	 * Returns the order of a service's requests by urgency.
+	 * @param service name of the service
+	 * @return the order
+	 */
+	public RankOrder rankOrder(String service) {
+		return this.rankOrders.computeIfAbsent(service, (name) -> RankOrder.of(name,
+				this.routesByHost.values().stream().flatMap(List::stream).toList(), this.keys.values()));
+	}
+
 	/**
 	 * Returns a service.
 	 * @param name name of the service
