--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -414,7 +414,7 @@
 				chosen.hops(), this.request.rank(), this.lastEventId);
 		Optional<BackendCall> call = send(address, plan);
 		if (call.isEmpty()) {
-			this.chooser.giveBackTokens(this.request.service(), chainRequest(), chosen.hops());
+			this.chooser.giveBackTokens(this.request.service(), this.search.chainRequest(), chosen.hops());
 			chosen.reservation().close();
 			return null;
 		}
@@ -492,7 +492,7 @@
 		this.excluded.add(faultyServer.map(ServiceInstance::id).orElse(attempt.firstEngine()));
 		faultyServer.ifPresent((server) -> this.dependencies.state()
 			.suspectRefusing(attempt.callingZone(server.id(), ownZone()), server));
-		this.chooser.giveBackTokens(this.request.service(), chainRequest(), attempt.chain().hops());
+		this.chooser.giveBackTokens(this.request.service(), this.search.chainRequest(), attempt.chain().hops());
 		this.chooser.recordRefusedChain(this.request.service(), attempt.engines(), verdict.faultyAddress(), status);
 		return continueAfterFailure(attempt, "not-executed",
 				"status " + status + " from " + verdict.faultyAddress().orElse(attempt.call().address()));
