Keep chains within the 32 engines that a request may name

A zone of 37 engines with memory for one chain was laid out as a chain of 37 engines, and engines refused each request on it with status 400. The zone is divided into two chains, and the search finds no longer chain.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -17,6 +17,12 @@
  */
 public final class ChainSearch {
 
+	/**
+	 * Largest number of engines of a chain. Engines answer requests with longer chains
+	 * with status 400.
+	 */
+	static final int MAX_HOPS = 32;
+
 	/**
 	 * Largest fraction of an engine's KV cache that may be reserved. A reservation counts
 	 * the full expected length of a completion from its start; the remainder absorbs
@@ -121,8 +127,10 @@
 		ChainTable table = new ChainTable(this.snapshot, request, new ChainCosts(this.snapshot, request, crossings));
 		Optional<List<ChainHop>> chain = table.find(maxUtilisation, true);
 		// A chain may visit an engine twice only if it runs part of the engine's layers.
-		// Such a chain is invalid, so the search is repeated with whole ranges.
-		return (chain.isPresent() && hasRepeatedServer(chain.get())) ? table.find(maxUtilisation, false) : chain;
+		// Such a chain is invalid, so the search is repeated with whole ranges, which
+		// also makes chains shorter.
+		boolean valid = chain.isEmpty() || (chain.get().size() <= MAX_HOPS && !hasRepeatedServer(chain.get()));
+		return (valid) ? chain : table.find(maxUtilisation, false).filter((hops) -> hops.size() <= MAX_HOPS);
 	}
 
 	private static boolean hasRepeatedServer(List<ChainHop> chain) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
@@ -96,13 +96,34 @@
 		List<PlacementServer> group = List.copyOf(servers);
 		Map<String, LayerRange> ranges = new LinkedHashMap<>();
 		if (memoryMb >= MIN_CHAIN_MEMORY * weightsMb) {
-			int chains = Math.max(1, (int) (memoryMb / (TARGET_CHAIN_MEMORY * weightsMb)));
-			splitByMemory(group, chains).forEach((chain) -> ranges.putAll(chainLayout(chain, MAX_WEIGHT_MEMORY)));
+			splitByMemory(group, chainCount(memoryMb / weightsMb, group.size()))
+				.forEach((chain) -> ranges.putAll(chainLayout(largest(chain), MAX_WEIGHT_MEMORY)));
 		}
 		if (ranges.isEmpty()) {
-			ranges.putAll(chainLayout(group, MAX_WEIGHT_MEMORY));
+			ranges.putAll(chainLayout(largest(group), MAX_WEIGHT_MEMORY));
 		}
-		return (ranges.isEmpty()) ? chainLayout(group, 1) : ranges;
+		return (ranges.isEmpty()) ? chainLayout(largest(group), 1) : ranges;
+	}
+
+	// A zone of many small engines is divided into more chains than its memory suggests,
+	// because a chain has at most ChainSearch.MAX_HOPS engines.
+	private static int chainCount(double relativeMemory, int engines) {
+		int byMemory = Math.max(1, (int) (relativeMemory / TARGET_CHAIN_MEMORY));
+		int byLength = (engines + ChainSearch.MAX_HOPS - 1) / ChainSearch.MAX_HOPS;
+		return Math.max(byMemory, Math.min(byLength, (int) (relativeMemory / MIN_CHAIN_MEMORY)));
+	}
+
+	// The other engines hold layers in addition.
+	private static List<PlacementServer> largest(List<PlacementServer> chain) {
+		if (chain.size() <= ChainSearch.MAX_HOPS) {
+			return chain;
+		}
+		Comparator<PlacementServer> largestFirst = Comparator
+			.comparingDouble((server) -> -server.acceleratorKind().memoryMb());
+		return chain.stream()
+			.sorted(largestFirst.thenComparing(PlacementServer::id))
+			.limit(ChainSearch.MAX_HOPS)
+			.toList();
 	}
 
 	/**
@@ -128,7 +149,8 @@
 		for (double fraction : new double[] { relaxed, largest }) {
 			Map<String, LayerRange> moves = cheapestMoves(inOrder(servers), fraction);
 			List<PlacementServer> moved = LayerCoverage.withLayers(servers, moves);
-			if (!moves.isEmpty() && LayerCoverage.of(this.pool, moved).requests() >= required) {
+			if (!moves.isEmpty() && fewestHops(moved) <= ChainSearch.MAX_HOPS
+					&& LayerCoverage.of(this.pool, moved).requests() >= required) {
 				return moves;
 			}
 		}
@@ -186,6 +208,27 @@
 		return null;
 	}
 
+	// Number of engines of the shortest complete chain.
+	private int fewestHops(Collection<PlacementServer> servers) {
+		int hops = 0;
+		int covered = 0;
+		while (covered < this.pool.layers()) {
+			int end = covered;
+			int reach = servers.stream()
+				.flatMap((server) -> server.layers().stream())
+				.filter((range) -> range.fromLayer() <= end)
+				.mapToInt(LayerRange::toLayer)
+				.max()
+				.orElse(0);
+			if (reach <= covered) {
+				return UNREACHABLE;
+			}
+			hops++;
+			covered = reach;
+		}
+		return hops;
+	}
+
 	/**
 	 * Returns the entries of a layout that differ from the layers that engines have.
 	 * @param servers the engines with their layers
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/admission/ServiceAdmissionTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/admission/ServiceAdmissionTests.java
@@ -173,6 +173,11 @@
 			return null;
 		}
 
+		@Override
+		public boolean startLate() {
+			return false;
+		}
+
 		@Override
 		public String tryStart() {
 			if (ServiceAdmissionTests.this.free > 0) {
