--- a/medlardrum-state/src/main/java/org/medlardrum/state/routing/RankOrder.java
+++ b/medlardrum-state/src/main/java/org/medlardrum/state/routing/RankOrder.java
@@ -35,13 +35,16 @@
 	 */
 	public static RankOrder of(String service, Collection<ServiceRoute> routes, Collection<KeyHolder> holders) {
 		List<Integer> holderRanks = holders.stream().map(KeyHolder::rank).distinct().toList();
+		if (holderRanks.stream().allMatch((rank) -> rank < 0)) {
+			return new RankOrder(List.of());
+		}
 		TreeSet<Pair> pairs = new TreeSet<>(ORDER);
 		for (ServiceRoute route : routes) {
 			if (route.shares().stream().noneMatch((share) -> share.service().equals(service))) {
 				continue;
 			}
 			// A holder with a negative rank has none of its own.
-			if (route.open() || holderRanks.isEmpty() || holderRanks.stream().anyMatch((rank) -> rank < 0)) {
+			if (route.open() || holderRanks.stream().anyMatch((rank) -> rank < 0)) {
 				pairs.add(new Pair(route.rank(), route.rank()));
 			}
 			holderRanks.stream().filter((rank) -> rank >= 0).forEach((rank) -> pairs.add(new Pair(rank, route.rank())));
@@ -53,9 +56,13 @@
 	 * Returns the position of a request in the order.
 	 * @param rank rank of the request
 	 * @param routeRank rank of its route
-	 * @return number of combinations of ranks that are more urgent, 0 for the most urgent
+	 * @return number of combinations of ranks that are more urgent, 0 for the most
+	 * urgent; the rank of the request if no organisation has a rank of its own
 	 */
 	public int position(int rank, int routeRank) {
+		if (this.pairs.isEmpty()) {
+			return rank;
+		}
 		Pair pair = new Pair(rank, routeRank);
 		return (int) this.pairs.stream().filter((other) -> ORDER.compare(other, pair) < 0).count();
 	}
