Send the last request of refusedChainsTakeNoBudget without time to wait

Since requests wait for the budget of a link, it waited for 4.7 s on a clock that does not run. The count of 8 is unchanged.

--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ScarceLinkTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/ScarceLinkTests.java
@@ -128,7 +128,7 @@
 			this.fixture.registerEngine("e2", next.address(), "a", new LayerRange(0, 4));
 			this.fixture.registerEngine("e3", "127.0.0.1:1", "b", new LayerRange(4, 8));
 			int sent = 0;
-			while (this.fixture.call("POST", "/stream/1").startsWith("HTTP/1.1 200")) {
+			while (this.fixture.callWith("POST", "/stream/1", NO_TIME_TO_WAIT).startsWith("HTTP/1.1 200")) {
 				sent++;
 			}
 			assertThat(sent).isEqualTo(8);
@@ -159,7 +159,7 @@
 			assertThat(first.requests()).hasSize(20);
 			script.set(SERVE);
 			int served = 0;
-			while (this.fixture.call("POST", "/stream/1").startsWith("HTTP/1.1 200")) {
+			while (this.fixture.callWith("POST", "/stream/1", NO_TIME_TO_WAIT).startsWith("HTTP/1.1 200")) {
 				served++;
 			}
 			assertThat(served).isEqualTo(8);
