--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.medlardrum.coordination.follow.PeerConfirmations;
 import org.medlardrum.coordination.follow.StoreReads;
 import org.medlardrum.decisions.memory.ByteBudget;
+import org.medlardrum.gateway.internal.admission.ServiceAdmissions;
 import org.medlardrum.gateway.internal.http.EventLoopServer;
 import org.medlardrum.gateway.internal.http.GatewayHandler;
 import org.medlardrum.gateway.internal.http.GatewayMetrics;
@@ -35,6 +36,7 @@
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.gateway.internal.state.ServerPermits;
 import org.medlardrum.state.Host;
+import org.medlardrum.state.Rank;
 import org.medlardrum.state.routing.RequestLimits;
 import org.medlardrum.state.routing.RoutingTable;
 import org.medlardrum.state.routing.ServiceInstance;
@@ -105,6 +107,8 @@
 
 	private final HttpClientPool clients;
 
+	private final ServiceAdmissions admissions;
+
 	private final GatewayHandler handler;
 
 	private final GatewayHandler relayHandler;
@@ -145,9 +149,13 @@
 		TimerLateness lateness = new TimerLateness(clock, log);
 		this.relayTargets = new RelayTargets(this.state, RandomGenerator.getDefault());
 		this.budget = new ByteBudget(settings.heldBytes(), this.executor::execute);
+		this.admissions = new ServiceAdmissions(this.state, this.executor, log, RandomGenerator.getDefault());
+		loads.onFreed(this.admissions::recordFreed);
+		this.state.onConfiguration(this.admissions::recheck);
+		this.exchange.exchangeDemand(this.admissions::ownDemand, this.admissions::updatePeer);
 		RequestDependencies dependencies = new RequestDependencies(settings, this.state, loads, retries, this.executor,
-				this.clients, dialect, log, metrics, quarantine, limits, new ZoneLinks(this.exchange::peerCount),
-				this.permits,
+				this.clients, dialect, log, metrics, this.admissions, quarantine, limits,
+				new ZoneLinks(this.exchange::peerCount), this.permits,
 				new EngineReports(this.state, this.clients, this.executor, dialect, this.permits, lateness), lateness,
 				this.relayTargets, this.budget, RandomGenerator.getDefault());
 		this.handler = new GatewayHandler(dependencies, false);
@@ -175,6 +183,16 @@
 				this.budget::peakBytes);
 		metrics.gauge("medlardrum_gateway_waiting_responses", "Responses that wait for room among the held bytes",
 				this.budget::waiting);
+		for (Rank rank : Rank.values()) {
+			metrics.gauge("medlardrum_gateway_waiting_requests_" + rank.wireName(),
+					"Requests of rank " + rank.ordinal() + " that wait for capacity",
+					() -> this.admissions.waiting(rank.ordinal()));
+			metrics.gauge("medlardrum_gateway_reserved_capacity_" + rank.wireName(),
+					"Share of a service's capacity that rank " + rank.ordinal() + " leaves to more urgent ranks",
+					() -> this.admissions.largestReservedShare(rank.ordinal()));
+		}
+		metrics.gauge("medlardrum_gateway_oldest_wait_ms", "Time for which the oldest waiting request has waited",
+				this.admissions::oldestWaitMs);
 		metrics.gauge("medlardrum_gateway_denied_engines",
 				"Engines that lately did not hold the layers of their reports", this.permits::deniedEngines);
 		metrics.gauge("medlardrum_gateway_peers", "Other entry hosts heard lately", loads::peerCount);
@@ -265,6 +283,10 @@
 		return this.budget.peakBytes();
 	}
 
+	int waiting() {
+		return this.admissions.waiting();
+	}
+
 	int inProgress() {
 		return this.handler.inProgress() + this.relayHandler.inProgress();
 	}
@@ -396,6 +418,7 @@
 	public void shutDown(Runnable closeOthers) {
 		ShutdownSteps steps = new ShutdownSteps(this.state.clock(), this.log);
 		this.state.drain();
+		this.admissions.stop();
 		this.log.event("process", "draining", "inProgress", inProgress());
 		steps.run("requestsMs", this::awaitRequests);
 		this.log.event("process", "stop", "inProgress", inProgress(), "callers", this.handler.describeInProgress(),
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -3,17 +3,16 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
+import java.util.function.Supplier;
 
-import org.medlardrum.decisions.pool.ServerLoad;
 import org.medlardrum.decisions.routing.SendDenial;
-import org.medlardrum.decisions.routing.ServerSelector;
 import org.medlardrum.gateway.BackendVerdict;
 import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.internal.admission.RequestAdmission;
+import org.medlardrum.gateway.internal.admission.WaitingRequest;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.ReceivedBody;
 import org.medlardrum.gateway.internal.call.Signal;
@@ -47,6 +46,17 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/**
+	 * Fraction of the target latency for which a request may wait; the rest is needed for
+	 * its execution.
+	 */
+	private static final double WAIT_FRACTION_OF_TARGET = 0.5;
+
+	/**
+	 * Part of the target latency that a request is expected to take before any has ended.
+	 */
+	private static final int ESTIMATE_DIVISOR = 2;
+
 	private static final String PART = "plain";
 
 	/** Prefix of the reason of attempts through another host, in metrics. */
@@ -56,12 +66,22 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	private final PlainServers servers;
+
 	private PlainAttempt failedResponse;
 
 	private String lastFailure = "none";
 
 	private long hedgeAtMs = Long.MAX_VALUE;
 
+	private final WaitingPlain waiting = new WaitingPlain();
+
+	/** Whether the request waits for a slot rather than in the queue of a server. */
+	private boolean withinSlots = true;
+
+	/** Empty if the request does not wait for a slot. */
+	private Optional<RequestAdmission> admission = Optional.empty();
+
 	/**
 	 * Creates an execution.
 	 * @param dependencies settings, state and shared objects
@@ -72,19 +92,44 @@
 	public PlainExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
 		super(dependencies, request, response, outcomeListener, PART, MAX_ATTEMPTS);
+		this.servers = new PlainServers(dependencies, request);
 	}
 
 	@Override
 	protected String firstStep() {
 		recordFirstAttempt();
-		if (!send("first")) {
-			return refuseWithoutCapacity("no server of the service is registered or may be sent more requests");
+		this.admission = recordArrival(1, WAIT_FRACTION_OF_TARGET);
+		boolean next = this.admission.map(RequestAdmission::isNext).orElse(true);
+		return (next && sendFirst("first", this.request.arrivedAtMs())) ? null
+				: waitOrRefuse("no server of the service is registered or may be sent more requests");
+	}
+
+	private boolean sendFirst(String reason, long hedgeFromMs) {
+		boolean sent = send(reason);
+		if (sent) {
+			recordStart();
+			if (this.request.route().idempotent()) {
+				this.hedgeAtMs = hedgeFromMs
+						+ (long) (this.request.route().targetLatencyMs() * HEDGE_FRACTION_OF_TARGET);
+			}
 		}
-		if (this.request.route().idempotent()) {
-			this.hedgeAtMs = this.request.arrivedAtMs()
-					+ (long) (this.request.route().targetLatencyMs() * HEDGE_FRACTION_OF_TARGET);
+		return sent;
+	}
+
+	// The admission corrects the estimate by the durations that it has seen.
+	private void recordStart() {
+		this.admission
+			.ifPresent((present) -> present.recordStart(this.request.route().targetLatencyMs() / ESTIMATE_DIVISOR));
+	}
+
+	// Waits for a slot, unless there is no server that could have a free one.
+	private String waitOrRefuse(String detail) {
+		long nowMs = this.dependencies.nowMs();
+		if (!this.admission.map((present) -> present.hasTime(nowMs)).orElse(false) || !mayWait()
+				|| !this.servers.hasUntried(this.tried)) {
+			return refuseWithoutCapacity(detail);
 		}
-		return null;
+		return this.admission.get().await(this.waiting);
 	}
 
 	@Override
@@ -114,6 +159,7 @@
 	@Override
 	protected void close() {
 		this.active.forEach(PlainAttempt::close);
+		this.admission.ifPresent(RequestAdmission::close);
 		if (this.failedResponse != null) {
 			this.failedResponse.close();
 		}
@@ -136,7 +182,7 @@
 		if (isRelayPreferred() && passOn(reason)) {
 			return true;
 		}
-		Optional<ServiceInstance> choice = choose(nowMs);
+		Optional<ServiceInstance> choice = this.servers.choose(this.tried, this.withinSlots);
 		boolean unreachable = choice.isEmpty()
 				|| this.dependencies.state().unreachableServers().contains(choice.get().id());
 		if (unreachable && isRelayPossible() && passOn(reason)) {
@@ -183,39 +229,6 @@
 		return true;
 	}
 
-	private Optional<ServiceInstance> choose(long nowMs) {
-		Set<String> unavailable = new HashSet<>(this.tried);
-		serviceServers().filter((id) -> !this.dependencies.permits().mayReceive(id)).forEach(unavailable::add);
-		Optional<ServiceInstance> preferred = choose(nowMs, unavailable);
-		preferred.ifPresent((server) -> this.dependencies.limits().recordDemand(server.id()));
-		if (preferred.isEmpty() || this.dependencies.limits().isAllowed(preferred.get().id())) {
-			return preferred;
-		}
-		Set<String> excludedServers = new HashSet<>(unavailable);
-		serviceServers().filter((id) -> !this.dependencies.limits().isAllowed(id)).forEach(excludedServers::add);
-		Optional<ServiceInstance> other = choose(nowMs, excludedServers);
-		this.dependencies.limits().logMove(this.request.id(), preferred.get().id(), other.map(ServiceInstance::id));
-		return other;
-	}
-
-	private Stream<String> serviceServers() {
-		return this.dependencies.state()
-			.fleet()
-			.instances(this.request.service().name())
-			.stream()
-			.map(ServiceInstance::id);
-	}
-
-	private Optional<ServiceInstance> choose(long nowMs, Set<String> excludedServers) {
-		String zone = this.dependencies.settings().availabilityZone();
-		Map<String, ServerLoad> loads = this.dependencies.loads().total(nowMs);
-		return ServerSelector.choose(this.dependencies.state().fleet().instances(this.request.service().name()), zone,
-				excludedServers,
-				(server) -> (double) loads.getOrDefault(server.id(), ServerLoad.NONE).sequences()
-						/ Math.max(1, server.slots()),
-				(server) -> this.dependencies.state().isSuspect(zone, server.id(), server.availabilityZone()));
-	}
-
 	private PlainAttempt attemptOf(BackendCall call) {
 		return this.active.stream().filter((attempt) -> attempt.call() == call).findFirst().orElse(null);
 	}
@@ -312,6 +325,7 @@
 		this.dependencies.metrics().recordCompleteResponse(this.request.trafficKind(), tookMs);
 		this.response.deliver(attempt.status(), this.dependencies.dialect().responseHeaders(attempt.headers()),
 				attempt.body());
+		this.admission.ifPresent(RequestAdmission::recordComplete);
 		return (attempt.status() >= SERVER_ERROR) ? "server-error" : ANSWERED;
 	}
 
@@ -357,7 +371,11 @@
 		closeAttempt(attempt);
 		this.dependencies.log()
 			.event(PART, "not-executed", "id", this.request.id(), "server", attempt.server().id(), "reason", reason);
-		if (send("not-executed") || !this.active.isEmpty()) {
+		if (send("not-executed")) {
+			recordStart();
+			return null;
+		}
+		if (!this.active.isEmpty()) {
 			return null;
 		}
 		return abandon();
@@ -380,15 +398,14 @@
 			return deliver(this.failedResponse);
 		}
 		if (this.ledger.possibleExecutions() == 0) {
-			return refuseWithoutCapacity("no server ran the request: " + this.lastFailure);
+			return waitOrRefuse("no server ran the request: " + this.lastFailure);
 		}
 		this.response.fail(ProblemType.BACKEND_FAILED, "The answer was lost: " + this.lastFailure, this.request.rank());
 		return "answer-lost";
 	}
 
 	private String refuseWithoutCapacity(String detail) {
-		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(),
-				comeBackAfterMs(serviceServers().toList()));
+		this.response.refuse(ProblemType.NO_CAPACITY, detail, this.request.rank(), comeBackAfterMs(this.servers.ids()));
 		return "refused";
 	}
 
@@ -401,4 +418,46 @@
 		return "timed-out";
 	}
 
+	/**
+	 * The request as the waitlist uses it.
+	 */
+	private final class WaitingPlain implements WaitingRequest {
+
+		@Override
+		public void run(Supplier<String> step) {
+			runUnlessEnded(step);
+		}
+
+		@Override
+		public String recheck() {
+			return recheckAdmission();
+		}
+
+		@Override
+		public String tryStart() {
+			PlainExecution execution = PlainExecution.this;
+			Optional<SendDenial> denial = sendDenial();
+			if (denial.isEmpty()) {
+				execution.sendFirst("waited", execution.dependencies.nowMs());
+			}
+			return (denial.isEmpty() || denial.get() == SendDenial.SUSPECTED) ? null
+					: execution.refuseWithoutCapacity("the request may not be sent any more");
+		}
+
+		@Override
+		public boolean startLate() {
+			PlainExecution execution = PlainExecution.this;
+			execution.withinSlots = false;
+			return execution.mayWait() && execution.sendFirst("queued", execution.dependencies.nowMs());
+		}
+
+		@Override
+		public String refuse(ProblemType type, String reason, long retryAfterMs) {
+			PlainExecution execution = PlainExecution.this;
+			execution.response.refuse(type, reason, execution.request.rank(), retryAfterMs);
+			return "refused";
+		}
+
+	}
+
 }
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -1,7 +1,9 @@
 package org.medlardrum.gateway.internal.stream;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.medlardrum.decisions.pool.ChainHop;
@@ -15,6 +17,7 @@
 import org.medlardrum.decisions.pool.ZoneLinkBudget;
 import org.medlardrum.gateway.internal.load.Reservation;
 import org.medlardrum.gateway.internal.load.ServerLimits;
+import org.medlardrum.gateway.internal.request.GatewayRequest;
 import org.medlardrum.gateway.internal.request.RequestDependencies;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.state.routing.RoutedService;
@@ -30,6 +33,10 @@
 
 	private final String requestId;
 
+	private final String organisation;
+
+	private final int routeRank;
+
 	/**
 	 * The chain for which the stream has overdrawn the budget of a link between zones,
 	 * {@code null} if there is none.
@@ -39,9 +46,11 @@
 	/** Whether it is logged that a link has no room for the request. */
 	private boolean linkLimitLogged;
 
-	ChainChooser(RequestDependencies dependencies, String requestId) {
+	ChainChooser(RequestDependencies dependencies, GatewayRequest request) {
 		this.dependencies = dependencies;
-		this.requestId = requestId;
+		this.requestId = request.id();
+		this.organisation = request.organisationName();
+		this.routeRank = request.route().rank();
 	}
 
 	/**
@@ -89,8 +98,7 @@
 		ServerLimits limits = this.dependencies.limits();
 		ZoneLinkBudget budget = this.dependencies.zoneLinks().budget(service);
 		long nowMs = this.dependencies.nowMs();
-		double maxUtilisation = (resumes) ? StreamLimits.RESUME_MAX_UTILISATION
-				: ChainSearch.maxUtilisation(request.rank());
+		double maxUtilisation = (resumes) ? StreamLimits.RESUME_MAX_UTILISATION : maxUtilisation(service, request);
 		LinkLimitedSearch.ChainChoice choice = linkLimitedSearch(snapshot, budget, nowMs).find(request, maxUtilisation,
 				resumes && this.overdrawnFor == null);
 		Optional<String> first = choice.preferred().map((hops) -> hops.getFirst().server().id());
@@ -110,6 +118,29 @@
 		return choice.chain();
 	}
 
+	// Leaves the more urgent ranks what they need, instead of a fixed fraction.
+	private double maxUtilisation(RoutedService service, ChainRequest request) {
+		OptionalDouble reserved = this.dependencies.admissions()
+			.reservedShare(service, request.rank(), this.routeRank, this.organisation);
+		return (reserved.isPresent()) ? ChainSearch.maxUtilisation(0) - reserved.getAsDouble()
+				: ChainSearch.maxUtilisation(request.rank());
+	}
+
+	/**
+	 * Returns whether a chain exists for a request if no engine has any load.
+	 * @param service the service
+	 * @param request requirements of the chain
+	 * @param excluded identifiers of engines that must not be used
+	 * @return {@code false} if free capacity alone does not make a chain
+	 */
+	boolean hasChain(RoutedService service, ChainRequest request, Set<String> excluded) {
+		PoolSnapshot snapshot = snapshot(service, excluded);
+		return new ChainSearch(new PoolSnapshot(snapshot.pool(), snapshot.servers(), Map.of(), snapshot.excluded(),
+				snapshot.excludedAsFirst()))
+			.find(request, 1)
+			.isPresent();
+	}
+
 	private LinkLimitedSearch linkLimitedSearch(PoolSnapshot snapshot, ZoneLinkBudget budget, long nowMs) {
 		return new LinkLimitedSearch(snapshot, budget, (server) -> !this.dependencies.limits().isAllowed(server.id()),
 				nowMs);
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
@@ -15,11 +16,10 @@
 import org.medlardrum.decisions.pool.SilentAttempt;
 import org.medlardrum.decisions.pool.StreamLimits;
 import org.medlardrum.decisions.pool.StreamStallDetector;
-import org.medlardrum.decisions.routing.RetryAfter;
 import org.medlardrum.decisions.routing.SendDenial;
 import org.medlardrum.gateway.BackendVerdict;
-import org.medlardrum.gateway.CallerAttributes;
 import org.medlardrum.gateway.ForwardPlan;
+import org.medlardrum.gateway.internal.admission.RequestAdmission;
 import org.medlardrum.gateway.internal.call.BackendCall;
 import org.medlardrum.gateway.internal.call.Signal;
 import org.medlardrum.gateway.internal.relay.RelayTarget;
@@ -30,7 +30,6 @@
 import org.medlardrum.gateway.internal.state.FleetView;
 import org.medlardrum.gateway.internal.state.GatewayState;
 import org.medlardrum.protocol.problem.ProblemType;
-import org.medlardrum.state.routing.ModelPool;
 import org.medlardrum.state.routing.ServiceInstance;
 
 /**
@@ -54,17 +53,6 @@
 	 */
 	private static final long LEAVING_RETRY_INTERVAL_MS = 200;
 
-	/**
-	 * Longest wait of a request with a suspected part of its prompt; the trial of another
-	 * request usually ends within it.
-	 */
-	private static final long MAX_HOLD_MS = 1_000;
-
-	/**
-	 * Interval at which a request that waits for a trial checks whether it may be sent.
-	 */
-	private static final long HOLD_CHECK_INTERVAL_MS = 20;
-
 	/** Size limit of the body of a response that is not a stream. */
 	private static final int MAX_BODY_BYTES = 1024 * 1024;
 
@@ -72,6 +60,12 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/**
+	 * Fraction of the target for the first event for which a request may wait; the rest
+	 * is needed for the prefill.
+	 */
+	private static final double WAIT_FRACTION_OF_TARGET = 0.7;
+
 	private static final String PART = "stream";
 
 	/** Prefix of the reason of attempts through another host, in metrics. */
@@ -87,6 +81,8 @@
 
 	private final StallProbe probe;
 
+	private final FirstChainSearch search;
+
 	private final Set<String> excluded = new HashSet<>();
 
 	/**
@@ -118,18 +114,6 @@
 
 	private long longestGapMs;
 
-	private String lastFailure = "none";
-
-	/**
-	 * Reason of the search for another chain, {@code null} while an attempt is in
-	 * progress.
-	 */
-	private String searchReason;
-
-	private long searchAtMs;
-
-	private long searchUntilMs;
-
 	private long leavingCheckAtMs = Long.MIN_VALUE;
 
 	/**
@@ -142,18 +126,16 @@
 	public StreamExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
 		super(dependencies, request, response, outcomeListener, PART, StreamLimits.MAX_ATTEMPTS);
-		this.chooser = new ChainChooser(dependencies, request.id());
+		this.chooser = new ChainChooser(dependencies, request);
 		this.probe = new StallProbe(dependencies, this::onSignal);
+		this.search = new FirstChainSearch(dependencies, request, response, this.ledger, new SearchedStream());
 		this.lastEventId = request.attributes().lastEventId();
 	}
 
 	@Override
 	protected String firstStep() {
 		recordFirstAttempt();
-		if (sendDenial().equals(Optional.of(SendDenial.SUSPECTED))) {
-			return hold("first", this.dependencies.nowMs());
-		}
-		return (send("first")) ? null : abandon("no chain has room");
+		return this.search.begin();
 	}
 
 	@Override
@@ -172,10 +154,7 @@
 
 	@Override
 	protected long dueAtMs() {
-		long dueMs = this.request.deadlineAtMs();
-		if (this.searchReason != null) {
-			dueMs = Math.min(dueMs, this.searchAtMs);
-		}
+		long dueMs = Math.min(this.request.deadlineAtMs(), this.search.dueAtMs());
 		if (this.current != null) {
 			dueMs = Math.min(dueMs, this.current.stallCheckAtMs());
 		}
@@ -190,8 +169,8 @@
 		if (nowMs >= this.request.deadlineAtMs()) {
 			return onTimeout();
 		}
-		if (this.searchReason != null) {
-			return search(nowMs);
+		if (this.search.isSearching()) {
+			return this.search.search(nowMs);
 		}
 		boolean late = this.dependencies.timerLateness().isLate();
 		for (ChainAttempt attempt : this.successors.listWith(this.current)) {
@@ -207,6 +186,7 @@
 	protected void close() {
 		this.successors.closeAll();
 		endCurrent();
+		this.search.close();
 	}
 
 	// Tries another chain after an unusually long gap between events, or sooner if an
@@ -277,7 +257,7 @@
 				return;
 			}
 		}
-		ChainRequest requirements = chainRequest()
+		ChainRequest requirements = this.search.chainRequest()
 			.preferring(this.chooser.chooseRandomZone(this.request.service(), excludedEngines));
 		if (this.chooser.hasSpareCapacity(this.request.service(), requirements, excludedEngines)) {
 			startSuccessor(REASON_STALLED, "no event for " + silent.eventGaps().currentGapMs(nowMs) + " ms",
@@ -306,8 +286,10 @@
 	}
 
 	private Optional<ChainChooser.ReservedChain> chooseForStall(Set<String> faulty) {
-		return this.chooser.choose(this.request.service(), chainRequest(), excludedWithAttempts(), this.responseStarted)
-			.or(() -> this.chooser.choose(this.request.service(), chainRequest(), faulty, this.responseStarted));
+		return this.chooser
+			.choose(this.request.service(), this.search.chainRequest(), excludedWithAttempts(), this.responseStarted)
+			.or(() -> this.chooser.choose(this.request.service(), this.search.chainRequest(), faulty,
+					this.responseStarted));
 	}
 
 	private void addSuccessor(ChainAttempt attempt) {
@@ -356,7 +338,8 @@
 			this.leavingCheckAtMs = nowMs + LEAVING_RETRY_INTERVAL_MS;
 			Set<String> excludedEngines = new HashSet<>(this.excluded);
 			excludedEngines.add(leaving.get());
-			startSuccessor(REASON_LEAVING, "server " + leaving.get() + " is leaving", excludedEngines, chainRequest());
+			startSuccessor(REASON_LEAVING, "server " + leaving.get() + " is leaving", excludedEngines,
+					this.search.chainRequest());
 		}
 	}
 
@@ -412,7 +395,7 @@
 		}
 		if (this.current == null) {
 			this.current = this.chooser
-				.choose(this.request.service(), chainRequest(), this.excluded, this.responseStarted)
+				.choose(this.request.service(), this.search.chainRequest(), this.excluded, this.responseStarted)
 				.map((chosen) -> startAttempt(chosen, reason, Set.of()))
 				.orElse(null);
 		}
@@ -431,7 +414,7 @@
 				chosen.hops(), this.request.rank(), this.lastEventId);
 		Optional<BackendCall> call = send(address, plan);
 		if (call.isEmpty()) {
-			this.chooser.giveBackTokens(this.request.service(), chainRequest(), chosen.hops());
+			this.chooser.giveBackTokens(this.request.service(), this.search.chainRequest(), chosen.hops());
 			chosen.reservation().close();
 			return null;
 		}
@@ -482,21 +465,6 @@
 					this.ledger.possibleExecutions());
 	}
 
-	private ChainRequest chainRequest() {
-		ModelPool pool = this.request.service().pool().orElseThrow();
-		CallerAttributes attributes = this.request.attributes();
-		int generatedTokens = pool.meanGeneratedTokens();
-		if (attributes.estimatedGeneratedTokens() > 0) {
-			generatedTokens = attributes.estimatedGeneratedTokens();
-		}
-		if (attributes.maxGeneratedTokens() > 0) {
-			generatedTokens = Math.min(generatedTokens, attributes.maxGeneratedTokens());
-		}
-		int promptTokens = (attributes.promptTokens() > 0) ? attributes.promptTokens() : pool.meanPromptTokens();
-		return new ChainRequest(promptTokens, Math.max(1, generatedTokens), this.request.rank(),
-				this.dependencies.settings().availabilityZone());
-	}
-
 	private String onHeader(Signal.Header header) {
 		ChainAttempt attempt = attemptOf(header.call());
 		if (attempt == null) {
@@ -524,7 +492,7 @@
 		this.excluded.add(faultyServer.map(ServiceInstance::id).orElse(attempt.firstEngine()));
 		faultyServer.ifPresent((server) -> this.dependencies.state()
 			.suspectRefusing(attempt.callingZone(server.id(), ownZone()), server));
-		this.chooser.giveBackTokens(this.request.service(), chainRequest(), attempt.chain().hops());
+		this.chooser.giveBackTokens(this.request.service(), this.search.chainRequest(), attempt.chain().hops());
 		this.chooser.recordRefusedChain(this.request.service(), attempt.engines(), verdict.faultyAddress(), status);
 		return continueAfterFailure(attempt, "not-executed",
 				"status " + status + " from " + verdict.faultyAddress().orElse(attempt.call().address()));
@@ -691,6 +659,7 @@
 			this.response.startStream(attempt.status(), attempt.headers(), holdResponse(attempt.firstEngine()));
 		}
 		this.response.finish();
+		this.search.recordComplete();
 		this.dependencies.log()
 			.event(PART, "whole", "id", this.request.id(), "firstMs", this.firstEventMs, "longestGapMs",
 					this.longestGapMs, "events", this.eventsDelivered, "attempts", this.ledger.sends());
@@ -793,24 +762,13 @@
 			onFailedSuccessor(failed);
 			return null;
 		}
-		this.lastFailure = reason;
+		this.search.recordFailure(reason);
 		if (!this.successors.isEmpty()) {
 			promoteSuccessor(this.successors.oldest(), reason);
 			return null;
 		}
 		endCurrent();
-		long nowMs = this.dependencies.nowMs();
-		Optional<SendDenial> denial = sendDenial();
-		if (denial.equals(Optional.of(SendDenial.SUSPECTED))) {
-			return hold(event, nowMs);
-		}
-		if (denial.isPresent()) {
-			logDenial(denial.get());
-			return abandon(reason);
-		}
-		this.searchReason = event;
-		this.searchUntilMs = nowMs + ((this.responseStarted) ? StreamLimits.MAX_RESUME_SEARCH_MS : 0);
-		return search(nowMs);
+		return this.search.beginAgain(event, reason, (this.responseStarted) ? StreamLimits.MAX_RESUME_SEARCH_MS : 0);
 	}
 
 	private void onFailedSuccessor(ChainAttempt failed) {
@@ -828,47 +786,6 @@
 		return this.chooser.hasSpareFirstEngine(this.request.service());
 	}
 
-	// Waits until the suspected part of the prompt is cleared or this request may try it.
-	private String hold(String reason, long nowMs) {
-		logDenial(SendDenial.SUSPECTED);
-		this.lastFailure = "a part of the prompt may have crashed a server";
-		this.searchReason = reason;
-		this.searchUntilMs = nowMs + MAX_HOLD_MS;
-		this.searchAtMs = nowMs + HOLD_CHECK_INTERVAL_MS;
-		return null;
-	}
-
-	// Searches until a chain has room, the search has lasted too long, or the request
-	// must
-	// not be sent any more.
-	private String search(long nowMs) {
-		Optional<SendDenial> denial = sendDenial();
-		boolean held = denial.equals(Optional.of(SendDenial.SUSPECTED));
-		if (!held && send(this.searchReason)) {
-			this.searchReason = null;
-			return null;
-		}
-		this.searchAtMs = nowMs + ((held) ? HOLD_CHECK_INTERVAL_MS : StreamLimits.SEARCH_RETRY_INTERVAL_MS);
-		if (held && nowMs < this.searchUntilMs) {
-			return null;
-		}
-		if (held && this.ledger.possibleExecutions() == 0) {
-			return refuseSuspected();
-		}
-		return (nowMs >= this.searchUntilMs || sendDenial().isPresent()) ? abandon(this.lastFailure) : null;
-	}
-
-	private String refuseSuspected() {
-		long retryAfterMs = RetryAfter.overloadedMs(this.request.rank(),
-				this.request.deadlineAtMs() - this.dependencies.nowMs(), this.dependencies.random());
-		this.dependencies.log()
-			.event(PART, "refuse", "id", this.request.id(), "reason", SendDenial.SUSPECTED.label(), "rank",
-					this.request.rank(), "retryAfterMs", retryAfterMs);
-		this.response.refuse(ProblemType.QUARANTINED, "A part of the prompt may have crashed a server",
-				this.request.rank(), retryAfterMs);
-		return "refused";
-	}
-
 	private String abandon(String reason) {
 		if (this.responseStarted) {
 			this.response.abort();
@@ -878,13 +795,8 @@
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
-		long retryAfterMs = comeBackAfterMs(this.chooser.firstEngines(this.request.service()));
-		this.dependencies.log()
-			.event(PART, "refuse", "id", this.request.id(), "reason", reason, "lastFailure", this.lastFailure, "rank",
-					this.request.rank(), "retryAfterMs", retryAfterMs, "peers", this.dependencies.loads().peerCount());
-		this.response.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
-				this.request.rank(), retryAfterMs);
-		return "refused";
+		return this.search.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
+				comeBackAfterMs(this.chooser.firstEngines(this.request.service())));
 	}
 
 	private String onTimeout() {
@@ -896,4 +808,53 @@
 		return "timed-out";
 	}
 
+	/**
+	 * Connects the search with the attempts of this stream.
+	 */
+	private final class SearchedStream implements FirstChainSearch.Stream {
+
+		@Override
+		public Optional<RequestAdmission> recordArrival(double work) {
+			return StreamExecution.this.recordArrival(work, WAIT_FRACTION_OF_TARGET);
+		}
+
+		@Override
+		public boolean mayWait() {
+			return StreamExecution.this.mayWait()
+					&& StreamExecution.this.chooser.hasChain(StreamExecution.this.request.service(),
+							StreamExecution.this.search.chainRequest(), StreamExecution.this.excluded);
+		}
+
+		@Override
+		public void run(Supplier<String> step) {
+			runUnlessEnded(step);
+		}
+
+		@Override
+		public String recheck() {
+			return recheckAdmission();
+		}
+
+		@Override
+		public Optional<SendDenial> denial() {
+			return sendDenial();
+		}
+
+		@Override
+		public void logDenial(SendDenial denial) {
+			StreamExecution.this.logDenial(denial);
+		}
+
+		@Override
+		public boolean send(String reason) {
+			return StreamExecution.this.send(reason);
+		}
+
+		@Override
+		public String abandon(String reason) {
+			return StreamExecution.this.abandon(reason);
+		}
+
+	}
+
 }
