Name the engine in orders, check the lease before each, and let former layers expire

A review of the layer placement found by reading that an order went to an address: an engine that has the address of a crashed one could be ordered to hold more than its memory. The order now names the engine, and any other one answers 421. The report before an order may take as long as the lease was still valid, so the lease is renewed and checked between them.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/LayerOrders.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/LayerOrders.java
@@ -20,13 +20,15 @@
 
 	/**
 	 * Orders an engine to replace the layers that it holds. The engine refuses the order
-	 * if it has accepted another one since the report.
+	 * if it has accepted another one since the report, or if another engine now has the
+	 * address, which may have less memory.
+	 * @param engineId identifier of the engine
 	 * @param address {@code ip:port} of the engine
 	 * @param layers the layers to hold
 	 * @param expectedOrders number of accepted orders in the report
 	 * @param timeoutMs longest duration of the call
 	 * @return the result
 	 */
-	OrderResult place(String address, LayerRange layers, long expectedOrders, long timeoutMs);
+	OrderResult place(String engineId, String address, LayerRange layers, long expectedOrders, long timeoutMs);
 
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -259,6 +259,7 @@
 			if (history.isRestartCheckDue(server, this.clock.millis())) {
 				history.recordRestartCheck(server.id(),
 						this.engines.report(server.address(), this.options.orderTimeoutMs()), this.clock.millis());
+				this.lease.renew();
 			}
 			LayerRange desired = history.desiredLayers(server).orElse(null);
 			if (desired != null && history.isDue(server.id(), this.clock.millis())
@@ -292,7 +293,12 @@
 			history.recordOrder(server.id(), this.clock.millis());
 			return;
 		}
-		OrderResult result = this.engines.place(server.address(), desired, report.get().acceptedOrders(),
+		// The report may have taken most of the time for which the lease was valid.
+		this.lease.renew();
+		if (!this.lease.maySendFirst()) {
+			return;
+		}
+		OrderResult result = this.engines.place(server.id(), server.address(), desired, report.get().acceptedOrders(),
 				this.options.orderTimeoutMs());
 		Logger.info("placement: engine {} at {} ordered to hold layers {} to {}: {}", server.id(), server.address(),
 				desired.fromLayer(), desired.toLayer(), result);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -41,6 +41,13 @@
 	/** Time between two calls of an unresponsive engine. */
 	private static final long CALL_AGAIN_MS = 1_000;
 
+	/**
+	 * Time for which the layers of an engine that holds none any more are kept for the
+	 * next engine at its address. An engine that fails again and again while it loads
+	 * would otherwise keep its zone from being laid out without it.
+	 */
+	private static final long FORMER_LAYERS_MS = 2 * GIVE_UP_MS;
+
 	/** Time for the engine that a new engine replaces to announce that it leaves. */
 	private static final long NEW_SERVER_WAIT_MS = 1_500;
 
@@ -85,9 +92,9 @@
 			Optional.ofNullable(this.pendingById.get(server.id()))
 				.map(PendingOrder::layers)
 				.or(server::layers)
-				.ifPresent((layers) -> this.formerByAddress.put(server.address(),
-						new FormerLayers(server.availabilityZone(), server.acceleratorKind().name(), layers)));
+				.ifPresent((layers) -> recordFormerLayers(server, layers, nowMs));
 		}
+		this.formerByAddress.values().removeIf((former) -> nowMs - former.heldAtMs >= FORMER_LAYERS_MS);
 		this.seenById.entrySet().removeIf((entry) -> {
 			boolean removed = !present.contains(entry.getKey());
 			if (removed) {
@@ -101,6 +108,13 @@
 		this.observed = true;
 	}
 
+	private void recordFormerLayers(PlacementServer server, LayerRange layers, long nowMs) {
+		FormerLayers before = this.formerByAddress.get(server.address());
+		long heldAtMs = (server.layers().isPresent() || before == null) ? nowMs : before.heldAtMs;
+		this.formerByAddress.put(server.address(),
+				new FormerLayers(server.availabilityZone(), server.acceleratorKind().name(), layers, heldAtMs));
+	}
+
 	// At the first look, engines with layers were registered before, and others may just
 	// have been removed.
 	private void recordAdded(PlacementServer server, ZoneTimes times, long nowMs) {
@@ -334,8 +348,10 @@
 	 * @param zone availability zone of the engine
 	 * @param kind kind of its accelerator; another one may have less memory
 	 * @param layers the layers
+	 * @param heldAtMs time at which an engine at the address last held layers, or was
+	 * first ordered to
 	 */
-	private record FormerLayers(String zone, String kind, LayerRange layers) {
+	private record FormerLayers(String zone, String kind, LayerRange layers, long heldAtMs) {
 	}
 
 }
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
@@ -256,8 +256,11 @@
 	}
 
 	@Override
-	public OrderResult place(String address, LayerRange layers, long expectedOrders, long timeoutMs) {
+	public OrderResult place(String engineId, String address, LayerRange layers, long expectedOrders, long timeoutMs) {
 		Engine engine = engine(address).orElseThrow();
+		if (!engine.id.equals(engineId)) {
+			return new OrderResult.Refused("status 421");
+		}
 		this.orders.add(engine.id + ' ' + layers.fromLayer() + '-' + layers.toLayer());
 		if (engine.acceptedOrders != expectedOrders || this.random.nextDouble() < this.refusedShare) {
 			return new OrderResult.Refused("outdated report");
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementIssuerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/PlacementIssuerTests.java
@@ -182,8 +182,12 @@
 		}
 
 		@Override
-		public OrderResult place(String address, LayerRange range, long expectedOrders, long timeoutMs) {
+		public OrderResult place(String engineId, String address, LayerRange range, long expectedOrders,
+				long timeoutMs) {
 			String id = id(address);
+			if (!id.equals(engineId)) {
+				return new OrderResult.Refused("status 421");
+			}
 			this.placed.add(id);
 			if (this.losesResponses) {
 				return new OrderResult.Unknown("response lost");
