Do not lose started or late requests for want of a slot

A review of the admission found by reading that a plain request whose first server crashed was not retried while the others' slots were taken, that a request past its last start was refused without a place in a server's queue, that requests given up for others overtook those that wait, and that requests that cannot wait were refused untried behind waiting ones.

The tests of admission, plain and streamed requests of both modules pass.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/AdmissionWaitlist.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/admission/AdmissionWaitlist.java
@@ -100,6 +100,16 @@
 		return new AdmissionOutcome.Wait();
 	}
 
+	/**
+	 * Returns whether a request was refused because it can no longer start in time, and
+	 * not because others came before it.
+	 * @param reason reason of the refusal
+	 * @return {@code true} if a late start is all that is left
+	 */
+	public static boolean isTooLate(String reason) {
+		return reason.equals(PASSED) || reason.equals(TOO_LATE);
+	}
+
 	/**
 	 * Returns whether a request may be tried before any waiting one. A request that
 	 * arrives while others wait is otherwise offered and tried in its turn, so that it
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/admission/ServiceAdmission.java
@@ -204,7 +204,7 @@
 
 	private String startLateOrRefuse(RequestAdmission admission, WaitingRequest request, String event, String reason,
 			long returnAfterMs) {
-		if (request.startLate()) {
+		if (AdmissionWaitlist.isTooLate(reason) && request.startLate()) {
 			return null;
 		}
 		long nowMs = this.clockMs.getAsLong();
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/plain/PlainExecution.java
@@ -77,7 +77,7 @@
 	private final WaitingPlain waiting = new WaitingPlain();
 
 	/** Whether the request waits for a slot rather than in the queue of a server. */
-	private boolean withinSlots = true;
+	private boolean withinSlots;
 
 	/** Empty if the request does not wait for a slot. */
 	private Optional<RequestAdmission> admission = Optional.empty();
@@ -99,11 +99,19 @@
 	protected String firstStep() {
 		recordFirstAttempt();
 		this.admission = recordArrival(1, WAIT_FRACTION_OF_TARGET);
-		boolean next = this.admission.map(RequestAdmission::isNext).orElse(true);
+		// A request that another host has passed on does not wait.
+		this.withinSlots = this.admission.isPresent();
+		boolean next = this.admission.map(RequestAdmission::isNext).orElse(true) || !hasTime() || !mayWait();
 		return (next && sendFirst("first", this.request.arrivedAtMs())) ? null
 				: waitOrRefuse("no server of the service is registered or may be sent more requests");
 	}
 
+	// A request that a server may have run must not be lost for want of a slot.
+	private boolean mustFindSlot() {
+		return this.withinSlots && this.ledger.possibleExecutions() == this.active.size()
+				&& this.failedResponse == null;
+	}
+
 	private boolean sendFirst(String reason, long hedgeFromMs) {
 		boolean sent = send(reason);
 		if (sent) {
@@ -124,14 +132,20 @@
 
 	// Waits for a slot, unless there is no server that could have a free one.
 	private String waitOrRefuse(String detail) {
-		long nowMs = this.dependencies.nowMs();
-		if (!this.admission.map((present) -> present.hasTime(nowMs)).orElse(false) || !mayWait()
-				|| !this.servers.hasUntried(this.tried)) {
+		if (this.admission.isPresent() && !hasTime() && this.waiting.startLate()) {
+			return null;
+		}
+		if (!hasTime() || !mayWait() || !this.servers.hasUntried(this.tried)) {
 			return refuseWithoutCapacity(detail);
 		}
+		this.hedgeAtMs = Long.MAX_VALUE;
 		return this.admission.get().await(this.waiting);
 	}
 
+	private boolean hasTime() {
+		return this.admission.map((present) -> present.hasTime(this.dependencies.nowMs())).orElse(false);
+	}
+
 	@Override
 	protected String handleSignal(Signal signal) {
 		return switch (signal) {
@@ -182,7 +196,7 @@
 		if (isRelayPreferred() && passOn(reason)) {
 			return true;
 		}
-		Optional<ServiceInstance> choice = this.servers.choose(this.tried, this.withinSlots);
+		Optional<ServiceInstance> choice = this.servers.choose(this.tried, mustFindSlot());
 		boolean unreachable = choice.isEmpty()
 				|| this.dependencies.state().unreachableServers().contains(choice.get().id());
 		if (unreachable && isRelayPossible() && passOn(reason)) {
@@ -454,6 +468,9 @@
 		@Override
 		public String refuse(ProblemType type, String reason, long retryAfterMs) {
 			PlainExecution execution = PlainExecution.this;
+			if (execution.ledger.possibleExecutions() > 0) {
+				return execution.abandon();
+			}
 			execution.response.refuse(type, reason, execution.request.rank(), retryAfterMs);
 			return "refused";
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
@@ -37,6 +38,8 @@
 
 	private final int routeRank;
 
+	private final BooleanSupplier mayHaveRun;
+
 	/**
 	 * The chain for which the stream has overdrawn the budget of a link between zones,
 	 * {@code null} if there is none.
@@ -46,11 +49,18 @@
 	/** Whether it is logged that a link has no room for the request. */
 	private boolean linkLimitLogged;
 
-	ChainChooser(RequestDependencies dependencies, GatewayRequest request) {
+	/**
+	 * Creates a chooser.
+	 * @param dependencies settings, state and shared objects
+	 * @param request the request
+	 * @param mayHaveRun whether an engine may have run the request
+	 */
+	ChainChooser(RequestDependencies dependencies, GatewayRequest request, BooleanSupplier mayHaveRun) {
 		this.dependencies = dependencies;
 		this.requestId = request.id();
 		this.organisation = request.organisationName();
 		this.routeRank = request.route().rank();
+		this.mayHaveRun = mayHaveRun;
 	}
 
 	/**
@@ -118,8 +128,12 @@
 		return choice.chain();
 	}
 
-	// Leaves the more urgent ranks what they need, instead of a fixed fraction.
+	// Leaves the more urgent ranks what they need, instead of a fixed fraction. A stream
+	// that an engine may have run would be lost for the reserve, so it takes from it.
 	private double maxUtilisation(RoutedService service, ChainRequest request) {
+		if (this.mayHaveRun.getAsBoolean()) {
+			return ChainSearch.maxUtilisation(request.rank());
+		}
 		OptionalDouble reserved = this.dependencies.admissions()
 			.reservedShare(service, request.rank(), this.routeRank, this.organisation);
 		return (reserved.isPresent()) ? ChainSearch.maxUtilisation(0) - reserved.getAsDouble()
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/FirstChainSearch.java
@@ -127,8 +127,13 @@
 		if (isSuspected(this.stream.denial())) {
 			return hold(FIRST);
 		}
-		boolean next = this.admission.map(RequestAdmission::isNext).orElse(true);
-		return (next && send(FIRST)) ? null : waitOrAbandon(FIRST, "no chain has room");
+		return (mayBeTried() && send(FIRST)) ? null : waitOrAbandon(FIRST, "no chain has room");
+	}
+
+	// A request that cannot wait is tried although others wait.
+	private boolean mayBeTried() {
+		return this.admission.map((present) -> present.isNext() || !present.hasTime(this.dependencies.nowMs()))
+			.orElse(true) || !this.stream.mayWait();
 	}
 
 	private boolean send(String event) {
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -126,7 +126,7 @@
 	public StreamExecution(RequestDependencies dependencies, GatewayRequest request, CallerResponse response,
 			Consumer<String> outcomeListener) {
 		super(dependencies, request, response, outcomeListener, PART, StreamLimits.MAX_ATTEMPTS);
-		this.chooser = new ChainChooser(dependencies, request);
+		this.chooser = new ChainChooser(dependencies, request, () -> this.ledger.possibleExecutions() > 0);
 		this.probe = new StallProbe(dependencies, this::onSignal);
 		this.search = new FirstChainSearch(dependencies, request, response, this.ledger, new SearchedStream());
 		this.lastEventId = request.attributes().lastEventId();
