--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LinkLimitedSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LinkLimitedSearch.java
@@ -47,7 +47,7 @@
 	 * @param request the request
 	 * @param maxUtilisation largest fraction of the KV cache that may be reserved,
 	 * including this request
-	 * @param mayOverdraw whether the budget may be overdrawn
+	 * @param mayOverdraw whether the budget of links without debt may be overdrawn
 	 * @return the chain and what it was preferred to
 	 */
 	public ChainChoice find(ChainRequest request, double maxUtilisation, boolean mayOverdraw) {
@@ -68,7 +68,8 @@
 	}
 
 	private Set<String> refusedLinks(List<ChainHop> chain, ChainRequest request, boolean mayOverdraw) {
-		return (mayOverdraw) ? Set.of() : this.budget.shortLinks(chain, request.tokensAtEnd(), this.nowMs);
+		return (mayOverdraw) ? this.budget.indebtedLinks(chain, this.nowMs)
+				: this.budget.shortLinks(chain, request.tokensAtEnd(), this.nowMs);
 	}
 
 	/**
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLinkBudget.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLinkBudget.java
@@ -82,6 +82,21 @@
 		return links;
 	}
 
+	/**
+	 * Returns the links of a chain whose buckets are in debt. After the loss of a chain
+	 * all its streams resume at the same moment; if each of them could overdraw the
+	 * budget, they would fill the links and stall.
+	 * @param chain the chain
+	 * @param nowMs current time on the monotonic clock
+	 * @return the links by {@link ModelPool#zonePairKey}, empty if a started stream may
+	 * use the chain
+	 */
+	public synchronized Set<String> indebtedLinks(List<ChainHop> chain, long nowMs) {
+		Set<String> links = new TreeSet<>(ChainZones.crossings(chain).keySet());
+		links.removeIf((link) -> bucket(link, nowMs).tokens >= 0);
+		return links;
+	}
+
 	/**
 	 * Takes the tokens of a chain for each of its crossings.
 	 * @param chain the chain
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LinkLimitedSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LinkLimitedSearchTests.java
@@ -168,6 +168,22 @@
 		assertThat(find(snapshot, budget, request("a"), false, 2_800)).isPresent();
 	}
 
+	/**
+	 * Guards against links that are filled after the loss of a chain, when all its
+	 * streams resume over them at the same moment.
+	 */
+	@Test
+	void streamsThatResumeTogetherDoNotFillALink() {
+		PoolSnapshot snapshot = snapshot(brokenZones(), Map.of());
+		ZoneLinkBudget budget = budgetOfOneHost();
+		int resumed = 0;
+		for (int i = 0; i < 10; i++) {
+			resumed += (find(snapshot, budget, request("a"), true, 0).isPresent()) ? 1 : 0;
+		}
+		assertThat(resumed).isEqualTo(2);
+		assertThat(find(snapshot, budget, request("a"), true, 1_400)).isPresent();
+	}
+
 	/** A typical request fills a bucket, so the second crossing of a link is a debt. */
 	@Test
 	void chainThatCrossesALinkTwiceTakesItsTokensTwice() {
