Log which resource a stream without a chain lacks, and what layouts can run

A refusal said 'no chain has room' only, the load of first engines was not logged, and a layout was logged without its capacity.

Change: stream event 'shortage' with the limit and the load of the first engines, the load of the chosen first engine in 'send', the counter medlardrum_gateway_chain_shortages_total by limit, and the capacity of each layout by resource with the one that limits it. PlacementServer has the slots of its engine for this. No decision changes.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PlacementIssuer.java
@@ -248,9 +248,12 @@
 	private void place(PoolPlacement placement, PoolHistory history, PlacementView.Result result) {
 		for (PlacementView.Layout layout : result.layouts()) {
 			Logger.info(
-					"placement: zone {} laid out again: {}, {} of {} engines receive new layers {}, gain {} requests",
+					"placement: zone {} laid out again: {}, {} of {} engines receive new layers {}, gain {} requests, "
+							+ "room for {} requests in the KV cache and for {} at first engines, limit {}",
 					String.join(", ", layout.zones()), layout.reason(), layout.moves().size(),
-					placement.servers().size(), layout.moves(), Math.round(layout.gainRequests()));
+					placement.servers().size(), layout.moves(), Math.round(layout.gainRequests()),
+					Math.round(layout.capacity().cacheRequests()), Math.round(layout.capacity().firstEngineRequests()),
+					layout.capacity().limit().label());
 			this.layouts.increment();
 			history.discardFormerLayers(layout.zones());
 		}
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/orders/PoolHistory.java
@@ -171,8 +171,7 @@
 		return new PlacementView(placement.servers()
 			.stream()
 			.filter((server) -> !isGivenUp(server.id(), nowMs))
-			.map((server) -> new PlacementServer(server.id(), server.address(), server.availabilityZone(),
-					server.acceleratorKind(), Optional.ofNullable(expected.get(server.id())).or(server::layers)))
+			.map((server) -> server.withLayers(Optional.ofNullable(expected.get(server.id())).or(server::layers)))
 			.toList(), unconfirmed, waiting, changes, this.poolTimes.change(nowMs));
 	}
 
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/orders/EngineFleet.java
@@ -33,6 +33,8 @@
 	static final ModelPool POOL = new ModelPool("model", 80, 1_750, 469_970, 0.85, 0.00547, 0.00734, 196, 14_000,
 			Map.of("fast", FAST, "medium", MEDIUM, "slow", SLOW), Map.of(), 23_498, 4_300, 772, 138);
 
+	private static final int SLOTS = 134;
+
 	private static final long HEARTBEAT_MS = 1_200;
 
 	/** Silence after which the registry removes an engine. */
@@ -198,7 +200,7 @@
 		return this.byId.values()
 			.stream()
 			.map((engine) -> new PlacementServer(engine.id, engine.address, engine.zone, engine.kind,
-					layers.apply(engine)))
+					layers.apply(engine), SLOTS))
 			.sorted(Comparator.comparing(PlacementServer::id))
 			.toList();
 	}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerCoverage.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerCoverage.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 
 import org.medlardrum.state.LayerRange;
-import org.medlardrum.state.routing.AcceleratorKind;
 import org.medlardrum.state.routing.ModelPool;
 
 /**
@@ -22,6 +21,8 @@
 
 	private final int[] holders;
 
+	private long firstEngineSlots;
+
 	LayerCoverage(ModelPool pool) {
 		this.pool = pool;
 		this.tokens = new long[pool.layers()];
@@ -36,8 +37,7 @@
 	 */
 	static LayerCoverage of(ModelPool pool, Collection<PlacementServer> servers) {
 		LayerCoverage coverage = new LayerCoverage(pool);
-		servers
-			.forEach((server) -> server.layers().ifPresent((range) -> coverage.add(server.acceleratorKind(), range)));
+		servers.forEach((server) -> server.layers().ifPresent((range) -> coverage.add(server, range)));
 		return coverage;
 	}
 
@@ -50,21 +50,22 @@
 	static List<PlacementServer> withLayers(Collection<PlacementServer> servers, Map<String, LayerRange> plan) {
 		return servers.stream()
 			.map((server) -> (!plan.containsKey(server.id())) ? server
-					: new PlacementServer(server.id(), server.address(), server.availabilityZone(),
-							server.acceleratorKind(), Optional.of(plan.get(server.id()))))
+					: server.withLayers(Optional.of(plan.get(server.id()))))
 			.toList();
 	}
 
-	void add(AcceleratorKind kind, LayerRange range) {
-		add(kind, range, 1);
+	void add(PlacementServer server, LayerRange range) {
+		add(server, range, 1);
 	}
 
-	void remove(AcceleratorKind kind, LayerRange range) {
-		add(kind, range, -1);
+	void remove(PlacementServer server, LayerRange range) {
+		add(server, range, -1);
 	}
 
-	private void add(AcceleratorKind kind, LayerRange range, int sign) {
-		long tokensPerLayer = Math.max(1, this.pool.tokenLayerCapacity(kind, range.length()) / range.length());
+	private void add(PlacementServer server, LayerRange range, int sign) {
+		long tokensPerLayer = Math.max(1,
+				this.pool.tokenLayerCapacity(server.acceleratorKind(), range.length()) / range.length());
+		this.firstEngineSlots += (range.fromLayer() == 0) ? (long) sign * server.slots() : 0;
 		for (int layer = range.fromLayer(); layer < Math.min(range.toLayer(), this.tokens.length); layer++) {
 			this.tokens[layer] += sign * tokensPerLayer;
 			this.holders[layer] += sign;
@@ -127,6 +128,14 @@
 		return (double) Arrays.stream(this.tokens).min().orElse(0) / typicalTokens(this.pool);
 	}
 
+	/**
+	 * Returns how many typical streams the engines can run at the same time, by resource.
+	 * @return the capacity
+	 */
+	LayoutCapacity capacity() {
+		return new LayoutCapacity(requests(), this.firstEngineSlots);
+	}
+
 	/**
 	 * Returns the prompt and generated tokens of a typical request.
 	 * @param pool parameters of the pool
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -109,7 +109,7 @@
 			if (server.layers().isEmpty() && length > 0) {
 				LayerRange range = coverage.leastCovered(length);
 				additions.put(server.id(), range);
-				coverage.add(server.acceleratorKind(), range);
+				coverage.add(server, range);
 			}
 		}
 		return additions;
@@ -136,7 +136,7 @@
 		holding.forEach((server) -> server.layers()
 			.ifPresent((range) -> heldByZone
 				.computeIfAbsent(server.availabilityZone(), (zone) -> new LayerCoverage(this.pool))
-				.add(server.acceleratorKind(), range)));
+				.add(server, range)));
 		Map<String, Integer> longest = longestRanges(all);
 		Optional<PlacementServer> redundant = holding.stream()
 			.filter((server) -> server.layers().isPresent())
@@ -147,13 +147,13 @@
 			return Map.of();
 		}
 		PlacementServer server = redundant.get();
-		coverage.remove(server.acceleratorKind(), server.layers().orElseThrow());
+		coverage.remove(server, server.layers().orElseThrow());
 		int length = typicalLength(server.acceleratorKind(), longest);
 		if (length < 1) {
 			return Map.of();
 		}
 		LayerRange range = coverage.leastCovered(length);
-		coverage.add(server.acceleratorKind(), range);
+		coverage.add(server, range);
 		return (coverage.gapLayers() < missing) ? Map.of(server.id(), range) : Map.of();
 	}
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
@@ -99,8 +99,8 @@
 			return new Result(Map.of(), List.of(), incomplete, !view.servers().isEmpty());
 		}
 		Map<String, LayerRange> plan = this.planner.plan(view.servers());
-		double requests = LayerCoverage.of(this.pool, LayerCoverage.withLayers(view.servers(), plan)).requests();
-		Layout layout = new Layout(zones(view.servers()), "first placement", plan, requests);
+		LayoutCapacity capacity = capacity(view.servers(), plan);
+		Layout layout = new Layout(zones(view.servers()), "first placement", plan, capacity.cacheRequests(), capacity);
 		return new Result(plan, (plan.isEmpty()) ? List.of() : List.of(layout), incomplete, true);
 	}
 
@@ -129,9 +129,10 @@
 			return Optional.empty();
 		}
 		Map<String, LayerRange> moves = (complete) ? begun : this.layouts.rearrange(group.servers);
-		double requests = LayerCoverage.of(this.pool, LayerCoverage.withLayers(group.servers, moves)).requests();
-		Proposal proposal = new Proposal(group, new Layout(zones(group.servers), "no complete chain", moves, requests),
-				requests);
+		LayoutCapacity capacity = capacity(group.servers, moves);
+		double requests = capacity.cacheRequests();
+		Proposal proposal = new Proposal(group,
+				new Layout(zones(group.servers), "no complete chain", moves, requests, capacity), requests);
 		if (!forming && emptyIds.containsAll(moves.keySet())) {
 			return Optional.of(proposal);
 		}
@@ -168,10 +169,15 @@
 				bestService = service;
 			}
 		}
-		Layout layout = new Layout(zones(group.servers), "more service", best, bestAfter - before);
+		Layout layout = new Layout(zones(group.servers), "more service", best, bestAfter - before,
+				capacity(group.servers, best));
 		return (best.isEmpty()) ? Optional.empty() : Optional.of(new Proposal(group, layout, bestAfter - before));
 	}
 
+	private LayoutCapacity capacity(Collection<PlacementServer> servers, Map<String, LayerRange> moves) {
+		return LayerCoverage.of(this.pool, LayerCoverage.withLayers(servers, moves)).capacity();
+	}
+
 	private double loadMs(Collection<PlacementServer> servers, Map<String, LayerRange> moves) {
 		int most = servers.stream()
 			.filter((server) -> moves.containsKey(server.id()))
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementServer.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementServer.java
@@ -13,7 +13,20 @@
  * @param availabilityZone availability zone of the engine
  * @param acceleratorKind kind of accelerator
  * @param layers layers that it holds or has been ordered to load, empty for none
+ * @param slots largest number of concurrent requests for which it is the first engine of
+ * the chain
  */
 public record PlacementServer(String id, String address, String availabilityZone, AcceleratorKind acceleratorKind,
-		Optional<LayerRange> layers) {
+		Optional<LayerRange> layers, int slots) {
+
+	/**
+	 * Returns this engine with other layers.
+	 * @param newLayers the layers, empty for none
+	 * @return the engine
+	 */
+	public PlacementServer withLayers(Optional<LayerRange> newLayers) {
+		return new PlacementServer(this.id, this.address, this.availabilityZone, this.acceleratorKind, newLayers,
+				this.slots);
+	}
+
 }
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementView.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/PlacementView.java
@@ -43,8 +43,10 @@
 	 * @param reason why it is laid out
 	 * @param moves new layers by identifier of the engine
 	 * @param gainRequests additional typical requests that the zone can run at once
+	 * @param capacity what the zone can run at once after the moves
 	 */
-	public record Layout(Set<String> zones, String reason, Map<String, LayerRange> moves, double gainRequests) {
+	public record Layout(Set<String> zones, String reason, Map<String, LayerRange> moves, double gainRequests,
+			LayoutCapacity capacity) {
 	}
 
 }
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
@@ -92,7 +92,8 @@
 		for (PlacementServer server : this.fleet) {
 			boolean failed = server.id().equals("l4-a-3");
 			held.add(new PlacementServer((failed) ? "new" : server.id(), server.address(), server.availabilityZone(),
-					server.acceleratorKind(), (failed) ? Optional.empty() : Optional.of(this.plan.get(server.id()))));
+					server.acceleratorKind(), (failed) ? Optional.empty() : Optional.of(this.plan.get(server.id())),
+					server.slots()));
 		}
 		Map<String, LayerRange> repair = new LayerPlanner(Pools.POOL).plan(held);
 		assertThat(repair.keySet()).containsExactly("new");
@@ -117,7 +118,8 @@
 			}
 			servers.remove(old.id());
 			String id = "new-" + next++;
-			servers.put(id, new PlacementServer(id, "10.0.1.1:" + next, zone, old.acceleratorKind(), Optional.empty()));
+			servers.put(id, new PlacementServer(id, "10.0.1.1:" + next, zone, old.acceleratorKind(), Optional.empty(),
+					old.slots()));
 			for (int round = 0; round < 3; round++) {
 				new LayerPlanner(Pools.POOL).plan(servers.values())
 					.forEach((placed, range) -> servers.put(placed, holding(servers.get(placed), range)));
@@ -147,8 +149,7 @@
 	}
 
 	private static PlacementServer holding(PlacementServer server, LayerRange range) {
-		return new PlacementServer(server.id(), server.address(), server.availabilityZone(), server.acceleratorKind(),
-				Optional.of(range));
+		return server.withLayers(Optional.of(range));
 	}
 
 	@Test
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerReviewTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerReviewTests.java
@@ -44,7 +44,8 @@
 		List<PlacementServer> servers = new ArrayList<>();
 		for (int i = 0; i < fast + medium + slow; i++) {
 			AcceleratorKind kind = (i < fast) ? FAST : (i < fast + medium) ? MEDIUM : SLOW;
-			servers.add(new PlacementServer(zone + i, "10.0.0.1:" + zone + i, zone, kind, Optional.empty()));
+			servers
+				.add(new PlacementServer(zone + i, "10.0.0.1:" + zone + i, zone, kind, Optional.empty(), Pools.SLOTS));
 		}
 		return servers;
 	}
@@ -131,7 +132,7 @@
 	@Test
 	void emptyEngineTakesTheGapAtOnceAndAlone() {
 		List<PlacementServer> servers = new ArrayList<>(without(placed(zone("a", 1, 6, 2)), "a3"));
-		servers.add(new PlacementServer("new", "10.0.0.2:1", "a", MEDIUM, Optional.empty()));
+		servers.add(new PlacementServer("new", "10.0.0.2:1", "a", MEDIUM, Optional.empty(), Pools.SLOTS));
 		Map<String, LayerRange> moves = moves(servers, new ZoneChange(0, 0, 0));
 		assertThat(moves.keySet()).containsExactly("new");
 		assertThat(LayerCoverage.of(POOL, LayerCoverage.withLayers(servers, moves)).hasGap()).isFalse();
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
@@ -30,6 +30,9 @@
 	/** The parameters of a site whose links between zones are scarce. */
 	static final ModelPool SCARCE_LINKS_POOL = withLinks(POOL, 23_498, 4_300);
 
+	/** Requests for which an engine can be the first of a chain, from the data sheets. */
+	static final int SLOTS = 134;
+
 	private Pools() {
 	}
 
@@ -61,7 +64,8 @@
 	private static void add(List<PlacementServer> servers, AcceleratorKind kind, String zone, int count) {
 		for (int i = 0; i < count; i++) {
 			String id = kind.name() + '-' + zone + '-' + i;
-			servers.add(new PlacementServer(id, "10.0.0.1:" + (8000 + servers.size()), zone, kind, Optional.empty()));
+			servers.add(new PlacementServer(id, "10.0.0.1:" + (8000 + servers.size()), zone, kind, Optional.empty(),
+					SLOTS));
 		}
 	}
 
@@ -75,7 +79,7 @@
 		return servers.stream()
 			.filter((server) -> plan.containsKey(server.id()))
 			.map((server) -> new PoolServer(server.id(), server.address(), server.availabilityZone(),
-					server.acceleratorKind(), plan.get(server.id()), 134))
+					server.acceleratorKind(), plan.get(server.id()), server.slots()))
 			.toList();
 	}
 
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ZoneLayoutTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ZoneLayoutTests.java
@@ -42,7 +42,7 @@
 
 	private static void add(List<PlacementServer> zone, AcceleratorKind kind, int count) {
 		for (int i = 0; i < count; i++) {
-			zone.add(new PlacementServer(kind.name() + i, "", "a", kind, Optional.empty()));
+			zone.add(new PlacementServer(kind.name() + i, "", "a", kind, Optional.empty(), Pools.SLOTS));
 		}
 	}
 
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayMetrics.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/http/GatewayMetrics.java
@@ -40,6 +40,12 @@
 		.help("Searches whose only chains crossed zones beyond the budget of the links")
 		.register(this.registry);
 
+	private final Counter chainShortages = Counter.builder()
+		.name("medlardrum_gateway_chain_shortages")
+		.help("Streams that found no chain, by the resource that was used up")
+		.labelNames("limit")
+		.register(this.registry);
+
 	private final Histogram firstByte = histogram("medlardrum_gateway_first_byte_seconds",
 			"Time from arrival to the first byte of a response of a backend server");
 
@@ -96,6 +102,14 @@
 		this.refusedCrossings.inc();
 	}
 
+	/**
+	 * Counts a stream that found no chain.
+	 * @param limit the resource that was used up
+	 */
+	public void countChainShortage(String limit) {
+		this.chainShortages.labelValues(limit).inc();
+	}
+
 	/**
 	 * Records the latency of the first byte of a response.
 	 * @param kind traffic kind of the route
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/ChainChooser.java
@@ -10,6 +10,7 @@
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
 import org.medlardrum.decisions.pool.ChainSearch;
+import org.medlardrum.decisions.pool.ChainShortage;
 import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.LinkLimitedSearch;
 import org.medlardrum.decisions.pool.PoolServer;
@@ -82,7 +83,8 @@
 				.max()
 				.orElse(0);
 			Reservation reservation = this.dependencies.loads().reserve(hops, request.tokensAtEnd());
-			return new ReservedChain(hops, cacheUtilisation, reservation);
+			PoolServer first = hops.getFirst().server();
+			return new ReservedChain(hops, cacheUtilisation, snapshot.load(first).headSequences() + 1, reservation);
 		});
 	}
 
@@ -155,6 +157,17 @@
 			.isPresent();
 	}
 
+	/**
+	 * Returns why a request finds no chain.
+	 * @param service the service
+	 * @param request requirements of the chain
+	 * @param excluded identifiers of engines that must not be used
+	 * @return the shortage
+	 */
+	ChainShortage shortage(RoutedService service, ChainRequest request, Set<String> excluded) {
+		return ChainShortage.of(snapshot(service, excluded), request, maxUtilisation(service, request));
+	}
+
 	private LinkLimitedSearch linkLimitedSearch(PoolSnapshot snapshot, ZoneLinkBudget budget, long nowMs) {
 		return new LinkLimitedSearch(snapshot, budget, (server) -> !this.dependencies.limits().isAllowed(server.id()),
 				nowMs);
@@ -304,9 +317,12 @@
 	 * @param hops the engines
 	 * @param cacheUtilisation largest KV cache utilisation of the engines, including this
 	 * request
+	 * @param firstEngineRequests requests of all hosts whose chain begins at the same
+	 * engine, including this request
 	 * @param reservation the reservation
 	 */
-	record ReservedChain(List<ChainHop> hops, double cacheUtilisation, Reservation reservation) {
+	record ReservedChain(List<ChainHop> hops, double cacheUtilisation, int firstEngineRequests,
+			Reservation reservation) {
 
 		List<String> engineIds() {
 			return this.hops.stream().map((hop) -> hop.server().id()).toList();
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/stream/StreamExecution.java
@@ -9,6 +9,7 @@
 
 import org.medlardrum.decisions.pool.ChainHop;
 import org.medlardrum.decisions.pool.ChainRequest;
+import org.medlardrum.decisions.pool.ChainShortage;
 import org.medlardrum.decisions.pool.ChainZones;
 import org.medlardrum.decisions.pool.EventOrder;
 import org.medlardrum.decisions.pool.SilenceDecision;
@@ -442,7 +443,7 @@
 		this.dependencies.metrics().countAttempt(this.request.trafficKind(), RELAY_PREFIX + reason);
 		StreamStallDetector gaps = new StreamStallDetector(nowMs, this.request.route().targetLatencyMs(),
 				this.request.route().gapTargetMs());
-		ChainChooser.ReservedChain noEngines = new ChainChooser.ReservedChain(List.of(), 0,
+		ChainChooser.ReservedChain noEngines = new ChainChooser.ReservedChain(List.of(), 0, 0,
 				this.dependencies.loads().reserveNothing());
 		return new ChainAttempt(noEngines, List.of(), target.get().id(), call.get(), reason, excludedIds, gaps,
 				holdResponse(target.get().id()), nowMs);
@@ -452,11 +453,13 @@
 		GatewayState state = this.dependencies.state();
 		this.dependencies.log()
 			.event(PART, "send", "id", this.request.id(), "reason", reason, "chain", chosen.describe(), "fill",
-					Math.round(chosen.cacheUtilisation() * 100) / 100.0, "attempt", this.ledger.sends(), "after",
-					this.lastEventId, "rank", this.request.rank(), "runs", this.ledger.possibleExecutions(),
-					"maxAttempts", this.request.route().maxAttempts(), "remainingMs", remainingMs, "timerLateMs",
-					this.dependencies.timerLateness().latestMs(), "configVersion", state.table().version(),
-					"confirmedMsAgo", state.confirmationAgeMs(), "peers", this.dependencies.loads().peerCount());
+					Math.round(chosen.cacheUtilisation() * 100) / 100.0, "firstEngineRequests",
+					chosen.firstEngineRequests(), "firstEngineSlots", chosen.hops().getFirst().server().slots(),
+					"attempt", this.ledger.sends(), "after", this.lastEventId, "rank", this.request.rank(), "runs",
+					this.ledger.possibleExecutions(), "maxAttempts", this.request.route().maxAttempts(), "remainingMs",
+					remainingMs, "timerLateMs", this.dependencies.timerLateness().latestMs(), "configVersion",
+					state.table().version(), "confirmedMsAgo", state.confirmationAgeMs(), "peers",
+					this.dependencies.loads().peerCount());
 	}
 
 	private void logAttempt(String event, String reason) {
@@ -795,10 +798,21 @@
 			this.response.fail(ProblemType.BACKEND_FAILED, "The stream was lost: " + reason, this.request.rank());
 			return "answer-lost";
 		}
+		logShortage();
 		return this.search.refuse((this.ledger.sends() == 0) ? ProblemType.OVERLOADED : ProblemType.NO_CAPACITY, reason,
 				comeBackAfterMs(this.chooser.firstEngines(this.request.service())));
 	}
 
+	private void logShortage() {
+		ChainShortage shortage = this.chooser.shortage(this.request.service(), this.search.chainRequest(),
+				this.excluded);
+		this.dependencies.metrics().countChainShortage(shortage.limit().label());
+		this.dependencies.log()
+			.event(PART, "shortage", "id", this.request.id(), "limit", shortage.limit().label(), "rank",
+					this.request.rank(), "firstEngineRequests", shortage.firstEngineRequests(), "firstEngineSlots",
+					shortage.firstEngineSlots());
+	}
+
 	private String onTimeout() {
 		if (this.responseStarted) {
 			this.response.abort();
--- a/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/PoolModel.java
+++ b/medlardrum-standins/src/main/java/org/medlardrum/standins/internal/model/PoolModel.java
@@ -114,7 +114,7 @@
 			}
 			for (int i = 0; i < group.count(); i++) {
 				fleet.add(new PlacementServer(group.kind() + '-' + group.zone() + '-' + i, "", group.zone(), kind,
-						Optional.empty()));
+						Optional.empty(), this.experiment.pool().engine().slots()));
 			}
 		}
 		Map<String, LayerRange> plan = new LayerPlanner(this.pool).plan(fleet);
