--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/ChainSearchTests.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -134,6 +135,71 @@
 		return new ChainSearch(Pools.snapshot(this.servers, loads)).find(new ChainRequest(772, 167, 2, "a"));
 	}
 
+	/**
+	 * Guards against an urgent class that is short of slots: less urgent streams took all
+	 * slots of the first engines while the KV cache was nearly empty.
+	 */
+	@Test
+	void urgentRequestFindsAFirstEngineAfterAFloodOfBackgroundRequests() {
+		Map<String, Integer> firstRequests = new HashMap<>();
+		ChainRequest background = new ChainRequest(772, 167, 2, "a");
+		Optional<List<ChainHop>> chain = searchWithFirstRequests(firstRequests).find(background);
+		while (chain.isPresent()) {
+			firstRequests.merge(chain.get().getFirst().server().id(), 1, Integer::sum);
+			chain = searchWithFirstRequests(firstRequests).find(background);
+		}
+		for (int i = 0; i < Pools.SLOTS / 10; i++) {
+			List<ChainHop> urgent = searchWithFirstRequests(firstRequests).find(new ChainRequest(772, 167, 0, "a"))
+				.orElseThrow();
+			firstRequests.merge(urgent.getFirst().server().id(), 1, Integer::sum);
+		}
+	}
+
+	/**
+	 * Guards against second chains for slow streams while the first engines are short of
+	 * slots: only the KV cache counted as room, and each second chain took a slot.
+	 */
+	@Test
+	void poolWithoutSpareSlotsHasNoSpareChain() {
+		Map<String, Integer> firstRequests = new HashMap<>();
+		this.servers.forEach((server) -> firstRequests.put(server.id(), Pools.SLOTS * 3 / 4));
+		ChainRequest request = new ChainRequest(772, 167, 0, "a");
+		assertThat(searchWithFirstRequests(firstRequests).find(request)).isPresent();
+		assertThat(searchWithFirstRequests(firstRequests).find(request, StreamLimits.SLOW_FAILOVER_MAX_UTILISATION))
+			.isEmpty();
+	}
+
+	/**
+	 * Guards against a first engine that is short of slots while another one of its zone
+	 * has most of them free.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 2 })
+	void streamsSpreadOverTheFirstEnginesOfAZone(int rank) {
+		AcceleratorKind rest = new AcceleratorKind("rest", 1_000_000, 15, 8.2);
+		List<PoolServer> engines = List.of(
+				new PoolServer("fast", "10.0.0.1:1", "a", Pools.A100S, new LayerRange(0, 6), Pools.SLOTS),
+				new PoolServer("slow", "10.0.0.1:2", "a", Pools.L4, new LayerRange(0, 6), Pools.SLOTS),
+				new PoolServer("rest", "10.0.0.1:3", "a", rest, new LayerRange(6, 80), Pools.SLOTS));
+		Map<String, ServerLoad> loads = new HashMap<>();
+		for (int i = 0; i < Pools.SLOTS; i++) {
+			String id = new ChainSearch(Pools.snapshot(engines, loads)).find(new ChainRequest(772, 167, rank, "a"))
+				.orElseThrow()
+				.getFirst()
+				.server()
+				.id();
+			loads.merge(id, new ServerLoad(0, 1, 1), ServerLoad::plus);
+		}
+		double leastUrgentMayTake = Pools.SLOTS * ChainSearch.maxUtilisation(2);
+		assertThat((double) loads.get("fast").headSequences()).isAtMost(leastUrgentMayTake);
+	}
+
+	private ChainSearch searchWithFirstRequests(Map<String, Integer> firstRequests) {
+		Map<String, ServerLoad> loads = new HashMap<>();
+		firstRequests.forEach((id, count) -> loads.put(id, new ServerLoad(0, count, count)));
+		return new ChainSearch(Pools.snapshot(this.servers, loads));
+	}
+
 	/**
 	 * Under a light load, chains that cross zones five times each saturate the links
 	 * between zones.
--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/Pools.java
@@ -30,6 +30,10 @@
 	/** The parameters of a site whose links between zones are scarce. */
 	static final ModelPool SCARCE_LINKS_POOL = withLinks(POOL, 23_498, 4_300);
 
+	/** The parameters of the users' sites with 23 to 33 engines in a zone. */
+	static final ModelPool GROWN_POOL = new ModelPool("model", 80, 1_750, 561_000, 0.85, 0.00364, 0.00487, 294, 14_000,
+			POOL.kinds(), POOL.zoneDelayMs(), 28_143, 8_400, 760, 171);
+
 	/** Requests for which an engine can be the first of a chain, from the data sheets. */
 	static final int SLOTS = 134;
 
