Count the slots of first engines in the capacity of a layout

Cause: a zone was divided into chains by memory alone (2.4 times the weights a chain), and layouts were compared by KV cache alone. An engine's slots count the requests that it receives as the first of a chain, so one chain a zone ran 134 streams at once: 23 to 26 engines with KV cache for 600 and more.

Change: the capacity of a layout is the smaller of what its KV cache and the slots of its first engines allow. A zone has the number of chains that runs most streams at once by that figure, and an engine that joins takes first layers where slots limit. Demand is still no input. The constant TARGET_CHAIN_MEMORY is gone.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerCoverage.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerCoverage.java
@@ -117,15 +117,11 @@
 	}
 
 	/**
-	 * Returns how many typical requests the engines can run at the same time, limited by
-	 * the layer with the least KV cache.
+	 * Returns how many typical requests the engines can run at the same time.
 	 * @return the number of requests, 0 if a layer is missing
 	 */
 	double requests() {
-		if (hasGap()) {
-			return 0;
-		}
-		return (double) Arrays.stream(this.tokens).min().orElse(0) / typicalTokens(this.pool);
+		return capacity().requests();
 	}
 
 	/**
@@ -133,7 +129,9 @@
 	 * @return the capacity
 	 */
 	LayoutCapacity capacity() {
-		return new LayoutCapacity(requests(), this.firstEngineSlots);
+		double cacheRequests = (hasGap()) ? 0
+				: (double) Arrays.stream(this.tokens).min().orElse(0) / typicalTokens(this.pool);
+		return new LayoutCapacity(cacheRequests, this.firstEngineSlots);
 	}
 
 	/**
@@ -146,12 +144,17 @@
 	}
 
 	/**
-	 * Returns the range of a length with the least KV cache.
+	 * Returns the range of a length that limits the requests of the engines most: the
+	 * first layers if the slots of first engines do, otherwise the range with the least
+	 * KV cache.
 	 * @param length number of layers
 	 * @return the range
 	 */
 	LayerRange leastCovered(int length) {
 		int width = Math.min(length, this.tokens.length);
+		if (capacity().limit() == CapacityLimit.FIRST_ENGINES) {
+			return new LayerRange(0, width);
+		}
 		int best = 0;
 		long bestLeast = Long.MAX_VALUE;
 		long bestSum = Long.MAX_VALUE;
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -16,12 +16,14 @@
 /**
  * Decides which layers each engine holds. The engines of an availability zone, fast and
  * slow ones, form one chain or a few, so that an isolated zone still serves requests and
- * a token rarely crosses zones. Fewer chains leave more memory for requests: the weights
- * of a separate chain of the fast engines would take a third of the memory that all
- * chains have left, while every stream would still wait for its slowest engine. Within a
- * chain the layers are divided in proportion to memory, because the engine with the least
- * free memory for each layer limits the capacity of the chain. An engine that joins later
- * takes the layers with the least KV cache capacity.
+ * a token rarely crosses zones. Fewer chains leave more memory for requests, and more
+ * chains have more slots at their first engines, so a zone has as many as run most
+ * streams at once. Fast and slow engines are mixed: the weights of a separate chain of
+ * the fast engines would take a third of the memory that all chains have left, while
+ * every stream would still wait for its slowest engine. Within a chain the layers are
+ * divided in proportion to memory, because the engine with the least free memory for each
+ * layer limits the capacity of the chain. An engine that joins later takes the layers
+ * that limit the zone.
  */
 public final class LayerPlanner {
 
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerReview.java
@@ -100,7 +100,7 @@
 		}
 		Map<String, LayerRange> plan = this.planner.plan(view.servers());
 		LayoutCapacity capacity = capacity(view.servers(), plan);
-		Layout layout = new Layout(zones(view.servers()), "first placement", plan, capacity.cacheRequests(), capacity);
+		Layout layout = new Layout(zones(view.servers()), "first placement", plan, capacity.requests(), capacity);
 		return new Result(plan, (plan.isEmpty()) ? List.of() : List.of(layout), incomplete, true);
 	}
 
@@ -130,9 +130,9 @@
 		}
 		Map<String, LayerRange> moves = (complete) ? begun : this.layouts.rearrange(group.servers);
 		LayoutCapacity capacity = capacity(group.servers, moves);
-		double requests = capacity.cacheRequests();
 		Proposal proposal = new Proposal(group,
-				new Layout(zones(group.servers), "no complete chain", moves, requests, capacity), requests);
+				new Layout(zones(group.servers), "no complete chain", moves, capacity.requests(), capacity),
+				capacity.requests());
 		if (!forming && emptyIds.containsAll(moves.keySet())) {
 			return Optional.of(proposal);
 		}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
@@ -34,10 +34,11 @@
 	private static final double MIN_CHAIN_MEMORY = 1.25;
 
 	/**
-	 * Memory for each chain when a zone is divided into several, relative to the weights.
-	 * More than half of it is left to requests.
+	 * Streams at once with one more chain, relative to those without it, from which a
+	 * zone is divided further. The weights of a chain take KV cache, which a few long
+	 * requests may need although typical ones do not.
 	 */
-	private static final double TARGET_CHAIN_MEMORY = 2.4;
+	private static final double MIN_CHAIN_GAIN = 1.15;
 
 	/**
 	 * Largest fraction of an engine's memory that weights take, unless the zone can hold
@@ -49,7 +50,7 @@
 	private static final int MIN_REQUESTS = 8;
 
 	/**
-	 * Share of the KV cache of the best layout that a layout with fewer changed layers
+	 * Share of the streams of the best layout that a layout with fewer changed layers
 	 * must reach. Together with {@code LayerReview.MIN_GAIN}, a zone that was laid out
 	 * with few changes is not laid out a second time for the difference.
 	 */
@@ -94,23 +95,33 @@
 		double weightsMb = this.pool.layers() * this.pool.layerMb();
 		double memoryMb = servers.stream().mapToDouble((server) -> server.acceleratorKind().memoryMb()).sum();
 		List<PlacementServer> group = List.copyOf(servers);
-		Map<String, LayerRange> ranges = new LinkedHashMap<>();
-		if (memoryMb >= MIN_CHAIN_MEMORY * weightsMb) {
-			splitByMemory(group, chainCount(memoryMb / weightsMb, group.size()))
-				.forEach((chain) -> ranges.putAll(chainLayout(largest(chain), MAX_WEIGHT_MEMORY)));
-		}
+		Map<String, LayerRange> ranges = chains(group, memoryMb / weightsMb);
 		if (ranges.isEmpty()) {
-			ranges.putAll(chainLayout(largest(group), MAX_WEIGHT_MEMORY));
+			ranges = chainLayout(largest(group), MAX_WEIGHT_MEMORY);
 		}
 		return (ranges.isEmpty()) ? chainLayout(largest(group), 1) : ranges;
 	}
 
-	// A zone of many small engines is divided into more chains than its memory suggests,
-	// because a chain has at most ChainSearch.MAX_HOPS engines.
-	private static int chainCount(double relativeMemory, int engines) {
-		int byMemory = Math.max(1, (int) (relativeMemory / TARGET_CHAIN_MEMORY));
-		int byLength = (engines + ChainSearch.MAX_HOPS - 1) / ChainSearch.MAX_HOPS;
-		return Math.max(byMemory, Math.min(byLength, (int) (relativeMemory / MIN_CHAIN_MEMORY)));
+	// Each chain adds the slots of its first engine and takes KV cache for its weights.
+	// The number of chains is the one that runs most streams at once. A zone of many
+	// small engines has several in any case, because a chain has at most
+	// ChainSearch.MAX_HOPS engines.
+	private Map<String, LayerRange> chains(List<PlacementServer> group, double relativeMemory) {
+		int most = (int) (relativeMemory / MIN_CHAIN_MEMORY);
+		int fewest = Math.min(most, (group.size() + ChainSearch.MAX_HOPS - 1) / ChainSearch.MAX_HOPS);
+		Map<String, LayerRange> best = Map.of();
+		double bestRequests = 0;
+		for (int count = fewest; count > 0 && count <= most; count++) {
+			Map<String, LayerRange> ranges = new LinkedHashMap<>();
+			splitByMemory(group, count)
+				.forEach((chain) -> ranges.putAll(chainLayout(largest(chain), MAX_WEIGHT_MEMORY)));
+			double requests = LayerCoverage.of(this.pool, LayerCoverage.withLayers(group, ranges)).requests();
+			if (best.isEmpty() || requests >= MIN_CHAIN_GAIN * bestRequests) {
+				best = ranges;
+				bestRequests = requests;
+			}
+		}
+		return best;
 	}
 
 	// The other engines hold layers in addition.
