Treat slots of first engines like KV cache in the search for a chain

Change: the largest utilisation of a search (lower for less urgent ranks and for spare chains, higher for streams that resume) also limits the slots of the first engine, and its cost grows with the slots taken, relative to the time of all layers, for which a request holds its slot.

urgentRequestFindsAFirstEngineAfterAFloodOfBackgroundRequests, poolWithoutSpareSlotsHasNoSpareChain and streamsSpreadOverTheFirstEnginesOfAZone failed before and pass.

--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainCosts.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainCosts.java
@@ -115,9 +115,21 @@
 		return this.utilisationBefore[index] + this.utilisationPerLayer[index] * layers;
 	}
 
+	/**
+	 * Returns the cost of taking a slot of a first engine. A request holds the slot until
+	 * all its layers are done, so the cost is relative to the time of all layers.
+	 * @param server the engine
+	 * @param index position of the engine
+	 * @return the cost, 0 while most slots are free
+	 */
+	double slotCost(PoolServer server, int index) {
+		double utilisation = (double) this.snapshot.load(server).headSequences() / server.slots();
+		return processing(server, index, this.pool.layers()) * (utilisationFactor(utilisation) - 1);
+	}
+
 	/**
 	 * Returns the factor by which the cost of an engine grows with its utilisation.
-	 * @param utilisation the cache utilisation
+	 * @param utilisation utilisation of the cache, or of the slots of a first engine
 	 * @return the factor, 1 or more
 	 */
 	double utilisationFactor(double utilisation) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainSearch.java
@@ -7,9 +7,10 @@
 
 /**
  * Finds the chain of engines with the earliest expected finish. The cost of an engine
- * grows with its cache utilisation, faster for less urgent ranks, so that requests go to
- * slower chains before the fast one is full. Otherwise the fast engines would take all
- * requests until their memory is used up and every stream on them is preempted.
+ * grows with the utilisation of its cache and, for the first engine of a chain, of its
+ * slots, faster for less urgent ranks, so that requests go to slower chains before the
+ * fast one is full. Otherwise the fast engines would take all requests until their memory
+ * is used up and every stream on them is preempted.
  *
  * <pre>
  * Optional&lt;List&lt;ChainHop&gt;&gt; chain = new ChainSearch(snapshot).find(request);
@@ -98,10 +99,10 @@
 	}
 
 	/**
-	 * Finds a chain whose engines stay within a given cache utilisation.
+	 * Finds a chain whose engines stay within a given utilisation.
 	 * @param request the request
 	 * @param maxUtilisation largest fraction of the KV cache that may be reserved,
-	 * including this request
+	 * including this request, and of the slots of the first engine, before this request
 	 * @return the engines, empty when there is no such chain
 	 */
 	public Optional<List<ChainHop>> find(ChainRequest request, double maxUtilisation) {
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainTable.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ChainTable.java
@@ -142,14 +142,15 @@
 			PoolServer server = this.servers.get(index);
 			int from = server.layers().fromLayer();
 			int to = server.layers().toLayer();
-			if (from > layer || to <= layer || (layer == 0 && !mayBeFirst(server))) {
+			if (from > layer || to <= layer || (layer == 0 && !mayBeFirst(server, maxUtilisation))) {
 				continue;
 			}
 			int before = cheapestZoneBefore(layer, index);
 			if (before == NONE) {
 				continue;
 			}
-			double costBefore = this.best[layer][before] + hopCost(layer, before, index);
+			double costBefore = this.best[layer][before] + hopCost(layer, before, index)
+					+ ((layer == 0) ? this.costs.slotCost(server, index) : 0);
 			for (int end = layer + 1; end <= to; end++) {
 				if (end == to || splitPoints[end]) {
 					relax(layer, end, index, before, costBefore, maxUtilisation);
@@ -158,8 +159,9 @@
 		}
 	}
 
-	private boolean mayBeFirst(PoolServer server) {
-		return this.snapshot.load(server).headSequences() < server.slots()
+	// Slots are left to more urgent ranks like KV cache.
+	private boolean mayBeFirst(PoolServer server, double maxUtilisation) {
+		return this.snapshot.load(server).headSequences() < server.slots() * Math.min(1, maxUtilisation)
 				&& !this.snapshot.excludedAsFirst().test(server);
 	}
 
