Tell the other hosts the loads of first engines before all others

Change: servers at which requests hold slots come first. The message is unchanged.

digestWithoutRoomForAllLoadsTellsThoseOfFirstEngines: three of three first engines missing before, none now.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/LoadExchange.java
@@ -72,6 +72,14 @@
 	 */
 	private static final int MAX_LOADS_BESIDE_DEMAND = 36;
 
+	/**
+	 * Servers at which requests hold slots come first: slots may run out before the KV
+	 * cache, and the other hosts take an engine that is not told for idle.
+	 */
+	private static final Comparator<ServerLoad> MOST_RELEVANT_FIRST = Comparator
+		.comparing((ServerLoad load) -> load.headSequences() == 0)
+		.thenComparing((load) -> -load.tokenLayers());
+
 	private static final int MAX_SUSPICIONS = 8;
 
 	/** Limit of leaving servers in a digest, about 22 bytes each. */
@@ -357,7 +365,7 @@
 		List<ServerShare> shares = new ArrayList<>();
 		own.entrySet()
 			.stream()
-			.sorted(Comparator.comparingLong((Map.Entry<String, ServerLoad> entry) -> -entry.getValue().tokenLayers()))
+			.sorted(Map.Entry.comparingByValue(MOST_RELEVANT_FIRST))
 			.limit(MAX_SERVER_LOADS)
 			.forEach((entry) -> shares.add(new ServerShare(entry.getKey(), entry.getValue().tokenLayers(),
 					entry.getValue().sequences(), entry.getValue().headSequences())));
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/LoadExchangeTests.java
@@ -21,6 +21,7 @@
 import org.medlardrum.peer.gen.Digest;
 import org.medlardrum.peer.gen.LeavingServer;
 import org.medlardrum.peer.gen.RankDemand;
+import org.medlardrum.peer.gen.ServerShare;
 import org.medlardrum.state.Host;
 import org.medlardrum.state.HostState;
 import org.medlardrum.state.LayerRange;
@@ -51,7 +52,9 @@
 
 	private final List<Digest> sent = new ArrayList<>();
 
-	private final LoadExchange exchange = new LoadExchange(this.state, new LoadTable(),
+	private final LoadTable loads = new LoadTable();
+
+	private final LoadExchange exchange = new LoadExchange(this.state, this.loads,
 			new RequestQuarantine(this.clock, this.log, "host"), new ServerLimits(this.clock, this.log, "host"),
 			(peer, digest) -> this.sent.add(digest), "host", "a", "127.0.0.1:4");
 
@@ -134,6 +137,32 @@
 		assertThat(other.fleet().instance("e1").orElseThrow().draining()).isTrue();
 	}
 
+	/**
+	 * Guards against first engines that are overbooked by the other hosts: a host with
+	 * load at more engines than a digest holds told those with the most KV cache only.
+	 */
+	@Test
+	void digestWithoutRoomForAllLoadsTellsThoseOfFirstEngines() {
+		for (int chain = 0; chain < 3; chain++) {
+			List<ChainHop> hops = new ArrayList<>();
+			hops.add(hop("first-" + chain, 0, 1));
+			for (int i = 0; i < 25; i++) {
+				hops.add(hop("engine-" + chain + '-' + i, 1 + i * 2, 3 + i * 2));
+			}
+			this.loads.reserve(hops, 900);
+		}
+		this.nowMs.addAndGet(LoadExchange.BUSY_INTERVAL_MS);
+		this.exchange.step();
+		assertThat(this.sent.getFirst().getServerShares().stream().map(ServerShare::getServer).toList())
+			.containsAtLeast("first-0", "first-1", "first-2");
+	}
+
+	private static ChainHop hop(String id, int fromLayer, int toLayer) {
+		LayerRange layers = new LayerRange(fromLayer, toLayer);
+		return new ChainHop(
+				new PoolServer(id, "127.0.0.1:9", "b", new AcceleratorKind("kind", 20_000, 1, 1), layers, 8), layers);
+	}
+
 	private static ServiceInstance engine(String id) {
 		return new ServiceInstance(id, "pool", "127.0.0.1:9", "b", 8, false, 1, "fast", Optional.empty());
 	}
