--- a/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
+++ b/medlardrum-decisions/src/test/java/org/medlardrum/decisions/pool/LayerPlannerTests.java
@@ -8,8 +8,10 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.medlardrum.state.LayerRange;
+import org.medlardrum.state.routing.AcceleratorKind;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -148,6 +150,31 @@
 		assertThat(moves.keySet().iterator().next()).isIn(List.of("l4-a-3", "l4-a-4"));
 	}
 
+	/**
+	 * Guards against engines that join a zone whose only chain breaks with any engine and
+	 * add slots for its first layers, while slots limit the zone. With two chains the
+	 * slots come first.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 70", "2, 0" })
+	void engineThatJoinsSecuresLayersOfOneEngineBeforeItAddsSlots(int chains, int fromLayer) {
+		AcceleratorKind large = new AcceleratorKind("large", 400_000, 15, 8.2);
+		AcceleratorKind small = new AcceleratorKind("small", 40_000, 15, 8.2);
+		List<PlacementServer> servers = new ArrayList<>();
+		for (int i = 0; i < chains; i++) {
+			servers.add(engine("first-" + i, large, Optional.of(new LayerRange(0, 70))));
+			servers.add(engine("last-" + i, small, Optional.of(new LayerRange(70, 80))));
+		}
+		servers.add(engine("new", small, Optional.empty()));
+		assertThat(new LayerPlanner(Pools.POOL).plan(servers)).containsExactly("new",
+				new LayerRange(fromLayer, fromLayer + 10));
+	}
+
+	private static PlacementServer engine(String id, AcceleratorKind kind, Optional<LayerRange> layers) {
+		int fewSlots = 1;
+		return new PlacementServer(id, "10.0.2.1:" + id, "a", kind, layers, fewSlots);
+	}
+
 	private static PlacementServer holding(PlacementServer server, LayerRange range) {
 		return server.withLayers(Optional.of(range));
 	}
