--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerCoverage.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerCoverage.java
@@ -144,14 +144,14 @@
 	}
 
 	/**
-	 * Returns the range of a length that an additional engine is best used for: the first
-	 * layers if the slots of first engines limit the requests and at least two engines
-	 * hold each layer, otherwise the range with the least KV cache. A layer of a single
-	 * engine breaks all chains when that engine is lost.
+	 * Returns the range of a length that is most in need of an engine: the first layers
+	 * if the slots of first engines limit the requests and at least two engines hold each
+	 * layer, otherwise the range with the least KV cache. A layer of a single engine
+	 * breaks all chains when that engine is lost.
 	 * @param length number of layers
 	 * @return the range
 	 */
-	LayerRange leastCovered(int length) {
+	LayerRange mostNeeded(int length) {
 		int width = Math.min(length, this.tokens.length);
 		if (capacity().limit() == CapacityLimit.FIRST_ENGINES && Arrays.stream(this.holders).min().orElse(0) > 1) {
 			return new LayerRange(0, width);
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/LayerPlanner.java
@@ -109,7 +109,7 @@
 		for (PlacementServer server : group) {
 			int length = typicalLength(server.acceleratorKind(), longest);
 			if (server.layers().isEmpty() && length > 0) {
-				LayerRange range = coverage.leastCovered(length);
+				LayerRange range = coverage.mostNeeded(length);
 				additions.put(server.id(), range);
 				coverage.add(server, range);
 			}
@@ -154,7 +154,7 @@
 		if (length < 1) {
 			return Map.of();
 		}
-		LayerRange range = coverage.leastCovered(length);
+		LayerRange range = coverage.mostNeeded(length);
 		coverage.add(server, range);
 		return (coverage.gapLayers() < missing) ? Map.of(server.id(), range) : Map.of();
 	}
--- a/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
+++ b/medlardrum-decisions/src/main/java/org/medlardrum/decisions/pool/ZoneLayout.java
@@ -34,9 +34,9 @@
 	private static final double MIN_CHAIN_MEMORY = 1.25;
 
 	/**
-	 * Streams at once with one more chain, relative to those without it, from which a
-	 * zone is divided further. The weights of a chain take KV cache, which a few long
-	 * requests may need although typical ones do not.
+	 * Smallest ratio of the requests that a zone runs at once with a further chain to
+	 * those without it. The weights of a chain take KV cache, which long requests may
+	 * need although typical ones do not.
 	 */
 	private static final double MIN_CHAIN_GAIN = 1.15;
 
@@ -50,7 +50,7 @@
 	private static final int MIN_REQUESTS = 8;
 
 	/**
-	 * Share of the streams of the best layout that a layout with fewer changed layers
+	 * Share of the requests of the best layout that a layout with fewer changed layers
 	 * must reach. Together with {@code LayerReview.MIN_GAIN}, a zone that was laid out
 	 * with few changes is not laid out a second time for the difference.
 	 */
@@ -95,18 +95,18 @@
 		double weightsMb = this.pool.layers() * this.pool.layerMb();
 		double memoryMb = servers.stream().mapToDouble((server) -> server.acceleratorKind().memoryMb()).sum();
 		List<PlacementServer> group = List.copyOf(servers);
-		Map<String, LayerRange> ranges = chains(group, memoryMb / weightsMb);
+		Map<String, LayerRange> ranges = divide(group, memoryMb / weightsMb);
 		if (ranges.isEmpty()) {
 			ranges = chainLayout(largest(group), MAX_WEIGHT_MEMORY);
 		}
 		return (ranges.isEmpty()) ? chainLayout(largest(group), 1) : ranges;
 	}
 
-	// Each chain adds the slots of its first engine and takes KV cache for its weights.
-	// The number of chains is the one that runs most streams at once. A zone of many
-	// small engines has several in any case, because a chain has at most
-	// ChainSearch.MAX_HOPS engines.
-	private Map<String, LayerRange> chains(List<PlacementServer> group, double relativeMemory) {
+	// Divides a group into the chains that run most requests at once: each chain adds the
+	// slots of its first engine and takes KV cache for its weights. Many small engines
+	// form several chains in any case, because a chain has at most ChainSearch.MAX_HOPS
+	// engines.
+	private Map<String, LayerRange> divide(List<PlacementServer> group, double relativeMemory) {
 		int most = (int) (relativeMemory / MIN_CHAIN_MEMORY);
 		int fewest = Math.min(most, (group.size() + ChainSearch.MAX_HOPS - 1) / ChainSearch.MAX_HOPS);
 		Map<String, LayerRange> best = Map.of();
