--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -174,6 +175,12 @@
 
 		private final List<Link> links = new ArrayList<>();
 
+		private boolean silenced;
+
+		/** Runs after the first answer on a connection that was opened after the silence. */
+		private volatile Consumer<String> firstAnswer = (target) -> {
+		};
+
 		Proxy(String ip, String target) throws IOException {
 			this.targetIp = target.split(":")[0];
 			this.targetPort = Integer.parseInt(target.split(":")[1]);
@@ -195,6 +202,7 @@
 					Link link = new Link(near, far);
 					synchronized (this.links) {
 						this.links.add(link);
+						link.reportsAnswer = this.silenced;
 					}
 					Thread.ofPlatform().daemon().start(() -> link.copy(near, far));
 					Thread.ofPlatform().daemon().start(() -> link.copy(far, near));
@@ -210,6 +218,7 @@
 			synchronized (this.links) {
 				this.links.removeIf((link) -> link.near.isClosed());
 				this.links.forEach((link) -> link.silent = true);
+				this.silenced = true;
 				return this.links.size();
 			}
 		}
@@ -225,12 +234,20 @@
 			}
 		}
 
-		private static final class Link {
+		void onFirstAnswer(Consumer<String> action) {
+			this.firstAnswer = action;
+		}
+
+		private final class Link {
 
 			private final Socket near;
 
 			private final Socket far;
 
+			private volatile boolean reportsAnswer;
+
+			private volatile String target = "";
+
 			private volatile boolean silent;
 
 			Link(Socket near, Socket far) {
@@ -242,8 +259,16 @@
 				byte[] bytes = new byte[65_536];
 				try {
 					for (int size = from.getInputStream().read(bytes); size >= 0; size = from.getInputStream().read(bytes)) {
-						if (!this.silent) {
-							to.getOutputStream().write(bytes, 0, size);
+						if (this.silent) {
+							continue;
+						}
+						if (from == this.near) {
+							this.target = new String(bytes, 0, Math.min(size, 200), StandardCharsets.ISO_8859_1).split("\r\n")[0];
+						}
+						to.getOutputStream().write(bytes, 0, size);
+						if (from == this.far && this.reportsAnswer) {
+							this.reportsAnswer = false;
+							Proxy.this.firstAnswer.accept(this.target);
 						}
 					}
 				}
