--- a/review/stand-ins-2/SilentStoreConnections.java
+++ b/review/stand-ins-2/SilentStoreConnections.java
@@ -31,9 +31,6 @@
 	/** Time after its report at which a draining worker exits. */
 	private static final int EXIT_MS = 2_400;
 
-	/** Time after its removal at which a worker exits that has not reported to be draining. */
-	private static final int EXIT_AFTER_REMOVAL_MS = 3_200;
-
 	private static final String ZONE = "hr-central-a";
 
 	private static final String OTHER_ZONE = "hr-central-b";
@@ -48,11 +45,7 @@
 
 	private static final Map<String, AtomicInteger> RESULTS = new ConcurrentHashMap<>();
 
-	/** Whether the workers' entries are removed, rather than report that they are draining. */
-	private static boolean removed;
-
 	public static void main(String[] args) {
-		removed = args.length > 1 && args[1].equals("removed");
 		System.exit(Lab.status(args[0], SilentStoreConnections::run));
 	}
 
@@ -70,7 +63,7 @@
 				if (sinceMs > DRAIN_MS + CLOCK_MARGIN_MS) {
 					LATE.incrementAndGet();
 					lab.note("request " + request.header("Attempt-Id") + " reached " + id + " " + sinceMs
-							+ " ms after the store's confirmation");
+							+ " ms after the store confirmed that it is draining");
 				}
 				Lab.sleep(100);
 				to.send(200, "Attempt-Id: " + request.header("Attempt-Id") + "\r\nResponse-Stamp: s." + id
@@ -109,16 +102,10 @@
 		Lab.sleep(TOUCH_MS + 200);
 		for (int i = 0; i < DRAINED; i++) {
 			String id = "i-0000000" + i;
-			if (removed) {
-				lab.store.delete("servers/" + id);
-			}
-			else {
-				lab.store.put("servers/" + id,
-						Lab.beat("ledger", WORKERS.get(id).address(), ZONE, 6, "draining", 1_000 + i, 2));
-			}
+			lab.store.put("servers/" + id, Lab.beat("ledger", WORKERS.get(id).address(), ZONE, 6, "draining", 1_000 + i, 2));
 			CONFIRMED_AT_MS.put(id, lab.nowMs());
-			lab.note("the store confirmed that " + id + ((removed) ? " is gone" : " is draining"));
-			Lab.sleep((removed) ? EXIT_AFTER_REMOVAL_MS : EXIT_MS);
+			lab.note("the store confirmed that " + id + " is draining");
+			Lab.sleep(EXIT_MS);
 			WORKERS.get(id).close();
 			lab.store.delete("servers/" + id);
 			lab.note(id + " has exited");
