--- a/review/stand-ins-2/HeldPastTimeout.java
+++ b/review/stand-ins-2/HeldPastTimeout.java
@@ -36,7 +36,7 @@
 
 	private static final long PAUSE_MS = 3_000;
 
-	private static final int ROUNDS = 11;
+	private static final int ROUNDS = 6;
 
 	/** The rule on requests that outlast their time-out counts from this number on. */
 	private static final int MIN_UNANSWERED = 8;
