--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 JAVA_HOME=$(bin/find-jdk)
 mkdir -p target/review-2
 "$JAVA_HOME/bin/javac" -nowarn -d target/review-2 review/stand-ins-2/*.java
+cp review/stand-ins-2/wire.properties target/review-2/
--- a/review/stand-ins-2/HeldPastTimeout.java
+++ b/review/stand-ins-2/HeldPastTimeout.java
@@ -65,7 +65,7 @@
 				Lab.route("r-1", "/puxa403/", "unsafe", "ledger", TIMEOUT_MS, 1, false) + ","
 						+ Lab.route("r-2", "/safe/", "safe", "ledger", TIMEOUT_MS, 2, false),
 				Lab.service("ledger"),
-				"{\"name\":\"" + Lab.TENANT + "\",\"apiKeys\":[\"" + Lab.KEY + "\"],\"priority\":1}"));
+				Lab.tenant()));
 		int octet = ThreadLocalRandom.current().nextInt(20, 250);
 		List<Lab.EntryHost> hosts = new ArrayList<>();
 		for (int i = 1; i <= 2; i++) {
@@ -106,9 +106,9 @@
 
 	private static void worker(Lab lab, String id, long born) throws IOException {
 		Lab.Worker worker = lab.startWorker("127.0.0.1", (request, to) -> {
-			RUN.put(request.header("Attempt-Id"), true);
+			RUN.put(request.id(), true);
 			Lab.sleep((long) Math.min(450, 53 * Math.exp(ThreadLocalRandom.current().nextGaussian() / 2)));
-			to.send(200, "Attempt-Id: " + request.header("Attempt-Id") + "\r\nResponse-Stamp: s." + id
+			to.send(200, Wire.REQUEST_ID + ": " + request.id() + "\r\n" + Wire.STAMP + ": s." + id
 					+ "\r\nServer-Load: 1,0,32\r\n", "done".getBytes(StandardCharsets.UTF_8));
 			return false;
 		});
@@ -122,7 +122,7 @@
 			socket.connect(new InetSocketAddress(host.ip, host.callerPort), 1_000);
 			socket.setTcpNoDelay(true);
 			socket.getOutputStream()
-				.write(("POST " + ((safe) ? "/safe/x" : "/puxa403/x") + " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: "
+				.write(("POST " + ((safe) ? "/safe/x" : "/puxa403/x") + " HTTP/1.1\r\nHost: ficu95.example\r\n" + Wire.REQUEST_ID + ": "
 						+ id + "\r\nDeadline-Milliseconds: 3000\r\nAuthorization: Token " + Lab.KEY
 						+ "\r\nContent-Length: 4\r\n\r\nbody")
 					.getBytes(StandardCharsets.ISO_8859_1));
--- a/review/stand-ins-2/HeldRemoval.java
+++ b/review/stand-ins-2/HeldRemoval.java
@@ -64,11 +64,11 @@
 				long sinceMs = (goneAtMs != null) ? lab.nowMs() - goneAtMs : -1;
 				if (sinceMs > DRAIN_MS + CLOCK_MARGIN_MS) {
 					LATE.incrementAndGet();
-					lab.note("request " + request.header("Attempt-Id") + " reached " + id + " " + sinceMs
+					lab.note("request " + request.id() + " reached " + id + " " + sinceMs
 							+ " ms after its entry was removed");
 				}
 				Lab.sleep(100);
-				to.send(200, "Attempt-Id: " + request.header("Attempt-Id") + "\r\nResponse-Stamp: s." + id
+				to.send(200, Wire.REQUEST_ID + ": " + request.id() + "\r\n" + Wire.STAMP + ": s." + id
 						+ "\r\nServer-Load: 1,0,6\r\n", "done".getBytes(StandardCharsets.UTF_8));
 				return true;
 			});
@@ -130,7 +130,7 @@
 		long sinceMs = lab.nowMs() - silencedAtMs;
 		boolean first;
 		synchronized (READ_AGAIN) {
-			first = target.contains("/v1/kv-range?prefix=none") && READ_AGAIN.add(host);
+			first = target.contains(Wire.STORE_CALL + "range?prefix=none") && READ_AGAIN.add(host);
 		}
 		if (first) {
 			lab.note(host + " has read the version again, " + sinceMs + " ms after the silence");
@@ -163,7 +163,7 @@
 
 	private static void putConfig(Lab lab) {
 		lab.store.put("op/config", Lab.config(7, Lab.route("r-1", "/puxa403/", "unsafe", "ledger", 1_500, 1, false),
-				Lab.service("ledger"), "{\"name\":\"" + Lab.TENANT + "\",\"apiKeys\":[\"" + Lab.KEY + "\"],\"priority\":1}"));
+				Lab.service("ledger"), Lab.tenant()));
 	}
 
 	private static void call(Lab lab, Lab.EntryHost host, long endMs) {
@@ -172,7 +172,7 @@
 			String result;
 			try {
 				Lab.Call.Answer answer = Lab.Call.exchange(host.ip, host.callerPort,
-						"POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: " + id
+						"POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\n" + Wire.REQUEST_ID + ": " + id
 								+ "\r\nDeadline-Milliseconds: 3000\r\nAuthorization: Token " + Lab.KEY
 								+ "\r\nContent-Length: 4\r\n\r\n",
 						"body".getBytes(StandardCharsets.UTF_8), 3_500);
--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -337,7 +337,7 @@
 			String json = """
 					{"nodeName":"%s","role":"entry","machineClass":"front","serves":["front"],"ipAddress":"%s",
 					"zone":"%s","region":"hr-central","zones":{"hr-central-a":"hr-central","hr-central-b":"hr-central"},
-					"listenAddresses":{"front":"%s:%d","ready":"%s:%d","control":"%s:%d"},
+					"%s":{"front":"%s:%d","ready":"%s:%d","control":"%s:%d"},
 					"internalPorts":[%d,%d],"seedAddresses":[],"firstStart":false,"countedInTolerance":false,
 					"limits":{"cpuShare":0.51,"cpuCores":1,"memoryMb":352,"fileDescriptors":2069,"linkMbps":490.0,"diskMb":0},
 					"dataDirectory":null,"discovery":"platform","entry":"virtual_ip","heartbeatMs":1200,
@@ -348,11 +348,11 @@
 					"strictRevocation":true,"revokeMs":5000,"retryBudgetRatio":0.2,"budgetWindowS":10,
 					"budgetExtraRetries":450,"recoveryS":12,"passMs":120,"retryAfterS":0,"stall_ms":3000,
 					"fencingEnforced":false},
-					"platformSettings":{"address":"%s","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,
+					"%s":{"address":"%s","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,
 					"valueBytes":1048576,"ttlMinMs":1000}}
-					""".formatted(this.name, this.ip, this.zone, this.ip, this.callerPort, this.ip,
+					""".formatted(this.name, this.ip, this.zone, Wire.LISTEN, this.ip, this.callerPort, this.ip,
 					this.readyPort, this.ip, this.controlPort, this.internalPort, this.internalPort + 15,
-					this.lab.storeAddress);
+					Wire.STORE, this.lab.storeAddress);
 			Files.writeString(this.settings, json);
 			ProcessBuilder builder = new ProcessBuilder(runCommand());
 			builder.environment().clear();
@@ -507,20 +507,20 @@
 
 		private boolean answer(Worker.Request request, Worker.Responder to) throws IOException {
 			expire();
-			String path = request.target.split("\\?")[0];
+			String path = request.target.split("\\?")[0].replace(Wire.STORE_CALL, "");
 			Map<String, String> query = query(request.target);
 			switch (path) {
-				case "/v1/kv-key" -> {
+				case "key" -> {
 					synchronized (this) {
 						Item item = this.items.get(query.get("key"));
 						to.json((item != null) ? 200 : 404, (item != null)
 								? json(item).replaceFirst("}$", ",\"currentRev\":" + this.revision + "}") : "{\"currentRev\":" + this.revision + "}");
 					}
 				}
-				case "/v1/kv-range" -> range(query, to);
-				case "/v1/kv-watch" -> watch(query, to);
-				case "/v1/kv-txn" -> txn(new String(request.body, StandardCharsets.UTF_8), to);
-				case "/v1/kv-lease" -> {
+				case "range" -> range(query, to);
+				case "watch" -> watch(query, to);
+				case "txn" -> txn(new String(request.body, StandardCharsets.UTF_8), to);
+				case "lease" -> {
 					long ttl = Math.clamp(number(new String(request.body, StandardCharsets.UTF_8), "ttlMs"), 1_000, 600_000);
 					synchronized (this) {
 						long lease = ++this.lastLease;
@@ -530,8 +530,8 @@
 					}
 				}
 				default -> {
-					if (path.startsWith("/v1/kv-keep/")) {
-						long lease = Long.parseLong(path.substring("/v1/kv-keep/".length()));
+					if (path.startsWith("keep/")) {
+						long lease = Long.parseLong(path.substring("keep/".length()));
 						synchronized (this) {
 							boolean known = this.leaseEnds.containsKey(lease);
 							if (known) {
@@ -679,6 +679,10 @@
 
 		record Request(String method, String target, Map<String, String> headers, byte[] body, Socket socket) {
 
+			String id() {
+				return header(Wire.REQUEST_ID);
+			}
+
 			String header(String name) {
 				return this.headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
 			}
@@ -904,7 +908,11 @@
 	static String beat(String service, String address, String zone, int slots, String state, long born, long sequence) {
 		return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
 				+ "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-				+ "\",\"coldRemainingMs\":0,\"sequence\":" + sequence + ",\"born\":" + born + "}";
+				+ "\",\"" + Wire.COLD + "\":0,\"sequence\":" + sequence + ",\"born\":" + born + "}";
+	}
+
+	static String tenant() {
+		return "{\"name\":\"" + TENANT + "\",\"" + Wire.KEYS + "\":[\"" + KEY + "\"],\"priority\":1}";
 	}
 
 	private static final AtomicInteger IDS = new AtomicInteger();
--- a/review/stand-ins-2/SilentStoreConnections.java
+++ b/review/stand-ins-2/SilentStoreConnections.java
@@ -62,11 +62,11 @@
 				long sinceMs = (confirmedAtMs != null) ? lab.nowMs() - confirmedAtMs : -1;
 				if (sinceMs > DRAIN_MS + CLOCK_MARGIN_MS) {
 					LATE.incrementAndGet();
-					lab.note("request " + request.header("Attempt-Id") + " reached " + id + " " + sinceMs
+					lab.note("request " + request.id() + " reached " + id + " " + sinceMs
 							+ " ms after the store confirmed that it is draining");
 				}
 				Lab.sleep(100);
-				to.send(200, "Attempt-Id: " + request.header("Attempt-Id") + "\r\nResponse-Stamp: s." + id
+				to.send(200, Wire.REQUEST_ID + ": " + request.id() + "\r\n" + Wire.STAMP + ": s." + id
 						+ "\r\nServer-Load: 1,0,6\r\n", "done".getBytes(StandardCharsets.UTF_8));
 				return true;
 			});
@@ -128,7 +128,7 @@
 
 	private static void putConfig(Lab lab, long version) {
 		lab.store.put("op/config", Lab.config(version, Lab.route("r-1", "/puxa403/", "unsafe", "ledger", 1_500, 1, false),
-				Lab.service("ledger"), "{\"name\":\"" + Lab.TENANT + "\",\"apiKeys\":[\"" + Lab.KEY + "\"],\"priority\":1}"));
+				Lab.service("ledger"), Lab.tenant()));
 	}
 
 	private static void call(Lab lab, Lab.EntryHost host, long endMs) {
@@ -137,7 +137,7 @@
 			String result;
 			try {
 				Lab.Call.Answer answer = Lab.Call.exchange(host.ip, host.callerPort,
-						"POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: " + id
+						"POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\n" + Wire.REQUEST_ID + ": " + id
 								+ "\r\nDeadline-Milliseconds: 3000\r\nAuthorization: Token " + Lab.KEY
 								+ "\r\nContent-Length: 4\r\n\r\n",
 						"body".getBytes(StandardCharsets.UTF_8), 3_500);
