Count the interval of confirmations from the read of the store

Cause: a silent connection hides changes from the waiting call for 10.9 s, so confirmations alone find them. A host asked another one every 1.8 s after its last question, and the answer could be 0.9 s old. Nothing owned the sum of both, two waits and the read: 3.0 s, while drainMs and configApplyMs are 2 s. The waiting call stayed on its connection also after a confirmation had found what it did not deliver, so each later change was late as well.

Change: ConfirmationSchedule derives the longest time between confirmations from the bound, less all that follows a confirmation. The interval runs from the read that confirmed the copy, so the age of an answer shortens it. A missing change is read over a new connection; when that call is answered before the waiting one, the waiting one is ended (event=watch-stalled) and repeated.

Tests: StoreFollowerTests.ageOfAnotherHostsReadShortensTheTimeToTheNextConfirmation, ... callForChangesThatHasStalledIsEndedOnceAChangeArrivesOverANewConnection, ConfirmationScheduleTests. The model's answers of another host now are as old as their age says; before, they held the newest version at any age.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/ChangeFeed.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/ChangeFeed.java
@@ -26,6 +26,21 @@
 	 */
 	StoreResult<StoreChanges> changes(String prefix, StoreVersion after, long waitMs);
 
+	/**
+	 * Returns the changes after a version without a wait for further ones, over a new
+	 * connection, because open connections may be unresponsive.
+	 * @param prefix the prefix, empty for all keys
+	 * @param after only changes after this version are returned
+	 * @return the changes, as {@link #changes} returns them
+	 */
+	StoreResult<StoreChanges> changesNow(String prefix, StoreVersion after);
+
+	/**
+	 * Ends a call for changes that is waiting on an unresponsive connection. The call
+	 * fails, and the next one uses a new connection.
+	 */
+	void cancelChanges();
+
 	/**
 	 * Reads the store's version. The result is linearizable: every change acknowledged
 	 * before the call has at most this version, unless the store has lost it.
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/PeerConfirmations.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/PeerConfirmations.java
@@ -11,12 +11,15 @@
  */
 public interface PeerConfirmations {
 
+	/** Longest wait for the answer of another host, in milliseconds. */
+	long ANSWER_TIMEOUT_MS = 150;
+
 	/** No other host is asked. */
 	PeerConfirmations NONE = Optional::empty;
 
 	/**
 	 * Asks another host for the newest version of the store. Blocks until its answer, for
-	 * at most a fraction of a second.
+	 * at most {@link #ANSWER_TIMEOUT_MS}.
 	 * @return the answer, empty if this host has to read the store itself
 	 */
 	Optional<PeerConfirmation> ask();
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -57,8 +57,7 @@
 
 	private volatile PeerConfirmations peers = PeerConfirmations.NONE;
 
-	/** Last version that this host has read from the store, {@code null} for none. */
-	private volatile ConfirmedVersion lastConfirmed;
+	private final LastRead lastRead;
 
 	/** Whether another host waits for a read of the store. */
 	private volatile boolean readAsked;
@@ -77,14 +76,14 @@
 	/** Version of the copy, {@code null} before the first read. */
 	private StoreVersion version;
 
-	/** Version of the last read of all keys, which includes all older changes. */
-	private StoreVersion fullReadVersion;
-
 	private boolean historyLost;
 
 	/** Time of the next confirmation. */
 	private volatile long confirmDueMs = Long.MIN_VALUE;
 
+	/** Number of calls for changes that were ended because they had stalled. */
+	private volatile long stalledCalls;
+
 	private StoreState state;
 
 	private long followRetryMs = FIRST_RETRY_MS;
@@ -104,6 +103,7 @@
 		this.monotonicMs = Objects.requireNonNull(monotonicMs, "monotonicMs");
 		this.wallMs = Objects.requireNonNull(wallMs, "wallMs");
 		this.options = Objects.requireNonNull(options, "options");
+		this.lastRead = new LastRead(monotonicMs, wallMs);
 		this.state = new StoreState.Available(monotonicMs.getAsLong());
 	}
 
@@ -122,14 +122,12 @@
 
 	@Override
 	public Optional<PeerConfirmation> lastRead(long maxAgeMs) {
-		ConfirmedVersion confirmed = this.lastConfirmed;
-		if (confirmed == null) {
-			return Optional.empty();
-		}
-		// The monotonic clock may stop while the host is suspended.
-		long ageMs = Math.max(this.monotonicMs.getAsLong() - confirmed.monotonicMs,
-				this.wallMs.getAsLong() - confirmed.wallMs);
-		return (ageMs <= maxAgeMs) ? Optional.of(new PeerConfirmation(confirmed.version, ageMs)) : Optional.empty();
+		return this.lastRead.within(maxAgeMs);
+	}
+
+	@Override
+	public long maxReadAgeMs() {
+		return this.options.confirmations().maxReadAgeMs();
 	}
 
 	@Override
@@ -172,7 +170,11 @@
 		if (after == null) {
 			return (readAll()) ? 0 : followRetryDelayMs();
 		}
+		long stalledBefore = this.stalledCalls;
 		StoreResult<StoreChanges> result = this.feed.changes("", after, this.options.waitMs());
+		if (this.stalledCalls != stalledBefore && !(result instanceof StoreResult.Ok)) {
+			return 0;
+		}
 		return switch (result) {
 			case StoreResult.Ok<StoreChanges> ok -> applyChanges(ok.value());
 			case StoreResult.NotFound<StoreChanges> compacted -> {
@@ -201,12 +203,12 @@
 		}
 		long sentWallMs = this.wallMs.getAsLong();
 		if (!this.readAsked && isStoreAvailable() && confirmThroughPeer(sentMs, sentWallMs)) {
-			return confirmAgainAfter(sentMs);
+			return nextConfirmationDelayMs();
 		}
 		this.readAsked = false;
 		StoreResult<StoreVersion> result = this.feed.version();
 		if (result instanceof StoreResult.Ok<StoreVersion> ok && !isEarlierEra(ok.value())) {
-			this.lastConfirmed = new ConfirmedVersion(ok.value(), sentMs, sentWallMs);
+			this.lastRead.record(ok.value(), sentMs, sentWallMs);
 		}
 		this.readListener.run();
 		return switch (result) {
@@ -230,21 +232,47 @@
 	// Returns false if this host has to read the store itself.
 	private boolean confirmThroughPeer(long askedMs, long askedWallMs) {
 		Optional<PeerConfirmation> told = this.peers.ask();
-		if (told.isEmpty() || isEarlierEra(told.get().newest())) {
+		if (told.isEmpty() || told.get().ageMs() > maxReadAgeMs() || isEarlierEra(told.get().newest())) {
 			return false;
 		}
-		catchUpWith(told.get().newest());
-		if (isMissingChanges(told.get().newest())) {
+		if (!catchUpWith(told.get().newest())) {
 			return false;
 		}
 		applyHeldBackRemovals();
 		long ageMs = told.get().ageMs();
 		notifyListener((listener) -> listener.confirmed(askedMs - ageMs, askedWallMs - ageMs));
+		scheduleConfirmation(askedMs - ageMs);
 		return true;
 	}
 
+	// Returns whether the copy has all changes up to the version.
+	private boolean catchUpWith(StoreVersion newest) {
+		awaitChanges(newest);
+		if (isMissingChanges(newest)) {
+			readMissingChanges(newest);
+		}
+		return !isMissingChanges(newest);
+	}
+
+	// A call that is sent later, over a new connection, and is answered before the
+	// waiting
+	// one shows that the connection of the waiting one is unresponsive.
+	private void readMissingChanges(StoreVersion newest) {
+		StoreVersion before = version();
+		if (before == null || !before.isSameEra(newest)
+				|| !(this.feed.changesNow("", before) instanceof StoreResult.Ok<StoreChanges> ok)
+				|| !isMissingChanges(newest)) {
+			return;
+		}
+		applyChanges(ok.value());
+		notifyListener((listener) -> listener.watchStalled(before, newest));
+		this.stalledCalls++;
+		this.feed.cancelChanges();
+		this.follower.wake();
+	}
+
 	// The follower may be waiting for further changes before its next call.
-	private void catchUpWith(StoreVersion newest) {
+	private void awaitChanges(StoreVersion newest) {
 		if (isMissingChanges(newest)) {
 			this.follower.wake();
 		}
@@ -259,20 +287,25 @@
 			return recordFailedRead(EARLIER_ERA);
 		}
 		recordResponse();
-		catchUpWith(newest);
-		if (!isMissingChanges(newest)) {
+		if (catchUpWith(newest)) {
 			applyHeldBackRemovals();
 			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 		}
 		else if (!readAll()) {
 			return MAX_RETRY_MS;
 		}
-		return confirmAgainAfter(sentMs);
+		scheduleConfirmation(sentMs);
+		return nextConfirmationDelayMs();
+	}
+
+	// The interval runs from the read of the store that has confirmed the copy. A later
+	// change is unknown to this host until the next confirmation.
+	private void scheduleConfirmation(long currentAsOfMs) {
+		this.confirmDueMs = currentAsOfMs + this.options.confirmations().maxUnconfirmedMs();
 	}
 
-	private long confirmAgainAfter(long sentMs) {
-		this.confirmDueMs = sentMs + this.options.confirmMs();
-		return Math.max(0, nextConfirmationMs() - sentMs);
+	private long nextConfirmationDelayMs() {
+		return Math.max(0, nextConfirmationMs() - this.monotonicMs.getAsLong());
 	}
 
 	private boolean isMissingChanges(StoreVersion newest) {
@@ -346,7 +379,6 @@
 		all.changes().forEach(this::put);
 		this.followRetryMs = FIRST_RETRY_MS;
 		this.historyLost = false;
-		this.fullReadVersion = all.version();
 		this.version = all.version();
 		Map<String, String> copy = Map.copyOf(this.values);
 		notifyListener((listener) -> listener.changed(copy));
@@ -366,7 +398,7 @@
 		this.followRetryMs = FIRST_RETRY_MS;
 		boolean changed = false;
 		for (StoreChange change : changes.changes()) {
-			if (change.version().isAfter(this.fullReadVersion)) {
+			if (change.version().isAfter(this.version)) {
 				changed = true;
 				if (change.value() != null) {
 					put(change);
@@ -473,14 +505,4 @@
 		}
 	}
 
-	/**
-	 * Version that was read from the store.
-	 *
-	 * @param version the version
-	 * @param monotonicMs time at which the read was sent, on the monotonic clock
-	 * @param wallMs the same time on the wall clock
-	 */
-	private record ConfirmedVersion(StoreVersion version, long monotonicMs, long wallMs) {
-	}
-
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
@@ -31,6 +31,14 @@
 	 */
 	void callFailed(String reason);
 
+	/**
+	 * Called when the waiting call for changes has not delivered a change that a later
+	 * call on a new connection has returned, so that its connection is unresponsive.
+	 * @param before version of the copy without the change
+	 * @param newest version of the store that a confirmation has found
+	 */
+	void watchStalled(StoreVersion before, StoreVersion newest);
+
 	/**
 	 * Called when the store becomes unavailable: its version or its keys cannot be read.
 	 * @param reason short technical reason
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreReads.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreReads.java
@@ -16,6 +16,12 @@
 	 */
 	Optional<PeerConfirmation> lastRead(long maxAgeMs);
 
+	/**
+	 * Returns the age up to which a read answers other hosts.
+	 * @return the age in milliseconds
+	 */
+	long maxReadAgeMs();
+
 	/**
 	 * Reads the newest version of the store as soon as possible, because another host has
 	 * asked for it.
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/RestoredStoreModelTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/RestoredStoreModelTests.java
@@ -162,6 +162,15 @@
 			return (this.random.nextInt(5) > 0) ? new StoreResult.Ok<>(changes) : new StoreResult.Unavailable<>("lost");
 		}
 
+		@Override
+		public StoreResult<StoreChanges> changesNow(String prefix, StoreVersion after) {
+			return changes(prefix, after, 0);
+		}
+
+		@Override
+		public void cancelChanges() {
+		}
+
 		@Override
 		public StoreResult<StoreVersion> version() {
 			StoreVersion version = storeVersion();
@@ -198,6 +207,10 @@
 		public void callFailed(String reason) {
 		}
 
+		@Override
+		public void watchStalled(StoreVersion before, StoreVersion newest) {
+		}
+
 		@Override
 		public void storeUnavailable(String reason) {
 			// Losses of calls are random.
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -30,6 +30,9 @@
 
 	private final Deque<ScriptedResponse> responses = new ArrayDeque<>();
 
+	/** Responses to calls for changes over a new connection, empty for failures. */
+	private final Deque<StoreResult<StoreChanges>> immediateResponses = new ArrayDeque<>();
+
 	private final Deque<StoreResult<StoreVersion>> versions = new ArrayDeque<>();
 
 	private final List<String> calls = new ArrayList<>();
@@ -100,7 +103,8 @@
 	void batchDelayIsReadForEachBatch() {
 		AtomicLong batchDelayMs = new AtomicLong(1_350);
 		StoreFollower varying = new StoreFollower(new ScriptedFeed(), this.recorder, this.nowMs::get,
-				() -> this.nowMs.get() + 1_000_000, new FollowerOptions(10_000, batchDelayMs::get, 1_800, 1, 2_200));
+				() -> this.nowMs.get() + 1_000_000,
+				new FollowerOptions(10_000, batchDelayMs::get, ConfirmationSchedule.every(1_800), 1, 2_200));
 		this.responses.add(new ScriptedResponse(1, ok(5)));
 		varying.followStep();
 		this.responses.add(new ScriptedResponse(1, ok(6, new StoreChange("a", "1", version(6)))));
@@ -249,6 +253,66 @@
 		assertThat(this.follower.lastRead(Long.MAX_VALUE)).isEmpty();
 	}
 
+	/**
+	 * Guards against an interval between confirmations that begins with the question: the
+	 * age of the answer then adds to it, and a change takes effect after the sum of both.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0", "300", "1350" })
+	void ageOfAnotherHostsReadShortensTheTimeToTheNextConfirmation(long ageMs) {
+		follow(1, ok(5, put("a", "1")));
+		this.nowMs.set(12_000);
+		this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(5), ageMs)));
+		assertThat(this.follower.confirmStep()).isEqualTo(1_800 - ageMs);
+	}
+
+	/** A host with other settings may tell reads that are too old for the bound. */
+	@Test
+	void readOfAnotherHostThatIsTooOldConfirmsNothing() {
+		follow(1, ok(5, put("a", "1")));
+		this.nowMs.set(12_000);
+		this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(5), 1_351)));
+		confirm(0, new StoreResult.Ok<>(version(5)));
+		assertThat(this.recorder.confirmedMs).isEqualTo(12_000);
+	}
+
+	/**
+	 * Guards against a call for changes that goes on waiting on an unresponsive
+	 * connection, so that each later change is learned from a confirmation only.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "true", "false" })
+	void callForChangesThatHasStalledIsEndedOnceAChangeArrivesOverANewConnection(boolean confirmedByPeer) {
+		follow(1, ok(5, put("a", "1")));
+		this.nowMs.set(12_000);
+		if (confirmedByPeer) {
+			this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(6), 0)));
+		}
+		else {
+			this.versions.add(new StoreResult.Ok<>(version(6)));
+		}
+		this.immediateResponses.add(ok(6, new StoreChange("a", "2", version(6))));
+		this.duringNextCall = this.follower::confirmStep;
+		follow(900, new StoreResult.Unavailable<>("connection closed"));
+		assertThat(this.recorder.values).containsExactly("a", "2");
+		assertThat(this.recorder.confirmedMs).isEqualTo(12_000);
+		assertThat(this.calls).containsExactly("read", "changes after 5", "cancel").inOrder();
+		assertThat(this.recorder.events).containsExactly("watch stalled");
+	}
+
+	/** The answer of the ended call may have been on its way. */
+	@Test
+	void lateAnswerOfACallThatWasEndedChangesNothing() {
+		follow(1, ok(5, put("a", "1")));
+		this.nowMs.set(12_000);
+		this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(7), 0)));
+		this.immediateResponses
+			.add(ok(7, new StoreChange("a", "2", version(6)), new StoreChange("a", "3", version(7))));
+		this.duringNextCall = this.follower::confirmStep;
+		follow(1, ok(6, new StoreChange("a", "2", version(6))));
+		assertThat(this.recorder.values).containsExactly("a", "3");
+	}
+
 	/** The answer does not count, and the store is read as without it. */
 	@ParameterizedTest
 	@CsvSource({ "1, 7", "0, 9", "0, 0" })
@@ -334,6 +398,17 @@
 			return nextResponse();
 		}
 
+		@Override
+		public StoreResult<StoreChanges> changesNow(String prefix, StoreVersion after) {
+			return StoreFollowerTests.this.immediateResponses.isEmpty() ? new StoreResult.Unavailable<>("no connection")
+					: StoreFollowerTests.this.immediateResponses.remove();
+		}
+
+		@Override
+		public void cancelChanges() {
+			StoreFollowerTests.this.calls.add("cancel");
+		}
+
 		@Override
 		public StoreResult<StoreVersion> version() {
 			StoreFollowerTests.this.nowMs.addAndGet(StoreFollowerTests.this.confirmTookMs);
@@ -388,6 +463,11 @@
 			this.events.add("call failed");
 		}
 
+		@Override
+		public void watchStalled(StoreVersion before, StoreVersion newest) {
+			this.events.add("watch stalled");
+		}
+
 		@Override
 		public void storeUnavailable(String reason) {
 			this.events.add("lost");
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreOutageModelTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreOutageModelTests.java
@@ -22,8 +22,9 @@
 /**
  * Guards against a copy that lacks a change for longer than its bound while the store is
  * stable, and against removing entries that expired during an outage. Calls for changes
- * are cut at any time, the store refuses calls for some seconds, and another host
- * confirms the copy or does not. Runs more seeds with {@code -Doutage.seeds=1000}.
+ * are cut at any time or wait on an unresponsive connection, the store refuses calls for
+ * some seconds, and another host confirms the copy or does not. Runs more seeds with
+ * {@code -Doutage.seeds=1000}.
  */
 class StoreOutageModelTests {
 
@@ -39,16 +40,16 @@
 
 	private static final long WAIT_MS = 10_000;
 
-	private static final long CONFIRM_MS = 1_800;
+	private static final ConfirmationSchedule SCHEDULE = ConfirmationSchedule.within(APPLY_MS, 150);
 
 	private static final long HOLD_REMOVALS_MS = 2_200;
 
-	/** Age at which the version that another host has read is not told any more. */
-	private static final long PEER_READ_MS = 900;
-
 	/** Shortest outage in which an entry may expire. */
 	private static final long EXPIRY_MS = 2_000;
 
+	/** Time after which a call on an unresponsive connection fails. */
+	private static final long TIMEOUT_MS = 900;
+
 	/** Time in which the owner of an expired entry writes it again. */
 	private static final long REWRITE_MS = 1_900;
 
@@ -99,12 +100,20 @@
 
 		private long writes;
 
+		/** Time of the last disturbance of the store or of the connections to it. */
+		private long disturbedAtMs;
+
+		/** Whether the connection of the waiting call for changes is unresponsive. */
+		private boolean deaf;
+
+		private final List<Long> writtenAtMs = new ArrayList<>();
+
 		Run(long seed) {
 			this.seed = seed;
 			this.random = new Random(seed);
 			this.hasPeer = this.random.nextInt(3) > 0;
 			this.follower = new StoreFollower(this, this, () -> this.nowMs, () -> this.nowMs,
-					new FollowerOptions(WAIT_MS, 350, CONFIRM_MS, 1, HOLD_REMOVALS_MS));
+					new FollowerOptions(WAIT_MS, () -> 350, SCHEDULE, 1, HOLD_REMOVALS_MS));
 			this.follower.usePeers(this::askPeer);
 		}
 
@@ -133,6 +142,9 @@
 			for (int i = 0; i < 12; i++) {
 				at(12_000 + this.random.nextInt(100_000), () -> this.cut = true);
 			}
+			for (int i = 0; i < 8; i++) {
+				at(12_000 + this.random.nextInt(100_000), this::silenceConnections);
+			}
 			for (int i = 0; i < 60; i++) {
 				long writeMs = 12_000 + this.random.nextInt(100_000);
 				String key = "servers/k" + this.random.nextInt(4);
@@ -150,6 +162,11 @@
 			this.dueActions.add(index, action);
 		}
 
+		private void silenceConnections() {
+			this.disturbedAtMs = this.nowMs;
+			this.deaf = true;
+		}
+
 		private void beginOutage(long outageMs, boolean cuts) {
 			this.outageFromMs = this.nowMs;
 			this.outageToMs = this.nowMs + outageMs;
@@ -159,6 +176,7 @@
 
 		// The entry of a living server expires, and its owner writes it again.
 		private void endOutage(long outageMs) {
+			this.disturbedAtMs = this.nowMs;
 			if (outageMs >= EXPIRY_MS) {
 				write("servers/lasting", null);
 				at(this.nowMs + this.random.nextLong(REWRITE_MS), () -> write("servers/lasting", "v" + ++this.writes));
@@ -179,9 +197,10 @@
 				this.items.remove(key);
 			}
 			this.latestChanges.put(key, change);
-			if (!key.equals("servers/lasting") && this.nowMs >= this.outageToMs + STABLE_MS) {
-				long outageBeforeMs = this.outageToMs;
-				at(this.nowMs + APPLY_MS, () -> check(change, outageBeforeMs));
+			this.writtenAtMs.add(this.nowMs);
+			if (!key.equals("servers/lasting") && !isAway() && this.nowMs >= this.disturbedAtMs + STABLE_MS) {
+				long disturbedBeforeMs = this.disturbedAtMs;
+				at(this.nowMs + APPLY_MS, () -> check(change, disturbedBeforeMs));
 			}
 		}
 
@@ -208,9 +227,10 @@
 			}
 		}
 
-		// An outage since the write excuses it.
-		private void check(StoreChange change, long outageBeforeMs) {
-			if (this.outageToMs == outageBeforeMs && this.latestChanges.get(change.key()) == change) {
+		// A disturbance since the write excuses it.
+		private void check(StoreChange change, long disturbedBeforeMs) {
+			if (!isAway() && this.disturbedAtMs == disturbedBeforeMs
+					&& this.latestChanges.get(change.key()) == change) {
 				assertWithMessage("seed %s at %s ms, key %s", this.seed, this.nowMs, change.key())
 					.that(this.copy.get(change.key()))
 					.isEqualTo(change.value());
@@ -224,12 +244,13 @@
 		}
 
 		private Optional<PeerConfirmation> askPeer() {
-			long ageMs = this.random.nextLong(PEER_READ_MS);
-			boolean answered = this.nowMs - ageMs < this.outageFromMs || this.nowMs - ageMs >= this.outageToMs;
-			if (!this.hasPeer || !answered || this.nowMs - ageMs < this.outageToMs) {
+			long ageMs = this.random.nextLong(SCHEDULE.maxReadAgeMs());
+			long readAtMs = this.nowMs - ageMs;
+			boolean answered = readAtMs < this.outageFromMs || readAtMs >= this.outageToMs;
+			if (!this.hasPeer || !answered || readAtMs < this.outageToMs) {
 				return Optional.empty();
 			}
-			long revision = this.history.size();
+			long revision = this.writtenAtMs.stream().filter((writtenMs) -> writtenMs < readAtMs).count();
 			return Optional.of(new PeerConfirmation(version(revision), ageMs));
 		}
 
@@ -251,16 +272,36 @@
 				return new StoreResult.Unavailable<>("away");
 			}
 			this.cut = false;
+			this.deaf = false;
 			long endMs = this.nowMs + waitMs;
-			while (this.nowMs < endMs && this.history.size() == after.revision()) {
+			while (this.nowMs < endMs && (this.deaf || this.history.size() == after.revision())) {
 				advanceTo(Math.min(endMs,
 						(this.dueMs.isEmpty()) ? endMs : Math.max(this.nowMs + 1, this.dueMs.getFirst())));
 				if (this.cut) {
 					return new StoreResult.Unavailable<>("connection closed");
 				}
 			}
-			return new StoreResult.Ok<>(new StoreChanges(
-					List.copyOf(this.history.subList((int) after.revision(), this.history.size())), storeVersion()));
+			if (this.deaf) {
+				advanceTo(endMs + TIMEOUT_MS);
+				return new StoreResult.Unavailable<>("time-out");
+			}
+			return new StoreResult.Ok<>(changesAfter(after));
+		}
+
+		@Override
+		public StoreResult<StoreChanges> changesNow(String prefix, StoreVersion after) {
+			this.nowMs++;
+			return (isAway()) ? new StoreResult.Unavailable<>("away") : new StoreResult.Ok<>(changesAfter(after));
+		}
+
+		private StoreChanges changesAfter(StoreVersion after) {
+			return new StoreChanges(List.copyOf(this.history.subList((int) after.revision(), this.history.size())),
+					storeVersion());
+		}
+
+		@Override
+		public void cancelChanges() {
+			this.cut = true;
 		}
 
 		@Override
@@ -285,6 +326,10 @@
 		public void callFailed(String reason) {
 		}
 
+		@Override
+		public void watchStalled(StoreVersion before, StoreVersion newest) {
+		}
+
 		@Override
 		public void storeUnavailable(String reason) {
 		}
--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/ConfirmationExchange.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/load/ConfirmationExchange.java
@@ -33,12 +33,6 @@
  */
 public final class ConfirmationExchange implements PeerConfirmations {
 
-	/** Longest wait for an answer. */
-	static final long ANSWER_TIMEOUT_MS = 150;
-
-	/** Age up to which a read answers further questions. */
-	static final long MAX_READ_AGE_MS = 900;
-
 	/** Unanswered questions after which a host is not asked for a while. */
 	private static final int MAX_MISSES = 2;
 
@@ -184,7 +178,7 @@
 		if (storeReads == null) {
 			return;
 		}
-		Optional<PeerConfirmation> last = storeReads.lastRead(MAX_READ_AGE_MS);
+		Optional<PeerConfirmation> last = storeReads.lastRead(storeReads.maxReadAgeMs());
 		if (last.isPresent()) {
 			answer(askingHost, query, last);
 			return;
@@ -204,7 +198,7 @@
 			asking = Map.copyOf(this.waiting);
 			this.waiting.clear();
 		}
-		Optional<PeerConfirmation> last = this.reads.lastRead(MAX_READ_AGE_MS);
+		Optional<PeerConfirmation> last = this.reads.lastRead(this.reads.maxReadAgeMs());
 		asking.forEach((host, query) -> answer(host, query, last));
 	}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/ConfirmationExchangeTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/internal/load/ConfirmationExchangeTests.java
@@ -112,6 +112,11 @@
 					: Optional.empty();
 		}
 
+		@Override
+		public long maxReadAgeMs() {
+			return 675;
+		}
+
 		@Override
 		public void requestRead() {
 			this.count++;
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -125,6 +125,19 @@
 		}
 	}
 
+	/**
+	 * Closes the connections to all addresses at once, so that calls in progress fail.
+	 * Later calls use new connections.
+	 */
+	public void abort() {
+		for (String address : this.clients.keySet()) {
+			BlockingStreamingHttpClient client = this.clients.remove(address);
+			if (client != null) {
+				client.asStreamingClient().closeAsync().subscribe();
+			}
+		}
+	}
+
 	@Override
 	public void close() {
 		this.clients.values().forEach((client) -> client.asStreamingClient().closeAsync().subscribe());
