Hold removals back only after outages in which entries can expire

Seconds later one read of its version fails on a kept connection, the next one succeeds, and the host goes on sending requests to a server for 2.2 s after it has received the removal of its entry; accepted unsafe requests are lost (502).

Cause: each read that failed was taken for an outage, and removals were held back for 2,200 ms after it. The length of the outage was counted from this host's own last call, 7 to 13 s before for a host whose copy others confirm. The read failed because a call that had timed out on one connection left the others of the same age in use.

Change: StoreState keeps when the store last accepted a call of any host: the start of an own call that was answered, or the read of the host that confirms the copy. Entries expire after three heartbeats of silence, so removals are held back only if two heartbeats may have passed without the store. The event regained tells removalsHeldMs.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/FollowerOptions.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/FollowerOptions.java
@@ -12,11 +12,13 @@
  * @param confirmations times of the confirmations
  * @param catchUpMs time that the call for changes has to deliver a change that a
  * confirmation has detected; after it, the change is read over a new connection
+ * @param expiryOutageMs shortest outage of the store in which the entry of an owner that
+ * is alive can expire; after a shorter one no removal is held back
  * @param holdRemovalsMs time after the store is available again during which removals are
  * held back, so that owners can renew entries whose leases have expired
  */
 public record FollowerOptions(long waitMs, LongSupplier batchDelayMs, ConfirmationSchedule confirmations,
-		long catchUpMs, long holdRemovalsMs) {
+		long catchUpMs, long expiryOutageMs, long holdRemovalsMs) {
 
 	public FollowerOptions {
 		Objects.requireNonNull(batchDelayMs, "batchDelayMs");
@@ -24,7 +26,8 @@
 	}
 
 	/**
-	 * Creates settings with a constant batch delay.
+	 * Creates settings with a constant batch delay, in which entries can expire in any
+	 * outage.
 	 * @param waitMs longest wait of one call for changes
 	 * @param batchDelayMs time between a response with changes and the next call
 	 * @param confirmMs longest time without a confirmation
@@ -32,7 +35,7 @@
 	 * @param holdRemovalsMs time during which removals are held back
 	 */
 	public FollowerOptions(long waitMs, long batchDelayMs, long confirmMs, long catchUpMs, long holdRemovalsMs) {
-		this(waitMs, () -> batchDelayMs, ConfirmationSchedule.every(confirmMs), catchUpMs, holdRemovalsMs);
+		this(waitMs, () -> batchDelayMs, ConfirmationSchedule.every(confirmMs), catchUpMs, 0, holdRemovalsMs);
 	}
 
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -33,7 +33,7 @@
  * <p>
  * Entries whose leases expired while the store was unavailable, or that a restored store
  * has lost, are written again when their owners reach the store; their removals are held
- * back for that time.
+ * back for that time. A failed read after which the store answers soon is no such outage.
  */
 public final class StoreFollower implements StoreReads, AutoCloseable {
 
@@ -171,12 +171,13 @@
 			return (readAll()) ? 0 : followRetryDelayMs();
 		}
 		long stalledBefore = this.stalledCalls;
+		long sentMs = this.monotonicMs.getAsLong();
 		StoreResult<StoreChanges> result = this.feed.changes("", after, this.options.waitMs());
 		if (this.stalledCalls != stalledBefore && !(result instanceof StoreResult.Ok)) {
 			return 0;
 		}
 		return switch (result) {
-			case StoreResult.Ok<StoreChanges> ok -> applyChanges(ok.value());
+			case StoreResult.Ok<StoreChanges> ok -> applyChanges(ok.value(), sentMs);
 			case StoreResult.NotFound<StoreChanges> compacted -> {
 				markHistoryLost();
 				yield 0;
@@ -235,11 +236,12 @@
 		if (told.isEmpty() || told.get().ageMs() > maxReadAgeMs() || isEarlierEra(told.get().newest())) {
 			return false;
 		}
+		long ageMs = told.get().ageMs();
+		recordPeerAnswer(askedMs - ageMs);
 		if (!catchUpWith(told.get().newest())) {
 			return false;
 		}
 		applyHeldBackRemovals();
-		long ageMs = told.get().ageMs();
 		notifyListener((listener) -> listener.confirmed(askedMs - ageMs, askedWallMs - ageMs));
 		scheduleConfirmation(askedMs - ageMs);
 		return true;
@@ -259,12 +261,13 @@
 	// one shows that the connection of the waiting one is unresponsive.
 	private void readMissingChanges(StoreVersion newest) {
 		StoreVersion before = version();
+		long sentMs = this.monotonicMs.getAsLong();
 		if (before == null || !before.isSameEra(newest)
 				|| !(this.feed.changesNow("", before) instanceof StoreResult.Ok<StoreChanges> ok)
 				|| !isMissingChanges(newest)) {
 			return;
 		}
-		applyChanges(ok.value());
+		applyChanges(ok.value(), sentMs);
 		notifyListener((listener) -> listener.watchStalled(before, newest));
 		this.stalledCalls++;
 		this.feed.cancelChanges();
@@ -286,7 +289,7 @@
 		if (isEarlierEra(newest)) {
 			return recordFailedRead(EARLIER_ERA);
 		}
-		recordResponse();
+		recordResponse(sentMs);
 		if (catchUpWith(newest)) {
 			applyHeldBackRemovals();
 			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
@@ -331,7 +334,7 @@
 		long sentWallMs = this.wallMs.getAsLong();
 		StoreResult<StoreChanges> result = this.feed.read("");
 		if (result instanceof StoreResult.Ok<StoreChanges> ok) {
-			if (!replaceCopy(ok.value())) {
+			if (!replaceCopy(ok.value(), sentMs)) {
 				recordFailedReadAll(EARLIER_ERA);
 				return false;
 			}
@@ -359,11 +362,11 @@
 	}
 
 	// Returns false, and changes nothing, if the keys belong to an earlier era.
-	private synchronized boolean replaceCopy(StoreChanges all) {
+	private synchronized boolean replaceCopy(StoreChanges all, long sentMs) {
 		if (isEarlierEra(all.version())) {
 			return false;
 		}
-		recordResponse();
+		recordResponse(sentMs);
 		if (this.version == null || !this.version.isSameEra(all.version())) {
 			if (this.version != null) {
 				holdRemovals();
@@ -385,11 +388,11 @@
 		return true;
 	}
 
-	private synchronized long applyChanges(StoreChanges changes) {
+	private synchronized long applyChanges(StoreChanges changes, long sentMs) {
 		if (isEarlierEra(changes.version())) {
 			return recordFailedWait(EARLIER_ERA);
 		}
-		recordResponse();
+		recordResponse(sentMs);
 		if (!changes.version().isSameEra(this.version)) {
 			// Changes between the restored copy and the requested revision are missing.
 			markHistoryLost();
@@ -450,14 +453,21 @@
 		}
 	}
 
-	private synchronized void recordResponse() {
-		long nowMs = this.monotonicMs.getAsLong();
+	private synchronized void recordResponse(long sentMs) {
 		if (this.state instanceof StoreState.Away away) {
-			holdRemovals();
-			long outageMs = nowMs - away.answeredAtMs();
-			notifyListener((listener) -> listener.storeAvailable(outageMs));
+			long outageMs = this.monotonicMs.getAsLong() - away.provenAtMs();
+			boolean expired = outageMs >= this.options.expiryOutageMs();
+			if (expired) {
+				holdRemovals();
+			}
+			long heldMs = (expired) ? this.options.holdRemovalsMs() : 0;
+			notifyListener((listener) -> listener.storeAvailable(outageMs, heldMs));
 		}
-		this.state = this.state.afterAnswer(nowMs);
+		this.state = this.state.afterAnswer(sentMs);
+	}
+
+	private synchronized void recordPeerAnswer(long readAtMs) {
+		this.state = this.state.afterPeerAnswer(readAtMs);
 	}
 
 	// Leaves it to the confirmer to find out whether the store is available, so that an
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreListener.java
@@ -56,8 +56,9 @@
 
 	/**
 	 * Called when the store is available again.
-	 * @param outageMs time since its previous response
+	 * @param outageMs time since it last accepted a call of this host or another one
+	 * @param heldMs time for which removals are held back, 0 if they take effect at once
 	 */
-	void storeAvailable(long outageMs);
+	void storeAvailable(long outageMs, long heldMs);
 
 }
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreState.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreState.java
@@ -14,18 +14,36 @@
 	long MAX_RETRY_MS = 300;
 
 	/**
-	 * Returns the time of the store's last answer.
+	 * Returns the last time at which the store is known to have accepted a call of this
+	 * host or another one, which it answered later. The current outage has not begun
+	 * before.
 	 * @return the time on the monotonic clock
 	 */
-	long answeredAtMs();
+	long provenAtMs();
 
 	/**
-	 * Returns the state after an answer of the store.
-	 * @param nowMs time of the answer on the monotonic clock
+	 * Returns the state after an answer of the store. A call that has waited may be
+	 * answered while the store refuses new ones, so only its start counts.
+	 * @param sentMs time at which the call was sent, on the monotonic clock
 	 * @return the state
 	 */
-	default StoreState afterAnswer(long nowMs) {
-		return new Available(nowMs);
+	default StoreState afterAnswer(long sentMs) {
+		return new Available(Math.max(provenAtMs(), sentMs));
+	}
+
+	/**
+	 * Returns the state after another host has told of a read that the store answered.
+	 * This says nothing about calls of this host.
+	 * @param readAtMs time at which that host read the store, on the monotonic clock
+	 * @return the state
+	 */
+	default StoreState afterPeerAnswer(long readAtMs) {
+		long latestMs = Math.max(provenAtMs(), readAtMs);
+		return switch (this) {
+			case Available available -> new Available(latestMs);
+			case Unconfirmed unconfirmed -> new Unconfirmed(latestMs);
+			case Away away -> new Away(latestMs, away.retryMs());
+		};
 	}
 
 	/**
@@ -35,7 +53,7 @@
 	 */
 	default StoreState afterFailedWait() {
 		return switch (this) {
-			case Available available -> new Unconfirmed(available.answeredAtMs());
+			case Available available -> new Unconfirmed(available.provenAtMs());
 			case Unconfirmed unconfirmed -> unconfirmed;
 			case Away away -> away;
 		};
@@ -47,36 +65,36 @@
 	 */
 	default Away afterFailedRead() {
 		return switch (this) {
-			case Away away -> new Away(away.answeredAtMs(), Math.min(MAX_RETRY_MS, away.retryMs() * 2));
-			case Available available -> new Away(available.answeredAtMs(), FIRST_RETRY_MS);
-			case Unconfirmed unconfirmed -> new Away(unconfirmed.answeredAtMs(), FIRST_RETRY_MS);
+			case Away away -> new Away(away.provenAtMs(), Math.min(MAX_RETRY_MS, away.retryMs() * 2));
+			case Available available -> new Away(available.provenAtMs(), FIRST_RETRY_MS);
+			case Unconfirmed unconfirmed -> new Away(unconfirmed.provenAtMs(), FIRST_RETRY_MS);
 		};
 	}
 
 	/**
 	 * The store has answered the last call.
 	 *
-	 * @param answeredAtMs time of the last answer on the monotonic clock
+	 * @param provenAtMs last time at which the store is known to have accepted a call
 	 */
-	record Available(long answeredAtMs) implements StoreState {
+	record Available(long provenAtMs) implements StoreState {
 	}
 
 	/**
 	 * A call for changes has failed, and the store's version has not been read since.
 	 *
-	 * @param answeredAtMs time of the last answer on the monotonic clock
+	 * @param provenAtMs last time at which the store is known to have accepted a call
 	 */
-	record Unconfirmed(long answeredAtMs) implements StoreState {
+	record Unconfirmed(long provenAtMs) implements StoreState {
 	}
 
 	/**
 	 * The store cannot be read. With a valid copy only the version is read again, so that
 	 * an outage costs the calls of one thread.
 	 *
-	 * @param answeredAtMs time of the last answer on the monotonic clock
+	 * @param provenAtMs last time at which the store is known to have accepted a call
 	 * @param retryMs delay before the version is read again
 	 */
-	record Away(long answeredAtMs, long retryMs) implements StoreState {
+	record Away(long provenAtMs, long retryMs) implements StoreState {
 	}
 
 }
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/RestoredStoreModelTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/RestoredStoreModelTests.java
@@ -217,7 +217,7 @@
 		}
 
 		@Override
-		public void storeAvailable(long outageMs) {
+		public void storeAvailable(long outageMs, long heldMs) {
 			this.removalsHeldUntilMs = this.nowMs + HOLD_REMOVALS_MS;
 		}
 
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -104,7 +104,7 @@
 		AtomicLong batchDelayMs = new AtomicLong(1_350);
 		StoreFollower varying = new StoreFollower(new ScriptedFeed(), this.recorder, this.nowMs::get,
 				() -> this.nowMs.get() + 1_000_000,
-				new FollowerOptions(10_000, batchDelayMs::get, ConfirmationSchedule.every(1_800), 1, 2_200));
+				new FollowerOptions(10_000, batchDelayMs::get, ConfirmationSchedule.every(1_800), 1, 0, 2_200));
 		this.responses.add(new ScriptedResponse(1, ok(5)));
 		varying.followStep();
 		this.responses.add(new ScriptedResponse(1, ok(6, new StoreChange("a", "1", version(6)))));
@@ -206,6 +206,41 @@
 		assertThat(this.recorder.events).containsExactly("call failed");
 	}
 
+	/**
+	 * Guards against taking one read that fails, while the store answers the other hosts,
+	 * for the end of an outage in which entries expire: a server that leaves soon after
+	 * it would get requests until its removal is no longer held back. The last answer to
+	 * this host is seconds old, because another host confirms the copy.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "4, 0, false", "900, 0, false", "900, 900, false", "900, 1399, false", "900, 1400, true",
+			"4, 7000, true" })
+	void removalAfterAReadThatFailedIsHeldBackOnlyIfEntriesMayHaveExpired(long failedAfterMs, long awayMs,
+			boolean held) {
+		StoreFollower confirmedByPeer = new StoreFollower(new ScriptedFeed(), this.recorder, this.nowMs::get,
+				() -> this.nowMs.get() + 1_000_000,
+				new FollowerOptions(10_000, () -> 350, ConfirmationSchedule.every(900), 1, 2_400, 2_200));
+		this.responses.add(new ScriptedResponse(0, ok(5, put("servers/a", "1"))));
+		confirmedByPeer.followStep();
+		this.nowMs.addAndGet(6_000);
+		confirmedByPeer.usePeers(() -> Optional.of(new PeerConfirmation(version(5), 0)));
+		confirmedByPeer.confirmStep();
+		this.responses.add(new ScriptedResponse(0, new StoreResult.Unavailable<>("time-out")));
+		confirmedByPeer.followStep();
+		this.versions.add(new StoreResult.Unavailable<>("time-out"));
+		this.confirmTookMs = failedAfterMs;
+		confirmedByPeer.confirmStep();
+		this.nowMs.addAndGet(100 + awayMs);
+		this.versions.add(new StoreResult.Ok<>(version(5)));
+		this.confirmTookMs = 0;
+		confirmedByPeer.confirmStep();
+		this.responses.add(new ScriptedResponse(0, ok(6, removed("servers/a"))));
+		confirmedByPeer.followStep();
+		assertThat(this.recorder.values).hasSize((held) ? 1 : 0);
+		assertThat(this.recorder.heldMs).isEqualTo((held) ? 2_200 : 0);
+		assertThat(this.recorder.events).containsExactly("call failed", "lost", "regained").inOrder();
+	}
+
 	/** An outage must not cost the calls of both threads. */
 	@Test
 	void changesAreNotAskedForWhileTheConfirmationsFail() {
@@ -435,6 +470,8 @@
 
 		private long confirmedMs;
 
+		private long heldMs;
+
 		private Throwable failure;
 
 		private void fail() {
@@ -482,8 +519,9 @@
 		}
 
 		@Override
-		public void storeAvailable(long outageMs) {
+		public void storeAvailable(long outageMs, long heldMs) {
 			this.events.add("regained");
+			this.heldMs = heldMs;
 		}
 
 	}
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreOutageModelTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreOutageModelTests.java
@@ -22,9 +22,9 @@
 /**
  * Guards against a copy that lacks a change for longer than its bound while the store is
  * stable, and against removing entries that expired during an outage. Calls for changes
- * are cut at any time or wait on an unresponsive connection, the store refuses calls for
- * some seconds, and another host confirms the copy or does not. Runs more seeds with
- * {@code -Doutage.seeds=1000}.
+ * are cut at any time, open connections become unresponsive, the store refuses calls for
+ * some seconds or a single one, and another host confirms the copy or does not. Runs more
+ * seeds with {@code -Doutage.seeds=1000}.
  */
 class StoreOutageModelTests {
 
@@ -106,6 +106,11 @@
 		/** Whether the connection of the waiting call for changes is unresponsive. */
 		private boolean deaf;
 
+		/** Whether the kept connection of the other calls is unresponsive. */
+		private boolean keptIsDeaf;
+
+		private boolean refusesNextRead;
+
 		private final List<Long> writtenAtMs = new ArrayList<>();
 
 		Run(long seed) {
@@ -113,7 +118,7 @@
 			this.random = new Random(seed);
 			this.hasPeer = this.random.nextInt(3) > 0;
 			this.follower = new StoreFollower(this, this, () -> this.nowMs, () -> this.nowMs,
-					new FollowerOptions(WAIT_MS, () -> 350, SCHEDULE, 1, HOLD_REMOVALS_MS));
+					new FollowerOptions(WAIT_MS, () -> 350, SCHEDULE, 1, EXPIRY_MS, HOLD_REMOVALS_MS));
 			this.follower.usePeers(this::askPeer);
 		}
 
@@ -144,6 +149,7 @@
 			}
 			for (int i = 0; i < 8; i++) {
 				at(12_000 + this.random.nextInt(100_000), this::silenceConnections);
+				at(12_000 + this.random.nextInt(100_000), () -> this.refusesNextRead = true);
 			}
 			for (int i = 0; i < 60; i++) {
 				long writeMs = 12_000 + this.random.nextInt(100_000);
@@ -165,6 +171,7 @@
 		private void silenceConnections() {
 			this.disturbedAtMs = this.nowMs;
 			this.deaf = true;
+			this.keptIsDeaf = true;
 		}
 
 		private void beginOutage(long outageMs, boolean cuts) {
@@ -306,6 +313,15 @@
 
 		@Override
 		public StoreResult<StoreVersion> version() {
+			if (this.keptIsDeaf) {
+				this.keptIsDeaf = false;
+				this.nowMs += TIMEOUT_MS;
+				return new StoreResult.Unavailable<>("time-out");
+			}
+			if (this.refusesNextRead) {
+				this.refusesNextRead = false;
+				return new StoreResult.Unavailable<>("status 429");
+			}
 			return (isAway()) ? new StoreResult.Unavailable<>("away") : new StoreResult.Ok<>(storeVersion());
 		}
 
@@ -339,7 +355,7 @@
 		}
 
 		@Override
-		public void storeAvailable(long outageMs) {
+		public void storeAvailable(long outageMs, long heldMs) {
 		}
 
 	}
