Apply held-back removals only after a read as late as their time

Callers would see: after an outage of the store, a server that is alive and has written its entry again is removed for up to the time to the next confirmation, and its requests go to the others.

Cause: removals that are held back took effect with the first confirmation after their time. Another host's answer may come from a read up to three quarters of the interval before, and an unresponsive call for changes then hides that the entry was written again after that read.

Change: removals take effect with a confirmation whose read is no older than their time. With an older answer of another host, this host reads the store itself.

Tests: StoreFollowerTests.removalThatIsHeldBackDoesNotTakeEffectWithAnOlderReadOfAnotherHost fails before.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/HeldBackRemovals.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/HeldBackRemovals.java
@@ -53,12 +53,12 @@
 	}
 
 	/**
-	 * Returns the removals that take effect now, which are no longer held back.
-	 * @param nowMs current time
+	 * Returns the removals that take effect, which are no longer held back.
+	 * @param currentAsOfMs time as of which no key is known to have been written again
 	 * @return the keys, empty before their time
 	 */
-	Set<String> release(long nowMs) {
-		if (nowMs < this.untilMs) {
+	Set<String> release(long currentAsOfMs) {
+		if (currentAsOfMs < this.untilMs) {
 			return Set.of();
 		}
 		Set<String> released = Set.copyOf(this.keys);
--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -238,10 +238,10 @@
 		}
 		long ageMs = told.get().ageMs();
 		recordPeerAnswer(askedMs - ageMs);
-		if (!catchUpWith(told.get().newest())) {
+		if (!catchUpWith(told.get().newest()) || isReadTooOldForRemovals(askedMs, askedMs - ageMs)) {
 			return false;
 		}
-		applyHeldBackRemovals();
+		applyHeldBackRemovals(askedMs - ageMs);
 		notifyListener((listener) -> listener.confirmed(askedMs - ageMs, askedWallMs - ageMs));
 		scheduleConfirmation(askedMs - ageMs);
 		return true;
@@ -291,7 +291,7 @@
 		}
 		recordResponse(sentMs);
 		if (catchUpWith(newest)) {
-			applyHeldBackRemovals();
+			applyHeldBackRemovals(sentMs);
 			notifyListener((listener) -> listener.confirmed(sentMs, sentWallMs));
 		}
 		else if (!readAll()) {
@@ -444,8 +444,14 @@
 		return Math.min(this.confirmDueMs, this.heldBackRemovals.dueMs());
 	}
 
-	private synchronized void applyHeldBackRemovals() {
-		Set<String> released = this.heldBackRemovals.release(this.monotonicMs.getAsLong());
+	// Keys may have been written again after the other host's read.
+	private synchronized boolean isReadTooOldForRemovals(long nowMs, long readAtMs) {
+		long dueMs = this.heldBackRemovals.dueMs();
+		return nowMs >= dueMs && readAtMs < dueMs;
+	}
+
+	private synchronized void applyHeldBackRemovals(long currentAsOfMs) {
+		Set<String> released = this.heldBackRemovals.release(currentAsOfMs);
 		if (!released.isEmpty()) {
 			released.forEach(this.values::remove);
 			Map<String, String> copy = Map.copyOf(this.values);
--- a/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
+++ b/medlardrum-coordination/src/test/java/org/medlardrum/coordination/follow/StoreFollowerTests.java
@@ -188,6 +188,24 @@
 		assertThat(this.follower.confirmStep()).isEqualTo(1_800);
 	}
 
+	/**
+	 * Guards against removing an entry that its owner has written again since another
+	 * host read the store.
+	 */
+	@Test
+	void removalThatIsHeldBackDoesNotTakeEffectWithAnOlderReadOfAnotherHost() {
+		follow(1, ok(5, put("servers/a", "1")));
+		confirm(1, new StoreResult.Unavailable<>("down"));
+		this.nowMs.addAndGet(3_000);
+		confirm(0, new StoreResult.Ok<>(version(5)));
+		follow(0, ok(6, removed("servers/a")));
+		this.nowMs.addAndGet(2_200);
+		this.follower.usePeers(() -> Optional.of(new PeerConfirmation(version(6), 300)));
+		this.immediateResponses.add(ok(7, new StoreChange("servers/a", "2", version(7))));
+		confirm(0, new StoreResult.Ok<>(version(7)));
+		assertThat(this.recorder.values).containsExactly("servers/a", "2");
+	}
+
 	/**
 	 * Guards against taking a call for changes that was cut for an outage of the store: a
 	 * server that leaves soon after it would get requests until its removal is no longer
