Give the copy of the store's keys a class of its own

StoreCopy holds the keys, their version and the removals that are held back; the follower decides which calls to make.

--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -1,17 +1,13 @@
 package org.medlardrum.coordination.follow;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.medlardrum.coordination.ChangeFeed;
-import org.medlardrum.coordination.StoreChange;
 import org.medlardrum.coordination.StoreChanges;
 import org.medlardrum.coordination.StoreResult;
 import org.medlardrum.coordination.StoreVersion;
@@ -69,14 +65,7 @@
 
 	private final BackgroundThread confirmer = new BackgroundThread("store-confirmer", this::confirmStep);
 
-	private final Map<String, String> values = new HashMap<>();
-
-	private final HeldBackRemovals heldBackRemovals = new HeldBackRemovals();
-
-	/** Version of the copy, {@code null} before the first read. */
-	private StoreVersion version;
-
-	private boolean historyLost;
+	private final StoreCopy copy = new StoreCopy();
 
 	/** Time of the next confirmation. */
 	private volatile long confirmDueMs = Long.MIN_VALUE;
@@ -227,7 +216,7 @@
 
 	// While the confirmer finds the store unavailable, only the confirmer calls it.
 	private synchronized boolean isWaitingForStore() {
-		return this.state instanceof StoreState.Away && this.version != null && !this.historyLost;
+		return this.state instanceof StoreState.Away && this.copy.version() != null;
 	}
 
 	// Returns false if this host has to read the store itself.
@@ -317,7 +306,7 @@
 	}
 
 	private synchronized boolean isEarlierEra(StoreVersion other) {
-		return this.version != null && other.era() < this.version.era();
+		return this.copy.isOfLaterEraThan(other);
 	}
 
 	private void sleep(long ms) {
@@ -354,11 +343,11 @@
 	}
 
 	private synchronized StoreVersion version() {
-		return (this.historyLost) ? null : this.version;
+		return this.copy.version();
 	}
 
 	private synchronized void markHistoryLost() {
-		this.historyLost = true;
+		this.copy.markHistoryLost();
 	}
 
 	// Returns false, and changes nothing, if the keys belong to an earlier era.
@@ -367,24 +356,16 @@
 			return false;
 		}
 		recordResponse(sentMs);
-		if (this.version == null || !this.version.isSameEra(all.version())) {
-			if (this.version != null) {
+		StoreVersion before = this.copy.lastVersion();
+		if (before == null || !before.isSameEra(all.version())) {
+			if (before != null) {
 				holdRemovals();
 			}
-			StoreVersion before = this.version;
 			notifyListener((listener) -> listener.eraChanged(before, all.version()));
 		}
-		Set<String> present = new HashSet<>();
-		all.changes().forEach((change) -> present.add(change.key()));
-		Set<String> missing = new HashSet<>(this.values.keySet());
-		missing.removeAll(present);
-		missing.forEach(this::remove);
-		all.changes().forEach(this::put);
+		this.copy.replace(all, this.monotonicMs.getAsLong());
 		this.followRetryMs = FIRST_RETRY_MS;
-		this.historyLost = false;
-		this.version = all.version();
-		Map<String, String> copy = Map.copyOf(this.values);
-		notifyListener((listener) -> listener.changed(copy));
+		notifyChanged();
 		return true;
 	}
 
@@ -393,69 +374,46 @@
 			return recordFailedWait(EARLIER_ERA);
 		}
 		recordResponse(sentMs);
-		if (!changes.version().isSameEra(this.version)) {
+		if (!changes.version().isSameEra(this.copy.lastVersion())) {
 			// Changes between the restored copy and the requested revision are missing.
-			markHistoryLost();
+			this.copy.markHistoryLost();
 			return 0;
 		}
 		this.followRetryMs = FIRST_RETRY_MS;
-		boolean changed = false;
-		for (StoreChange change : changes.changes()) {
-			if (change.version().isAfter(this.version)) {
-				changed = true;
-				if (change.value() != null) {
-					put(change);
-				}
-				else {
-					remove(change.key());
-				}
-			}
-		}
-		this.version = (changes.version().isAfter(this.version)) ? changes.version() : this.version;
-		if (changed) {
-			Map<String, String> copy = Map.copyOf(this.values);
-			notifyListener((listener) -> listener.changed(copy));
+		if (!this.copy.apply(changes, this.monotonicMs.getAsLong())) {
+			return 0;
 		}
-		return (changed) ? this.options.batchDelayMs().getAsLong() : 0;
-	}
-
-	private void put(StoreChange change) {
-		this.values.put(change.key(), change.value());
-		this.heldBackRemovals.cancel(change.key());
+		notifyChanged();
+		return this.options.batchDelayMs().getAsLong();
 	}
 
-	private void remove(String key) {
-		if (this.values.containsKey(key) && this.heldBackRemovals.hold(key, this.monotonicMs.getAsLong())) {
+	private synchronized void notifyChanged() {
+		Map<String, String> values = this.copy.values();
+		notifyListener((listener) -> listener.changed(values));
+		if (this.copy.removalsDueMs() != Long.MAX_VALUE) {
 			this.confirmer.wake();
 		}
-		else {
-			this.values.remove(key);
-			this.heldBackRemovals.cancel(key);
-		}
 	}
 
 	private void holdRemovals() {
-		this.heldBackRemovals.holdUntil(this.monotonicMs.getAsLong() + this.options.holdRemovalsMs());
+		this.copy.holdRemovalsUntil(this.monotonicMs.getAsLong() + this.options.holdRemovalsMs());
 	}
 
 	// A confirmation is due when removals are to take effect, because the copy may lack
 	// that their keys were written again.
 	private synchronized long nextConfirmationMs() {
-		return Math.min(this.confirmDueMs, this.heldBackRemovals.dueMs());
+		return Math.min(this.confirmDueMs, this.copy.removalsDueMs());
 	}
 
 	// Keys may have been written again after the other host's read.
 	private synchronized boolean isReadTooOldForRemovals(long nowMs, long readAtMs) {
-		long dueMs = this.heldBackRemovals.dueMs();
+		long dueMs = this.copy.removalsDueMs();
 		return nowMs >= dueMs && readAtMs < dueMs;
 	}
 
 	private synchronized void applyHeldBackRemovals(long currentAsOfMs) {
-		Set<String> released = this.heldBackRemovals.release(currentAsOfMs);
-		if (!released.isEmpty()) {
-			released.forEach(this.values::remove);
-			Map<String, String> copy = Map.copyOf(this.values);
-			notifyListener((listener) -> listener.changed(copy));
+		if (this.copy.releaseRemovals(currentAsOfMs)) {
+			notifyChanged();
 		}
 	}
 
