Take a status outside 200 to 599 for a failed call

Callers saw: a server in trouble answers with status 600 or 999, with the right identifier and proof, and the caller gets that as its answer.

Cause: the decoder of the library refuses 000, 099, 101, 0200 and 204x, but accepts 600 to 999, and no code of ours looked at the status. A response with such a code says nothing of the request (RFC 9110, section 15).

Change: ResponseStatus.isFinal is asked where each call gets its response: BackendCall (requests, streams, reports, relays) and HttpExchange.send (our own interface, orders, the store). Otherwise the call has failed and may have run: idempotent requests go to another server, others get 502, an order is Unknown. The reason in event=answer-lost names the status.

RelayedResponseTests. relayedResponseWithAnInvalidStatusIsNoResponse and BackendClientTests.responseWithAnInvalidStatusMayHaveRun failed before for 600, and the latter for 999.

--- a/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
+++ b/medlardrum-gateway/src/main/java/org/medlardrum/gateway/internal/call/BackendCall.java
@@ -19,6 +19,7 @@
 import org.medlardrum.transport.internal.Failures;
 import org.medlardrum.transport.internal.HttpClientPool;
 import org.medlardrum.transport.internal.RequestWithheldException;
+import org.medlardrum.transport.internal.ResponseStatus;
 import org.medlardrum.transport.internal.WriteCheck;
 
 /**
@@ -202,7 +203,13 @@
 
 		@Override
 		public void onSuccess(StreamingHttpResponse response) {
-			deliver(new Signal.Header(BackendCall.this, response.status().code(), HeaderList.of(response.headers())));
+			int status = response.status().code();
+			if (!ResponseStatus.isFinal(status)) {
+				deliver(new Signal.Failed(BackendCall.this, false, ResponseStatus.describeInvalid(status)));
+				response.payloadBody().ignoreElements().subscribe().cancel();
+				return;
+			}
+			deliver(new Signal.Header(BackendCall.this, status, HeaderList.of(response.headers())));
 			SourceAdapters.toSource(response.payloadBody()).subscribe(new BodySubscriber());
 		}
 
--- a/medlardrum-gateway/src/test/java/org/medlardrum/gateway/RelayedResponseTests.java
+++ b/medlardrum-gateway/src/test/java/org/medlardrum/gateway/RelayedResponseTests.java
@@ -135,6 +135,14 @@
 		assertThat(received).doesNotContain("HTTP/1.1 200");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "/once/1, 000", "/once/1, 600", "/stream/1, 600", "/stream/1, 999" })
+	void relayedResponseWithAnInvalidStatusIsNoResponse(String path, String status) throws Exception {
+		String received = callThroughRelay(path, (head, socket, out) -> FakeBackend.write(out, "HTTP/1.1 " + status
+				+ " x\r\nid: r1\r\nproof: p\r\ncontent-length: 4\r\nconnection: close\r\n\r\nbody"));
+		assertThat(received).containsMatch("^HTTP/1.1 50[234]");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "", "medlardrum-relayed: other\r\n", "id: other\r\nnot-run: 1\r\n", "not-run: 1\r\n" })
 	void refusalThatDoesNotNameTheRequestIsNoPromise(String headers) throws Exception {
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpExchange.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpExchange.java
@@ -34,7 +34,8 @@
 	 * @param body body, empty for none
 	 * @param headerTimeoutMs longest time until the response header
 	 * @return the response, whose body must be read to its end or closed
-	 * @throws Exception if the exchange fails
+	 * @throws Exception if the exchange fails, or if the status is not one of a final
+	 * response
 	 */
 	public static BlockingStreamingHttpResponse send(BlockingStreamingHttpClient client, String method, String target,
 			List<String> headers, byte[] body, long headerTimeoutMs) throws Exception {
@@ -47,7 +48,13 @@
 		}
 		request.setHeader(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
 		request.context().put(HttpClientPool.HEADER_TIMEOUT, Duration.ofMillis(Math.max(1, headerTimeoutMs)));
-		return client.request(request);
+		BlockingStreamingHttpResponse response = client.request(request);
+		int status = response.status().code();
+		if (!ResponseStatus.isFinal(status)) {
+			response.payloadBody().iterator().close();
+			throw new IOException(ResponseStatus.describeInvalid(status));
+		}
+		return response;
 	}
 
 	/**
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/BackendClientTests.java
@@ -78,6 +78,21 @@
 		}
 	}
 
+	/** Guards against passing on a status that is not one of a final response. */
+	@ParameterizedTest
+	@ValueSource(strings = { "000", "099", "101", "600", "999" })
+	void responseWithAnInvalidStatusMayHaveRun(String status) throws IOException {
+		String response = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}";
+		try (ScriptedServer server = new ScriptedServer((n) -> response);
+				ServiceClient services = new ServiceClient(CONNECT_TIMEOUT_MS, MAX_RESPONSE_BYTES);
+				EngineClient engines = new EngineClient(CONNECT_TIMEOUT_MS)) {
+			assertThat(services.call(server.address(), BOOKING, 5000)).isInstanceOf(Outcome.MayHaveRun.class);
+			assertThat(engines.sendOrder(server.address(), new EngineOrder(1, "o", "m", "", List.of(), ""), 5000))
+				.isInstanceOf(OrderResult.Unknown.class);
+			assertThat(server.requests()).isEqualTo(2);
+		}
+	}
+
 	@Test
 	void everyRefusedConnectionIsReportedAsNotRun() throws IOException {
 		int freePort;
