Stop using a store's connections of one age after a timeout, on our own interface too

HttpPlatformStore went on using the other kept connections after a call had timed out on one. If all are silent, each costs a timeout of a second, and a change of the configuration that only the hosts' watches find misses its target of 3 s.

Test: HttpPlatformStoreTests.connectionsThatWereOpenDuringATimeoutAreNotUsedAgain failed before (2 connections instead of 3). Not measured in processes.

--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/HttpPlatformStore.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 
 import com.google.gson.JsonArray;
@@ -138,6 +139,9 @@
 			return (write) ? new StoreResult.Unknown<>("interrupted") : new StoreResult.Unavailable<>("interrupted");
 		}
 		catch (Exception ex) {
+			if (ex instanceof TimeoutException) {
+				this.clients.replaceConnections();
+			}
 			String reason = Failures.describe(ex);
 			return (write && !Failures.isNotSent(ex)) ? new StoreResult.Unknown<>(reason)
 					: new StoreResult.Unavailable<>(reason);
--- a/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
+++ b/medlardrum-transport/src/main/java/org/medlardrum/transport/internal/HttpClientPool.java
@@ -125,6 +125,15 @@
 		}
 	}
 
+	/**
+	 * Stops using the connections that are open, because those of one age may become
+	 * unresponsive at the same time. Calls in progress are not affected; later ones use
+	 * new connections.
+	 */
+	public void replaceConnections() {
+		retain(Set.of());
+	}
+
 	/**
 	 * Closes the connections to all addresses at once, so that calls in progress fail.
 	 * Later calls use new connections.
--- a/medlardrum-transport/src/test/java/org/medlardrum/transport/HttpPlatformStoreTests.java
+++ b/medlardrum-transport/src/test/java/org/medlardrum/transport/HttpPlatformStoreTests.java
@@ -4,6 +4,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -69,6 +71,36 @@
 		}
 	}
 
+	/**
+	 * Guards against a call on a connection that went silent together with the one of a
+	 * call that has timed out. Two calls at the same time open two connections.
+	 */
+	@Test
+	void connectionsThatWereOpenDuringATimeoutAreNotUsedAgain() throws Exception {
+		CountDownLatch both = new CountDownLatch(2);
+		try (ScriptedServer server = new ScriptedServer((n) -> {
+			both.countDown();
+			awaitQuietly(both);
+			return (n == 2) ? "HTTP/1.1 200 X\r\nX-Hold: 1\r\n" : ScriptedServer.response(200, "", ENTRY);
+		}); HttpPlatformStore store = new HttpPlatformStore(server.address(), 1000)) {
+			CompletableFuture<StoreResult<StoreEntry>> other = CompletableFuture.supplyAsync(() -> store.get("a"));
+			store.get("a");
+			other.get();
+			assertThat(store.get("a")).isInstanceOf(StoreResult.Unavailable.class);
+			store.get("a");
+			assertThat(server.connections()).isAtLeast(3);
+		}
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Test
 	void refusedConnectionIsUnavailable() throws IOException {
 		int freePort;
