--- a/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
+++ b/medlardrum-coordination/src/main/java/org/medlardrum/coordination/follow/StoreFollower.java
@@ -245,9 +245,8 @@
 		return !isMissingChanges(newest);
 	}
 
-	// A call that is sent later, over a new connection, and is answered before the
-	// waiting
-	// one shows that the connection of the waiting one is unresponsive.
+	// The connection of the waiting call is unresponsive if a call that is sent later,
+	// over a new connection, is answered first.
 	private void readMissingChanges(StoreVersion newest) {
 		StoreVersion before = version();
 		long sentMs = this.monotonicMs.getAsLong();
