--- a/review/stand-ins-3/CrashingRequestCase.java
+++ b/review/stand-ins-3/CrashingRequestCase.java
@@ -1,3 +1,4 @@
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -7,9 +8,11 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * A request of a safe route crashes each server that begins to run it, and comes again
- * every four seconds. Beside it the service gets its usual requests. The rule allows three
- * retries that reach servers later than {@code touchMs} after the third crash.
+ * A request crashes each server that begins to run it, and comes again every four
+ * seconds: with "begins" one of a safe route, before the server has sent anything, with
+ * "answers" one of an unsafe route, when the server has sent the first half of its answer.
+ * Beside it the service gets its usual requests. The rule allows three retries that reach
+ * servers later than {@code touchMs} after the third crash.
  */
 public final class CrashingRequestCase {
 
@@ -21,6 +24,11 @@
 
 	private static final long CRASH_AFTER_MS = 1;
 
+	/** Size of half an answer, and the time after which the server crashes. */
+	private static final int HALF_BYTES = 400;
+
+	private static final long ANSWER_MS = 20;
+
 	private static final long TOUCH_MS = 3_000;
 
 	private static final int MAX_LATE_RETRIES = 3;
@@ -38,7 +46,7 @@
 		int exit = 2;
 		Path temporary = Files.createTempDirectory("review");
 		try (Log log = new Log(folder)) {
-			exit = run(log, temporary, trouble);
+			exit = run(log, temporary, trouble, args[1].equals("answers"));
 		}
 		catch (Exception ex) {
 			ex.printStackTrace();
@@ -46,17 +54,20 @@
 		System.exit(exit);
 	}
 
-	private static int run(Log log, Path temporary, boolean trouble) throws Exception {
+	private static int run(Log log, Path temporary, boolean trouble, boolean answers) throws Exception {
 		StoreStandIn store = new StoreStandIn();
 		List<Long> crashesMs = Collections.synchronizedList(new ArrayList<>());
 		List<Run> runs = Collections.synchronizedList(new ArrayList<>());
-		PlainServer.Behaviour behaviour = (server, request) -> {
-			boolean poison = request.target().equals("/look/poison");
+		PlainServer.Behaviour behaviour = (server, request, out) -> {
+			boolean poison = request.target().endsWith("/poison");
 			if (poison) {
 				log.line("run " + request.header(Names.get("header.requestId")) + " at " + server.id());
 				runs.add(new Run(log.nowMs(), request.header(Names.get("header.requestId"))));
 				Thread.sleep(CRASH_AFTER_MS);
 				if (trouble) {
+					if (answers) {
+						answerHalf(request, out);
+					}
 					crashesMs.add(log.nowMs());
 					server.crash(DOWN_MS);
 					return null;
@@ -82,9 +93,11 @@
 			try (Caller caller = new Caller(host)) {
 				for (int i = 0; log.nowMs() < endMs; i++) {
 					String id = String.format("b%015x", i);
-					log.line("send " + id + " GET /look/poison");
+					String method = (answers) ? "POST" : "GET";
+					String path = (answers) ? "/book/poison" : "/look/poison";
+					log.line("send " + id + " " + method + " " + path);
 					try {
-						log.line("answer " + id + " " + caller.call(id, "GET", "/look/poison", new byte[0], 3_000).status());
+						log.line("answer " + id + " " + caller.call(id, method, path, new byte[0], 3_000).status());
 					}
 					catch (java.io.IOException ex) {
 						log.line("answer " + id + " none: " + ex.getMessage());
@@ -106,6 +119,16 @@
 		return (late > MAX_LATE_RETRIES) ? 1 : 0;
 	}
 
+	private static void answerHalf(Http.Message request, OutputStream out) throws Exception {
+		String id = request.header(Names.get("header.requestId"));
+		out.write(("HTTP/1.1 200 OK\r\n" + Names.get("header.requestId") + ": " + id + "\r\n" + Names.get("header.proof")
+				+ ": stamp." + id + "\r\nContent-Length: " + 2 * HALF_BYTES + "\r\n\r\n")
+			.getBytes(StandardCharsets.UTF_8));
+		out.write(new byte[HALF_BYTES]);
+		out.flush();
+		Thread.sleep(ANSWER_MS);
+	}
+
 	private static void usualRequests(HostProcess host, Log log, int number, AtomicBoolean stopped) {
 		try (Caller caller = new Caller(host)) {
 			for (int i = 0; !stopped.get(); i++) {
--- a/review/stand-ins-3/PlainServer.java
+++ b/review/stand-ins-3/PlainServer.java
@@ -1,5 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -27,10 +28,11 @@
 		 * Runs a request.
 		 * @param server the server
 		 * @param request the request
+		 * @param out the connection, for a behaviour that answers by itself
 		 * @return the body of the response with status 200, {@code null} for none
 		 * @throws Exception if the request cannot be run
 		 */
-		byte[] run(PlainServer server, Http.Message request) throws Exception;
+		byte[] run(PlainServer server, Http.Message request, OutputStream out) throws Exception;
 
 	}
 
@@ -235,7 +237,7 @@
 		this.places.acquire();
 		try {
 			Thread.sleep(this.workMs);
-			byte[] body = this.behaviour.run(this, request);
+			byte[] body = this.behaviour.run(this, request, connection.getOutputStream());
 			if (body != null) {
 				Http.write(connection.getOutputStream(), "HTTP/1.1 200 OK", body, Names.get("header.requestId"),
 						requestId, Names.get("header.proof"), "stamp." + this.id + "." + requestId);
--- a/review/stand-ins-3/RegressCase.java
+++ b/review/stand-ins-3/RegressCase.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -140,7 +141,7 @@
 		this.log.line("the store has confirmed version " + version + ", which moves the route to " + service);
 	}
 
-	private byte[] runAt(PlainServer server, Http.Message request) {
+	private byte[] runAt(PlainServer server, Http.Message request, OutputStream out) {
 		String id = request.header(Names.get("header.requestId"));
 		this.runs.add(new Run(id, server.id(), this.log.nowMs()));
 		return ("answer of " + server.id()).getBytes(StandardCharsets.UTF_8);
