--- a/review/stand-ins-3/RestartedBudgetCase.java
+++ b/review/stand-ins-3/RestartedBudgetCase.java
@@ -25,9 +25,9 @@
 
 	private static final int QUEUE = 2;
 
-	private static final int WORK_MS = 250;
+	private static final int WORK_MS = 320;
 
-	private static final int USUAL_PER_S = 60;
+	private static final int USUAL_PER_S = 49;
 
 	private static final double BURST = 2.5;
 
@@ -85,7 +85,7 @@
 		StoreStandIn store = new StoreStandIn();
 		for (int i = 0; i < SERVERS; i++) {
 			new PlainServer(store, this.log, "ledger", "server" + i, SLOTS, QUEUE, WORK_MS, this::recordArrival,
-					(server, request) -> ("answer to " + request.target()).getBytes(StandardCharsets.UTF_8));
+					(server, request, out) -> ("answer to " + request.target()).getBytes(StandardCharsets.UTF_8));
 		}
 		store.write(Names.get("key.configuration"), Names.template("configuration.json", "version", 7, "service", "ledger"));
 		for (int i = 0; i < HOSTS; i++) {
